--- /dev/null
+++ b/crates/adapter/src/door.rs
@@ -0,0 +1,499 @@
+//! Events decoded into calls of the module, its effects encoded into actions. Ids become small indices here.
+
+use crate::line::{Fields, Line};
+use crate::setup::{self, Names};
+use havenplank::logic::Logic;
+use havenplank::port::*;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::fmt::Write as _;
+use std::io;
+
+/// A pod as a bank lists it: read once, mapped to indices by each instance that is pointed to the bank.
+struct Row {
+    pod: String,
+    zone: String,
+    machine: String,
+    entry: PodEntry,
+}
+
+/// The forwards of a hit that are out, and whether its final answer is still owed.
+struct Held {
+    name: String,
+    open: bool,
+    forwards: Vec<Option<Then<Outcome>>>,
+}
+
+/// The host of one instance.
+struct Door {
+    now: Ns,
+    sidecar: u64,
+    names: Names,
+    pods: HashMap<String, PodId>,
+    pod_names: Vec<String>,
+    hit_ids: HashMap<String, HitId>,
+    /// Emptied of a hit once it is answered and all its forwards have returned.
+    hits: HashMap<HitId, Held>,
+    next_hit: HitId,
+    /// A wake leaves when its alarm comes.
+    wakes: HashMap<u64, Then<()>>,
+    next_wake: u64,
+    votes: VecDeque<Then<StageNews>>,
+    probes: HashMap<PodId, VecDeque<Then<ProbeEnd>>>,
+    out: String,
+}
+
+struct Instance {
+    logic: Logic,
+    door: Door,
+}
+
+#[derive(Default)]
+pub struct Wire {
+    now: Ns,
+    turn: u64,
+    banks: BTreeMap<u64, Vec<Row>>,
+    /// None for an instance that was stopped.
+    instances: BTreeMap<u64, Option<Box<Instance>>>,
+    strange: HashSet<String>,
+    out: String,
+}
+
+impl Door {
+    fn act(&mut self, verb: &str) -> &mut String {
+        let _ = write!(self.out, "{{\"verb\":\"{verb}\",\"sidecar\":{}", self.sidecar);
+        &mut self.out
+    }
+
+    fn end(&mut self) {
+        self.out.push_str("}\n");
+    }
+
+    fn on_hit(&mut self, verb: &str, hit: HitId) -> &mut String {
+        let name =
+            self.hits.get(&hit).map(|held| Value::from(held.name.as_str()).to_string()).unwrap_or_default();
+        let out = self.act(verb);
+        let _ = write!(out, ",\"opId\":{name}");
+        out
+    }
+
+    fn answer(&mut self, hit: HitId) {
+        if let Some(held) = self.hits.get_mut(&hit) {
+            held.open = false;
+        }
+        self.sweep(hit);
+    }
+
+    fn sweep(&mut self, hit: HitId) {
+        if self.hits.get(&hit).is_some_and(|held| !held.open && held.forwards.iter().all(Option::is_none)) {
+            if let Some(held) = self.hits.remove(&hit) {
+                self.hit_ids.remove(&held.name);
+            }
+        }
+    }
+
+    fn pod_index(&mut self, name: &str) -> PodId {
+        if let Some(id) = self.pods.get(name) {
+            return *id;
+        }
+        let id = self.pod_names.len();
+        self.pods.insert(name.to_string(), id);
+        self.pod_names.push(name.to_string());
+        id
+    }
+
+    fn known_pod(&self, fields: &Fields) -> Result<PodId, String> {
+        let name = fields.text("pod")?;
+        self.pods.get(name).copied().ok_or_else(|| fields.complain("pod", "a pod never listed"))
+    }
+
+    fn load(&self, fields: &Fields) -> Result<Option<Load>, String> {
+        let Some(row) = fields.maybe_numbers("gauge")? else { return Ok(None) };
+        let mut load = Load::default();
+        for (name, value) in self.names.load.iter().zip(row) {
+            match name.as_str() {
+                "busy_reqs" => load.in_flight = Some(value),
+                "pending" => load.queued = Some(value),
+                "cpu_share" => load.busy = Some(value),
+                "svc_ms" => load.latency_ms = Some(value),
+                "served_ps" => load.delivered_per_s = Some(value),
+                "failed_ps" => load.failed_per_s = Some(value),
+                _ => {}
+            }
+        }
+        Ok(Some(load))
+    }
+}
+
+impl Host for Door {
+    fn now(&self) -> Ns {
+        self.now
+    }
+
+    fn open(&self, hit: HitId) -> bool {
+        self.hits.get(&hit).is_some_and(|held| held.open)
+    }
+
+    fn forward(&mut self, hit: HitId, pod: PodId, time_out: Ns, then: Then<Outcome>) {
+        if !self.open(hit) {
+            return;
+        }
+        let name = Value::from(self.pod_names[pod].as_str()).to_string();
+        let out = self.on_hit("ATTEMPT", hit);
+        let _ = write!(out, ",\"pod\":{name},\"patienceNs\":{time_out}");
+        self.end();
+        if let Some(held) = self.hits.get_mut(&hit) {
+            held.forwards.push(Some(then));
+        }
+    }
+
+    fn cancel(&mut self, hit: HitId, forward: u32) {
+        if self.hits.get(&hit).is_some_and(|held| (forward as usize) < held.forwards.len()) {
+            let _ = write!(self.on_hit("RETRACT", hit), ",\"trial\":{forward}");
+            self.end();
+        }
+    }
+
+    fn bounce(&mut self, hit: HitId, come_back: Ns) {
+        if self.open(hit) {
+            let _ = write!(self.on_hit("REFUSE", hit), ",\"waitNs\":{come_back}");
+            self.end();
+            self.answer(hit);
+        }
+    }
+
+    fn error(&mut self, hit: HitId) {
+        if self.open(hit) {
+            self.on_hit("LOSE", hit);
+            self.end();
+            self.answer(hit);
+        }
+    }
+
+    fn vote(&mut self, build: Build, stage: usize, voice: Voice, then: Then<StageNews>) {
+        let sense = match voice {
+            Voice::None => 0,
+            Voice::On => 1,
+            Voice::Hold => 2,
+            Voice::Back => 3,
+        };
+        let _ = write!(self.act("VERDICT"), ",\"release\":{build},\"wave\":{stage},\"sense\":{sense}");
+        self.end();
+        self.votes.push_back(then);
+    }
+
+    fn probe(&mut self, pod: PodId, then: Then<ProbeEnd>) {
+        let name = Value::from(self.pod_names[pod].as_str()).to_string();
+        let _ = write!(self.act("TOUCH"), ",\"pod\":{name}");
+        self.end();
+        self.probes.entry(pod).or_default().push_back(then);
+    }
+
+    fn ask_list(&mut self) {
+        self.act("QUERY_ALL");
+        self.end();
+    }
+
+    fn watch_list(&mut self, on: bool) {
+        let _ = write!(self.act("TAIL"), ",\"enable\":{on}");
+        self.end();
+    }
+
+    fn wake(&mut self, after: Ns, then: Then<()>) {
+        let id = self.next_wake;
+        self.next_wake += 1;
+        self.wakes.insert(id, then);
+        let _ = write!(self.act("TIMER"), ",\"keyBack\":\"{id}\",\"fromNowNs\":{after}");
+        self.end();
+    }
+
+    fn log(&mut self, line: &str) {
+        let text = Value::from(line).to_string();
+        let _ = write!(self.act("TRACE"), ",\"message\":{text}");
+        self.end();
+    }
+}
+
+fn ended(fields: &Fields) -> Result<Ended, String> {
+    Ok(match fields.whole("ending")? {
+        100 => Ended::Delivered,
+        301 => Ended::Error,
+        302 => Ended::Full,
+        303 => Ended::TimeOut,
+        304 => Ended::NoConnection,
+        305 => Ended::Reset,
+        306 => Ended::Cancelled,
+        307 => Ended::NotSent,
+        _ => return Err(fields.complain("ending", "an unknown outcome")),
+    })
+}
+
+/// FNV-1a, so that a key is the same small value in every process.
+fn key_hash(key: &str) -> u64 {
+    let mixed =
+        key.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ b as u64).wrapping_mul(0x0100_0000_01b3));
+    mixed.max(1)
+}
+
+fn row(fields: &Fields) -> Result<Row, String> {
+    let state = match fields.text("lifecycle")? {
+        "Running" => PodState::Running,
+        "Stopping" => PodState::Draining,
+        "Deleted" => PodState::Gone,
+        _ => return Err(fields.complain("lifecycle", "not Running, Stopping or Deleted")),
+    };
+    let entry = PodEntry {
+        pod: 0,
+        state,
+        build: fields.whole_or("release", 0)?.min(u32::MAX as u64) as Build,
+        started: fields.whole_or("startedAtNs", 0)?,
+        zone: 0,
+        machine: 0,
+        cell: fields.whole_or("block", 0)? as i64,
+        size: fields.number_or("size", 1.0)?,
+    };
+    Ok(Row {
+        pod: fields.text("pod")?.to_string(),
+        zone: fields.text("az")?.to_string(),
+        machine: fields.maybe_text("machine")?.unwrap_or_default().to_string(),
+        entry,
+    })
+}
+
+/// The position of a name, giving a new one the next place.
+fn place(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    })
+}
+
+fn stage(fields: &Fields) -> Result<Stage, String> {
+    let phase = match fields.whole_or("standing", 0)? {
+        0 => Phase::Trial,
+        1 => Phase::GoingBack,
+        2 => Phase::Released,
+        3 => Phase::Withdrawn,
+        _ => return Err(fields.complain("standing", "not 0 to 3")),
+    };
+    Ok(Stage {
+        build: fields.whole("release")?.min(u32::MAX as u64) as Build,
+        stage: fields.whole_or("wave", 0)? as usize,
+        phase,
+        cap: fields.number_or("limitShare", 0.0)?,
+        age: fields.whole_or("latenessNs", 0)?,
+    })
+}
+
+impl Instance {
+    fn event(&mut self, line: &Line, banks: &BTreeMap<u64, Vec<Row>>) -> Result<(), String> {
+        let f = line.of();
+        let (logic, door) = (&mut self.logic, &mut self.door);
+        match line.verb.as_str() {
+            "ROSTER_CHANGE" => {
+                let whole = match f.text("how")? {
+                    "delta" => false,
+                    "full" | "cached" => true,
+                    "failed" => {
+                        logic.list_failed(door);
+                        return Ok(());
+                    }
+                    _ => return Err(f.complain("how", "not delta, full, cached or failed")),
+                };
+                let rows =
+                    banks.get(&f.whole("bank")?).ok_or_else(|| f.complain("bank", "a list never sent"))?;
+                let mut entries = Vec::with_capacity(rows.len());
+                for row in rows {
+                    let mut entry = row.entry.clone();
+                    entry.pod = door.pod_index(&row.pod);
+                    entry.zone = place(&mut door.names.zones, &row.zone);
+                    entry.machine = place(&mut door.names.machines, &row.machine);
+                    entries.push(entry);
+                }
+                logic.list(door, whole, &entries);
+            }
+            "KNOCK" => {
+                let name = f.text("opId")?;
+                let group = f.named("grade", &door.names.groups)?;
+                let customer = match f.maybe_name("clientGroup")? {
+                    Some(name) => door.names.customers.iter().position(|known| *known == name),
+                    None => None,
+                };
+                let id = door.next_hit;
+                let hit = Hit {
+                    id,
+                    group,
+                    customer,
+                    key: f.maybe_text("entity")?.map_or(0, key_hash),
+                    left: f.whole("graceNs")?,
+                    cost_hint: f.maybe_whole("sizeHintNs")?,
+                    repeat: f.flag("repeat")?,
+                };
+                door.next_hit += 1;
+                door.hit_ids.insert(name.to_string(), id);
+                door.hits.insert(id, Held { name: name.to_string(), open: true, forwards: Vec::new() });
+                logic.hit(door, hit);
+            }
+            "RETURNED" => {
+                let name = f.text("opId")?;
+                let trial = f.whole("trial")? as usize;
+                door.known_pod(&f)?;
+                let outcome = Outcome {
+                    end: ended(&f)?,
+                    took: f.whole("latencyNs")?,
+                    over: f.flag("over")?,
+                    load: door.load(&f)?,
+                };
+                let Some(hit) = door.hit_ids.get(name).copied() else { return Ok(()) };
+                let Some(held) = door.hits.get_mut(&hit) else { return Ok(()) };
+                held.open &= !outcome.over;
+                let then = held.forwards.get_mut(trial).and_then(Option::take);
+                if let Some(then) = then {
+                    then(logic, door, outcome);
+                }
+                door.sweep(hit);
+            }
+            "HANGUP" => {
+                if let Some(hit) = door.hit_ids.get(f.text("opId")?).copied() {
+                    door.answer(hit);
+                }
+            }
+            "HEADERS" => {
+                f.text("opId")?;
+                f.whole("trial")?;
+                f.whole("latencyNs")?;
+                door.known_pod(&f)?;
+            }
+            "ALARM" => {
+                let token = f.text("keyBack")?;
+                if let Some(then) = token.parse().ok().and_then(|id: u64| door.wakes.remove(&id)) {
+                    then(logic, door, ());
+                }
+            }
+            "ROLLOUT_STATE" => {
+                let ending = f.whole("ending")?;
+                let told = stage(&f)?;
+                let told = (ending == 100).then_some(told);
+                if f.whole_or("sense", 0)? == 0 {
+                    if let Some(told) = told {
+                        logic.news(door, told);
+                    }
+                } else if let Some(then) = door.votes.pop_front() {
+                    let heard = match ending {
+                        100 => Heard::Counted,
+                        307 => Heard::Moot,
+                        303 => Heard::Unknown,
+                        _ => Heard::Refused,
+                    };
+                    then(logic, door, StageNews { heard, stage: told });
+                }
+            }
+            "DIGEST" => {
+                let tally = Tally {
+                    build: f.whole("release")?.min(u32::MAX as u64) as Build,
+                    group: f.named("grade", &door.names.groups)?,
+                    count: f.whole_or("count", 0)?,
+                    failed: f.whole_or("lost", 0)?,
+                    mean_latency: f.whole_or("latencyNs", 0)?,
+                    age: f.whole_or("latenessNs", 0)?,
+                };
+                logic.tally(door, tally);
+            }
+            "CONTESTED" => {
+                let pod = door.known_pod(&f)?;
+                let group = f.named("grade", &door.names.groups)?;
+                logic.flagged(door, pod, group, f.whole("latenessNs")?);
+            }
+            "PING_RESULT" => {
+                let pod = door.known_pod(&f)?;
+                let end = ProbeEnd { end: ended(&f)?, took: f.whole("latencyNs")?, load: door.load(&f)? };
+                if let Some(then) = door.probes.get_mut(&pod).and_then(VecDeque::pop_front) {
+                    then(logic, door, end);
+                }
+            }
+            // Nothing here sends to peers; what one says is read for its form alone.
+            _ => {
+                f.whole("sender")?;
+                f.text("blob")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Wire {
+    /// Takes one line; the number of the batch where the line ends one.
+    pub fn line(&mut self, line: Line) -> Result<Option<u64>, String> {
+        let f = line.of();
+        match line.verb.as_str() {
+            "ROUND" => {
+                self.now = f.whole("momentNs")?;
+                self.turn = f.whole("turn")?;
+            }
+            "GO" => return Ok(Some(self.turn)),
+            "LIST" => {
+                let rows = f.objects("records")?.iter().map(row).collect::<Result<_, _>>()?;
+                self.banks.insert(f.whole("bank")?, rows);
+            }
+            "ATTACH" => self.attach(&f)?,
+            "POWER_OFF" => {
+                let sidecar = f.whole("sidecar")?;
+                let known = self.instances.get_mut(&sidecar);
+                *known.ok_or_else(|| f.complain("sidecar", "an instance never started"))? = None;
+            }
+            "ROSTER_CHANGE" | "KNOCK" | "NEIGHBOUR_SAYS" | "CONTESTED" | "ALARM" | "DIGEST"
+            | "ROLLOUT_STATE" | "RETURNED" | "HANGUP" | "PING_RESULT" | "HEADERS" => {
+                let sidecar = f.whole("sidecar")?;
+                let known = self.instances.get_mut(&sidecar);
+                let instance = known.ok_or_else(|| f.complain("sidecar", "an instance never started"))?;
+                if let Some(instance) = instance {
+                    instance.door.now = self.now;
+                    std::mem::swap(&mut instance.door.out, &mut self.out);
+                    let done = instance.event(&line, &self.banks);
+                    std::mem::swap(&mut instance.door.out, &mut self.out);
+                    done?;
+                }
+            }
+            other => {
+                if self.strange.insert(other.to_string()) {
+                    eprintln!("havenplank-adapter: line {}: {other}: unknown verb, skipped", line.number);
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    fn attach(&mut self, f: &Fields) -> Result<(), String> {
+        let sidecar = f.whole("sidecar")?;
+        let seed = f.whole("prng")?;
+        let s = setup::read(&f.object("setup")?)?;
+        let door = Door {
+            now: self.now,
+            sidecar,
+            names: s.names,
+            pods: HashMap::new(),
+            pod_names: Vec::new(),
+            hit_ids: HashMap::new(),
+            hits: HashMap::new(),
+            next_hit: 0,
+            wakes: HashMap::new(),
+            next_wake: 0,
+            votes: VecDeque::new(),
+            probes: HashMap::new(),
+            out: std::mem::take(&mut self.out),
+        };
+        let logic =
+            Logic::new(self.now, seed, s.place, s.groups, s.forwards, s.pods, s.exposure, s.votes, s.list);
+        let mut instance = Box::new(Instance { logic, door });
+        instance.logic.begin(&mut instance.door);
+        self.out = std::mem::take(&mut instance.door.out);
+        self.instances.insert(sidecar, Some(instance));
+        Ok(())
+    }
+
+    pub fn reply(&mut self, turn: u64, output: &mut impl io::Write) -> io::Result<()> {
+        output.write_all(self.out.as_bytes())?;
+        self.out.clear();
+        writeln!(output, "{{\"verb\":\"YIELD\",\"turn\":{turn}}}")
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! havenplank: a hit router and release judge.
+//!
+//! [`logic`] holds every decision, [`port`] the calls and effects between it and whatever hosts it.
+
+pub mod logic;
+pub mod port;
