Keep cold pods standing, bound hits in flight, and tell hung pods from slow ones

Cause: the cold budget went by forwards, which outrun any capacity once half the fleet is lost or full.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -192,6 +192,7 @@
     sent: Vec<(Build, Vec<Window>)>,
     /// The part of the cap in use.
     part: f64,
+    moved_at: Ns,
     /// Keys that the build on trial has answered, where they are bound to it; emptied with the build.
     bound: HashSet<u64>,
 }
@@ -209,6 +210,7 @@
             taken,
             sent: Vec::new(),
             part: Exposure::START,
+            moved_at: now,
             bound: HashSet::new(),
         }
     }
@@ -254,13 +256,14 @@
 struct Pod {
     entry: PodEntry,
     in_flight: u32,
-    recent: Window,
+    sent: Window,
+    carried: Window,
     /// Failures since the last answer, and until when they keep hits away.
     strikes: u32,
     ill_until: Ns,
     /// Since when forwards are out with no answer at all.
     quiet_since: Ns,
-    /// Its answer times against the mean of each path group.
+    /// Its answer times against the mean of each path group, and when that was last learnt.
     slow: f64,
     slow_at: Ns,
 }
@@ -268,6 +271,8 @@
 /// What this instance knows of the pods. A pod leaves the table when the list drops it and nothing is out.
 struct Pods {
     rules: PodRules,
+    /// How long a pod may be silent before it looks hung.
+    quiet: Ns,
     table: Vec<Option<Pod>>,
 }
 
@@ -277,85 +282,146 @@
     const ILL_MOST: Ns = 8 * S;
     /// Part of the fall multiple that all instances together may use on a cold pod.
     const COLD_PART: f64 = 0.6;
+    const SLOW_FADES: f64 = 5e9;
 
     fn apply(&mut self, entry: PodEntry) {
         if self.table.len() <= entry.pod {
             self.table.resize_with(entry.pod + 1, || None);
         }
         let slot = &mut self.table[entry.pod];
-        match slot {
-            Some(pod) if pod.entry.started == entry.started && pod.entry.build == entry.build => {
-                pod.entry = entry
-            }
-            _ => {
-                let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
-                let recent = Window::new(self.rules.fall_window);
-                *slot = Some(Pod {
-                    entry,
-                    in_flight,
-                    recent,
-                    strikes: 0,
-                    ill_until: 0,
-                    quiet_since: 0,
-                    slow: 1.0,
-                    slow_at: 0,
-                });
-            }
+        let (started, build) = (entry.started, entry.build);
+        if let Some(pod) =
+            slot.as_mut().filter(|pod| (pod.entry.started, pod.entry.build) == (started, build))
+        {
+            pod.entry = entry;
+            return;
         }
+        let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
+        let (sent, carried) = (Window::new(self.rules.fall_window), Window::new(self.rules.fall_window));
+        let fresh = (0, 0, 0, 1.0, 0);
+        let (strikes, ill_until, quiet_since, slow, slow_at) = fresh;
+        *slot = Some(Pod { entry, in_flight, sent, carried, strikes, ill_until, quiet_since, slow, slow_at });
+    }
+
+    fn get(&self, id: PodId) -> Option<&Pod> {
+        self.table.get(id).and_then(Option::as_ref)
     }
 
     fn live(&self) -> impl Iterator<Item = &Pod> {
         self.table.iter().flatten().filter(|pod| pod.entry.state == PodState::Running)
     }
 
-    fn warmth(&self, now: Ns, pod: &Pod) -> f64 {
-        let age = now.saturating_sub(pod.entry.started) as f64;
+    fn warmth(&self, now: Ns, entry: &PodEntry) -> f64 {
+        let age = now.saturating_sub(entry.started) as f64;
         let cold = self.rules.cold_share;
         (cold + (1.0 - cold) * age / self.rules.warm_up.max(1) as f64).min(1.0)
     }
 
-    fn well(&self, now: Ns, pod: &Pod, quiet_after: Ns) -> bool {
+    fn silent(&self, now: Ns, pod: &Pod) -> bool {
         let quiet = if pod.in_flight == 0 { 0 } else { now.saturating_sub(pod.quiet_since) };
-        let silent = quiet > if pod.in_flight >= 2 { quiet_after / 2 } else { quiet_after };
-        // A pod on the mend gets one hit at a time.
+        quiet > if pod.in_flight > 1 { self.quiet / 2 } else { self.quiet }
+    }
+
+    /// A pod on the mend gets one hit at a time.
+    fn well(&self, now: Ns, pod: &Pod) -> bool {
         let mending = pod.strikes >= Pods::ILL_AFTER && pod.in_flight > 0;
-        now >= pod.ill_until && !silent && !mending
+        now >= pod.ill_until && !mending && !self.silent(now, pod)
     }
 
-    /// Whether a cold pod has room: what warm pods of its machine carry for this instance is the guide.
+    /// Whether a cold pod has room. The guide is what warm pods of its machine answer to this instance: answers,
+    /// not forwards, since those outrun any capacity when the rest of the fleet is lost or full.
     fn cold_room(&mut self, now: Ns, id: PodId) -> bool {
-        let Some(pod) = self.table[id].as_ref() else { return false };
-        let warmth = self.warmth(now, pod);
+        let Some(entry) = self.get(id).map(|pod| pod.entry.clone()) else { return false };
+        let warmth = self.warmth(now, &entry);
         if warmth >= 1.0 {
             return true;
         }
-        let (machine, size) = (pod.entry.machine, pod.entry.size);
-        let (mut same, mut same_sent, mut all, mut all_sent) = (0.0, 0.0, 0.0, 0.0);
-        for id in 0..self.table.len() {
-            let Some(peer) = self.table[id].as_ref() else { continue };
-            let warm = self.warmth(now, peer);
-            let alike = peer.entry.machine == machine && warm >= 1.0;
-            let factor = size / peer.entry.size.max(1e-9);
-            if peer.entry.state != PodState::Running {
+        let (mut alike, mut all) = ((0.0, 0.0), (0.0, 0.0));
+        let (cold, warm_up) = (self.rules.cold_share, self.rules.warm_up);
+        for peer in self.table.iter_mut().flatten().filter(|peer| peer.entry.state == PodState::Running) {
+            if cold < 1.0 && now.saturating_sub(peer.entry.started) < warm_up {
                 continue;
             }
-            let sent = self.table[id].as_mut().map_or(0, |peer| peer.recent.most(now)) as f64;
-            all += warm;
-            all_sent += sent;
-            if alike {
-                same += 1.0;
-                same_sent += sent * factor;
+            let carried = peer.carried.most(now) as f64 * entry.size / peer.entry.size.max(1e-9);
+            all = (all.0 + 1.0, all.1 + carried);
+            if peer.entry.machine == entry.machine {
+                alike = (alike.0 + 1.0, alike.1 + carried);
             }
         }
-        let carried = if same > 0.0 { same_sent / same } else { 0.5 * all_sent / f64::max(all, 1.0) };
+        let carried = if alike.0 > 0.0 { alike.1 / alike.0 } else { 0.5 * all.1 / f64::max(all.0, 1.0) };
         let most = (Pods::COLD_PART * self.rules.fall_multiple * warmth * carried).max(1.0);
-        self.table[id].as_mut().is_some_and(|pod| pod.recent.most(now) as f64 + 1.0 <= most)
+        self.table[id].as_mut().is_some_and(|pod| pod.sent.most(now) as f64 + 1.0 <= most)
     }
 
-    fn score(&self, now: Ns, pod: &Pod) -> f64 {
-        let idle = now.saturating_sub(pod.slow_at) as f64 / (5 * S) as f64;
+    fn score(&self, now: Ns, id: PodId) -> f64 {
+        let Some(pod) = self.get(id) else { return f64::MAX };
+        let idle = now.saturating_sub(pod.slow_at) as f64 / Pods::SLOW_FADES;
         let slow = 1.0 + (pod.slow - 1.0) * (-idle).exp();
-        (pod.in_flight as f64 + 1.0) * slow / (pod.entry.size.max(1e-9) * self.warmth(now, pod))
+        (pod.in_flight as f64 + 1.0) * slow / (pod.entry.size.max(1e-9) * self.warmth(now, &pod.entry))
+    }
+
+    fn sent(&mut self, now: Ns, id: PodId) {
+        let Some(pod) = self.table[id].as_mut() else { return };
+        if pod.in_flight == 0 {
+            pod.quiet_since = now;
+        }
+        pod.in_flight += 1;
+        pod.sent.add(now);
+    }
+
+    /// Health by symptom, whatever its cause. A time-out tells of the pod only if nothing came from it since.
+    fn ended(&mut self, now: Ns, sent: &Sent, end: Ended, ratio: f64, scatter: f64) {
+        let Some(pod) = self.table[sent.pod].as_mut() else { return };
+        pod.in_flight = pod.in_flight.saturating_sub(1);
+        let hung = end == Ended::TimeOut && pod.quiet_since <= sent.at;
+        if !matches!(end, Ended::TimeOut | Ended::Cancelled | Ended::NotSent) {
+            pod.quiet_since = now;
+        }
+        if matches!(end, Ended::Delivered | Ended::TimeOut) {
+            pod.slow += (ratio.min(10.0) - pod.slow) * 0.1;
+            pod.slow_at = now;
+        }
+        if end == Ended::Delivered {
+            pod.carried.add(now);
+            (pod.strikes, pod.ill_until) = (0, 0);
+        } else if hung || matches!(end, Ended::Error | Ended::Reset | Ended::NoConnection | Ended::Full) {
+            pod.strikes += if end == Ended::NoConnection { Pods::ILL_AFTER } else { 1 };
+            if pod.strikes >= Pods::ILL_AFTER {
+                let doubled = Pods::ILL << (pod.strikes - Pods::ILL_AFTER).min(4);
+                pod.ill_until = now + (doubled.min(Pods::ILL_MOST) as f64 * scatter) as Ns;
+            }
+        }
+    }
+}
+
+/// Bounds the hits in flight by how quickly answers come, so that a queue that would make every answer late is
+/// bounced at the door instead. Covers overload, lost pods and slow fleets alike; could harm where a few heavy
+/// hits are late by nature, so a cut needs lateness and comes once an answer time at most.
+struct Limit {
+    most: f64,
+    out: u32,
+    cut_at: Ns,
+}
+
+impl Limit {
+    const LEAST: f64 = 4.0;
+    const START: f64 = 60.0;
+    const LATE: f64 = 0.6;
+
+    /// Hits of less benefit make way first.
+    fn room(&self, worth: f64) -> bool {
+        (self.out as f64) < self.most * (0.75 + 0.25 * worth)
+    }
+
+    fn ended(&mut self, now: Ns, target: Ns, took: Ns, answered: bool) {
+        let late = took as f64 > Limit::LATE * target as f64;
+        if late && now.saturating_sub(self.cut_at) > target / 4 {
+            self.most = (self.most.min(self.out as f64) * 0.93).max(Limit::LEAST);
+            self.cut_at = now;
+        } else if answered && !late && self.out as f64 > self.most / 2.0 {
+            self.most += 0.2;
+        }
+        self.out = self.out.saturating_sub(1);
     }
 }
 
@@ -370,6 +436,8 @@
     tried: Vec<PodId>,
     /// When and where it may have run first.
     may_run: Option<(Ns, ZoneId, i64)>,
+    /// A build on trial failed it: no further forward there while there is another.
+    shy: bool,
 }
 
 /// One forward, for the closure that gets its outcome.
@@ -397,9 +465,12 @@
     taken: Window,
     retried: Window,
     mean: Vec<f64>,
+    limit: Limit,
 }
 
 impl Logic {
+    /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
+    const NEWER: f64 = 0.8;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
 
@@ -416,13 +487,14 @@
         lists: ListRules,
     ) -> Logic {
         let mean = groups.iter().map(|group| group.target_latency as f64 / 6.0).collect();
+        let quiet = groups.iter().map(|group| group.target_latency).min().unwrap_or(S);
         Logic {
             chance: Rand64::new(seed as u128),
             place,
             rules,
             lists,
             list_wait: 0,
-            pods: Pods { rules: pods, table: Vec::new() },
+            pods: Pods { rules: pods, quiet, table: Vec::new() },
             exposure: Exposure::new(exposure, groups.len(), now),
             judge: Judge::new(),
             voter: Voter::new(votes),
@@ -430,6 +502,7 @@
             taken: Window::new(Logic::RETRY_WINDOW),
             retried: Window::new(Logic::RETRY_WINDOW),
             mean,
+            limit: Limit { most: Limit::START, out: 0, cut_at: 0 },
             groups,
         }
     }
@@ -443,6 +516,12 @@
 
     fn tick(&mut self, host: &mut dyn Host) {
         self.consider(host);
+        let now = host.now();
+        if now >= self.exposure.moved_at + S {
+            let doubt = self.judge.sum > Judge::upper() / 2.0;
+            self.exposure.moved_at = now;
+            self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(0.1, 1.0);
+        }
         host.wake(TICK, Box::new(|logic, host, ()| logic.tick(host)));
     }
 
@@ -582,7 +661,13 @@
             forwards: 0,
             tried: Vec::new(),
             may_run: None,
+            shy: false,
         };
+        let worth =
+            self.groups[trip.group].benefit / self.groups.iter().map(|g| g.benefit).fold(1e-9, f64::max);
+        if !self.limit.room(worth) {
+            return self.give_up(host, trip);
+        }
         self.step(host, trip);
     }
 
@@ -594,13 +679,10 @@
         let Some(pod) = self.choose(now, &trip) else { return self.give_up(host, trip) };
         let time_out = self.patience(now, &trip);
         let young_limit = now.saturating_sub(Judge::COLD_SKIP);
-        let Some(entry) = self.pods.table[pod].as_mut() else { return self.give_up(host, trip) };
-        if entry.in_flight == 0 {
-            entry.quiet_since = now;
-        }
-        entry.in_flight += 1;
-        entry.recent.add(now);
-        let PodEntry { build, zone, cell, started, .. } = entry.entry;
+        let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
+        let PodEntry { build, zone, cell, started, .. } = *entry;
+        self.pods.sent(now, pod);
+        self.limit.out += 1;
         let sent = Sent { pod, build, at: now, zone, cell, young: started > young_limit };
         if !sent.young {
             self.judge.sent(now, build);
@@ -617,9 +699,11 @@
         );
     }
 
-    fn budget(&mut self, now: Ns) -> bool {
-        let taken = self.taken.most(now) as f64;
-        (self.retried.most(now) as f64) < Logic::RETRY_PART * taken + 1.0
+    /// Retries are bounded by hits taken, so that a sick fleet is not asked for several times the work; those
+    /// that surely never ran cost it little.
+    fn budget(&mut self, now: Ns, ran: bool) -> bool {
+        let part = if ran { Logic::RETRY_PART } else { 2.0 * Logic::RETRY_PART };
+        (self.retried.most(now) as f64) < part * self.taken.most(now) as f64 + 1.0
     }
 
     fn patience(&mut self, now: Ns, trip: &Trip) -> Ns {
@@ -627,7 +711,7 @@
         let left = trip.deadline - now;
         let last = trip.forwards + 1 >= self.rules.max_forwards;
         let again = group.kind != Kind::Mutating && !last;
-        if again && now + group.target_latency / 2 < trip.target_at && self.budget(now) {
+        if again && now + group.target_latency / 2 < trip.target_at && self.budget(now, true) {
             return (group.target_latency / 2).min(left);
         }
         left
@@ -643,25 +727,10 @@
         let ratio = outcome.took as f64 / mean.max(1.0);
         let failed = matches!(outcome.end, Ended::Error | Ended::TimeOut | Ended::Reset);
         let scatter = 0.5 + 0.5 * self.chance.rand_float();
-        if let Some(pod) = self.pods.table[sent.pod].as_mut() {
-            pod.in_flight = pod.in_flight.saturating_sub(1);
-            if outcome.end != Ended::TimeOut && outcome.end != Ended::Cancelled {
-                pod.quiet_since = now;
-            }
-            if answered || outcome.end == Ended::TimeOut {
-                pod.slow += (ratio.min(10.0) - pod.slow) * 0.1;
-                pod.slow_at = now;
-            }
-            if answered {
-                (pod.strikes, pod.ill_until) = (0, 0);
-            } else if failed || outcome.end == Ended::NoConnection {
-                pod.strikes += if outcome.end == Ended::NoConnection { Pods::ILL_AFTER } else { 1 };
-                if pod.strikes >= Pods::ILL_AFTER {
-                    let doubled = Pods::ILL << (pod.strikes - Pods::ILL_AFTER).min(4);
-                    pod.ill_until = now + (doubled.min(Pods::ILL_MOST) as f64 * scatter) as Ns;
-                }
-            }
-        }
+        let silent = self.pods.get(sent.pod).is_none_or(|pod| self.pods.silent(now, pod));
+        self.pods.ended(now, &sent, outcome.end, ratio, scatter);
+        let target = self.groups[trip.group].target_latency;
+        self.limit.ended(now, target, if silent { 0 } else { outcome.took }, answered);
         if !sent.young {
             if failed {
                 self.judge.failed(now, sent.build);
@@ -689,12 +758,11 @@
             Kind::Mutating => trip.may_run.is_none(),
             _ => true,
         };
-        if late || !allowed || (ran && !self.budget(now)) {
+        if late || !allowed || !self.budget(now, ran) {
             return self.give_up(host, trip);
         }
-        if ran {
-            self.retried.add(now);
-        }
+        self.retried.add(now);
+        trip.shy |= failed && self.cap(sent.build).is_some();
         self.step(host, trip);
     }
 
@@ -715,109 +783,76 @@
         }
     }
 
-    /// The pod for the next forward of a hit.
+    /// The pod for the next forward of a hit: two random choices by what is in flight, on either side of the
+    /// build on trial and of the zone border, then the better after each side's tilt.
     fn choose(&mut self, now: Ns, trip: &Trip) -> Option<PodId> {
         let group = self.groups[trip.group];
-        let mut new_build = None;
-        let (mut newer, mut older): (Vec<PodId>, Vec<PodId>) = (Vec::new(), Vec::new());
+        let one_way = self.exposure.rules.one_way;
+        let bound = one_way && self.exposure.bound.contains(&trip.key);
+        let keys_full = one_way && !bound && self.exposure.bound.len() >= Exposure::MOST_KEYS;
+        let mut fit: Vec<(PodId, Option<Build>, bool, bool)> = Vec::new();
         for pod in self.pods.live() {
             let entry = &pod.entry;
-            if let Some((at, zone, cell)) = trip.may_run {
-                let inside = match group.scope {
+            let inside = trip.may_run.is_none_or(|(at, zone, cell)| {
+                let same = match group.scope {
                     Scope::All => true,
                     Scope::Zone => entry.zone == zone,
                     Scope::Cell => entry.cell == cell,
                 };
-                if group.kind == Kind::Tagged && (!inside || now >= at + group.repeat_window) {
-                    continue;
-                }
-            }
-            match self.cap(entry.build) {
-                None => older.push(entry.pod),
-                Some(cap) => {
-                    if cap <= 0.0 || (self.guarded(entry.build) && group.kind != Kind::Repeatable) {
-                        continue;
-                    }
-                    new_build = new_build.max(Some(entry.build));
-                    newer.push(entry.pod);
-                }
+                group.kind != Kind::Tagged || (same && now < at + group.repeat_window)
+            });
+            let cap = self.cap(entry.build);
+            let closed = self.guarded(entry.build) && group.kind != Kind::Repeatable;
+            let trial = cap.map(|_| entry.build);
+            let held = bound && entry.build < self.judge.build;
+            if inside && !held && (trial.is_none() || (!closed && !keys_full && cap > Some(0.0))) {
+                fit.push((entry.pod, trial, entry.zone == self.place.zone, self.pods.well(now, pod)));
             }
         }
-        let bound = self.exposure.rules.one_way && self.exposure.bound.contains(&trip.key);
-        let full_keys = self.exposure.rules.one_way && self.exposure.bound.len() >= Exposure::MOST_KEYS;
-        if let Some(build) = new_build {
-            newer.retain(|id| self.pods.table[*id].as_ref().is_some_and(|pod| pod.entry.build == build));
-        }
-        let bound_build = self.judge.build;
-        if bound {
-            older.retain(|id| self.pods.table[*id].as_ref().is_some_and(|p| p.entry.build >= bound_build));
-        }
-        let cap = new_build.and_then(|build| self.cap(build)).unwrap_or(0.0);
-        let build = new_build.unwrap_or(0);
-        let part = self.exposure.part;
-        let must = older.is_empty();
-        let soft = new_build.is_some()
-            && (bound || !full_keys)
-            && self.exposure.room(now, build, trip.group, cap, if must { 1.0 } else { part });
-        if !soft {
-            newer.clear();
-        }
-        let mut all = older;
-        all.extend(newer);
-        let quiet_after = self.groups.iter().map(|group| group.target_latency).min().unwrap_or(S);
-        let well: Vec<bool> = all
-            .iter()
-            .map(|id| self.pods.table[*id].as_ref().is_some_and(|pod| self.pods.well(now, pod, quiet_after)))
-            .collect();
         // When most pods look ill, the trouble is not theirs: shunning them would crowd the rest.
-        let panic = well.iter().filter(|well| **well).count() * 2 < all.len();
-        let mut fit: Vec<PodId> = Vec::new();
-        for (n, id) in all.iter().enumerate() {
-            if (well[n] || panic) && !trip.tried.contains(id) && self.pods.cold_room(now, *id) {
-                fit.push(*id);
-            }
-        }
-        if fit.is_empty() {
-            for id in all {
-                if self.pods.cold_room(now, id) {
-                    fit.push(id);
+        let panic = fit.iter().filter(|pod| pod.3).count() * 3 < fit.len();
+        let only_trial = fit.iter().all(|pod| pod.1.is_some());
+        let trial = fit.iter().filter_map(|pod| pod.1).max();
+        let part = if only_trial { 1.0 } else { self.exposure.part };
+        let room = trial.is_some_and(|build| {
+            let cap = self.cap(build).unwrap_or(0.0);
+            self.exposure.room(now, build, trip.group, cap, part)
+        });
+        fit.retain(|pod| pod.1.is_none() || (room && pod.1 == trial));
+        fit.retain(|pod| self.pods.cold_room(now, pod.0));
+        if fit.iter().any(|pod| (pod.3 || panic) && !trip.tried.contains(&pod.0)) {
+            fit.retain(|pod| (pod.3 || panic) && !trip.tried.contains(&pod.0));
+        }
+        if trip.shy && fit.iter().any(|pod| pod.1.is_none()) {
+            fit.retain(|pod| pod.1.is_none());
+        }
+        let newest = fit.iter().filter_map(|pod| self.pods.get(pod.0)).map(|pod| pod.entry.build).max()?;
+        let mut best: Option<(PodId, f64)> = None;
+        for (newer, near) in [(true, true), (true, false), (false, true), (false, false)] {
+            let of = |pod: &&(PodId, Option<Build>, bool, bool)| {
+                let build = self.pods.get(pod.0).map(|pod| pod.entry.build);
+                pod.2 == near && (build == Some(newest)) == newer
+            };
+            let side: Vec<PodId> = fit.iter().filter(of).map(|pod| pod.0).collect();
+            let tilt = if newer { Logic::NEWER } else { 1.0 };
+            let tilt = if near { tilt } else { tilt * (1.0 + 12.0 * self.rules.cross_zone_price) };
+            for id in self.two(&side) {
+                let score = self.pods.score(now, id) * tilt;
+                if best.is_none_or(|(_, least)| score < least) {
+                    best = Some((id, score));
                 }
             }
         }
-        let local: Vec<PodId> =
-            fit.iter().copied().filter(|id| self.zone_of(*id) == self.place.zone).collect();
-        let near = self.better_of_two(now, &local);
-        let far: Vec<PodId> = fit.into_iter().filter(|id| self.zone_of(*id) != self.place.zone).collect();
-        let far = self.better_of_two(now, &far);
-        match (near, far) {
-            (Some((near, a)), Some((far, b))) => {
-                let tilt = 1.0 + 12.0 * self.rules.cross_zone_price;
-                Some(if b * tilt < a { far } else { near })
-            }
-            (near, far) => near.or(far).map(|(id, _)| id),
-        }
+        best.map(|(id, _)| id)
     }
 
-    fn zone_of(&self, id: PodId) -> ZoneId {
-        self.pods.table[id].as_ref().map_or(0, |pod| pod.entry.zone)
-    }
-
-    fn better_of_two(&mut self, now: Ns, fit: &[PodId]) -> Option<(PodId, f64)> {
-        if fit.is_empty() {
-            return None;
-        }
-        let mut best: Option<(PodId, f64)> = None;
-        let first = self.chance.rand_range(0..fit.len() as u64) as usize;
-        let mut second = self.chance.rand_range(0..fit.len().max(2) as u64 - 1) as usize;
-        if second >= first {
-            second += 1;
-        }
-        for n in [first, second.min(fit.len() - 1)] {
-            let score = self.pods.table[fit[n]].as_ref().map_or(f64::MAX, |pod| self.pods.score(now, pod));
-            if best.is_none_or(|(_, least)| score < least) {
-                best = Some((fit[n], score));
-            }
+    fn two(&mut self, side: &[PodId]) -> Vec<PodId> {
+        let len = side.len() as u64;
+        if len < 3 {
+            return side.to_vec();
         }
-        best
+        let first = self.chance.rand_range(0..len);
+        let second = (first + self.chance.rand_range(1..len)) % len;
+        vec![side[first as usize], side[second as usize]]
     }
 }
