--- a/src/logic.rs
+++ b/src/logic.rs
@@ -401,12 +401,16 @@
     most: f64,
     out: u32,
     cut_at: Ns,
+    /// Share of late answers of late.
+    late: f64,
 }
 
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
     const LATE: f64 = 0.6;
+    const LEARN: f64 = 0.03;
+    const TOO_LATE: f64 = 0.15;
 
     /// Hits of less benefit make way first.
     fn room(&self, worth: f64) -> bool {
@@ -415,8 +419,9 @@
 
     fn ended(&mut self, now: Ns, target: Ns, took: Ns, answered: bool) {
         let late = took as f64 > Limit::LATE * target as f64;
-        if late && now.saturating_sub(self.cut_at) > target / 4 {
-            self.most = (self.most.min(self.out as f64) * 0.93).max(Limit::LEAST);
+        self.late += (late as u8 as f64 - self.late) * Limit::LEARN;
+        if late && self.late > Limit::TOO_LATE && now.saturating_sub(self.cut_at) > target / 4 {
+            self.most = (self.most.min(self.out as f64) * 0.9).max(Limit::LEAST);
             self.cut_at = now;
         } else if answered && !late && self.out as f64 > self.most / 2.0 {
             self.most += 0.2;
@@ -502,7 +507,7 @@
             taken: Window::new(Logic::RETRY_WINDOW),
             retried: Window::new(Logic::RETRY_WINDOW),
             mean,
-            limit: Limit { most: Limit::START, out: 0, cut_at: 0 },
+            limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             groups,
         }
     }
