--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,6 +62,7 @@
     build: Build,
     stage: usize,
     sum: f64,
+    slow_sum: f64,
     outcomes: u32,
     sent_new: Window,
     sent_all: Window,
@@ -79,6 +80,7 @@
             build: 0,
             stage: 0,
             sum: 0.0,
+            slow_sum: 0.0,
             outcomes: 0,
             sent_new: Window::new(Judge::SHARE_WINDOW),
             sent_all: Window::new(Judge::SHARE_WINDOW),
@@ -97,7 +99,7 @@
         if build != self.build {
             self.sent_new = Window::new(Judge::SHARE_WINDOW);
         }
-        (self.build, self.stage, self.sum, self.outcomes) = (build, stage, 0.0, 0);
+        (self.build, self.stage, self.sum, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0.0, 0);
     }
 
     fn sent(&mut self, now: Ns, build: Build) {
@@ -108,19 +110,34 @@
     }
 
     fn failed(&mut self, now: Ns, build: Build) {
+        self.sum += self.step(now, build, 2.0);
+    }
+
+    /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
+    /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
+    /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier.
+    fn slow(&mut self, now: Ns, build: Build) {
+        self.slow_sum += self.step(now, build, 4.0);
+    }
+
+    fn step(&mut self, now: Ns, build: Build, odds: f64) -> f64 {
         let (new, all) = (self.sent_new.most(now) as f64, self.sent_all.most(now) as f64);
-        if new < 1.0 || new >= all {
-            return;
+        if new < 1.0 || new >= all || build > self.build {
+            return 0.0;
         }
         let p0 = new / all;
-        let p1 = 2.0 * p0 / (1.0 + p0);
+        let p1 = odds * p0 / (1.0 + (odds - 1.0) * p0);
         if build == self.build {
-            self.sum += (p1 / p0).ln();
-        } else if build < self.build {
-            self.sum += ((1.0 - p1) / (1.0 - p0)).ln();
+            (p1 / p0).ln()
+        } else {
+            ((1.0 - p1) / (1.0 - p0)).ln()
         }
     }
 
+    fn worst(&self) -> f64 {
+        self.sum.max(self.slow_sum)
+    }
+
     fn answered(&mut self, build: Build) {
         if build == self.build {
             self.outcomes = self.outcomes.saturating_add(1);
@@ -151,7 +168,7 @@
         if !matches!(phase, Phase::Trial | Phase::Released) {
             return Voice::None;
         }
-        if judge.sum > Judge::upper() {
+        if judge.worst() > Judge::upper() {
             return Voice::Back;
         }
         if phase == Phase::Released {
@@ -160,14 +177,14 @@
         let ran = now.saturating_sub(newest_start);
         if self.rules.control == Control::Clock {
             let since = *self.held.get_or_insert(now);
-            let doubt = judge.sum > Judge::upper() / 2.0;
+            let doubt = judge.worst() > Judge::upper() / 2.0;
             if !doubt {
                 self.held = None;
             }
             let hold = doubt && now - since < self.rules.step;
             return if hold { Voice::Hold } else { Voice::None };
         }
-        let passed = judge.sum < Judge::lower() || judge.outcomes >= Voter::ENOUGH;
+        let passed = judge.worst() < Judge::lower() || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
         if (passed && ran >= Voter::ON_AFTER) || thin {
             Voice::On
@@ -469,7 +486,8 @@
     stage: Option<(Stage, Ns)>,
     taken: Window,
     retried: Window,
-    mean: Vec<f64>,
+    /// Of each path group, the mean answer time and the time that nine in ten of the earlier build's keep.
+    pace: Vec<(f64, f64)>,
     limit: Limit,
 }
 
@@ -491,7 +509,7 @@
         votes: VoteRules,
         lists: ListRules,
     ) -> Logic {
-        let mean = groups.iter().map(|group| group.target_latency as f64 / 6.0).collect();
+        let pace = groups.iter().map(|g| g.target_latency as f64).map(|t| (t / 6.0, t / 2.0)).collect();
         let quiet = groups.iter().map(|group| group.target_latency).min().unwrap_or(S);
         Logic {
             chance: Rand64::new(seed as u128),
@@ -506,7 +524,7 @@
             stage: None,
             taken: Window::new(Logic::RETRY_WINDOW),
             retried: Window::new(Logic::RETRY_WINDOW),
-            mean,
+            pace,
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             groups,
         }
@@ -523,7 +541,7 @@
         self.consider(host);
         let now = host.now();
         if now >= self.exposure.moved_at + S {
-            let doubt = self.judge.sum > Judge::upper() / 2.0;
+            let doubt = self.judge.worst() > Judge::upper() / 2.0;
             self.exposure.moved_at = now;
             self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(0.1, 1.0);
         }
@@ -724,32 +742,41 @@
 
     fn ended(&mut self, host: &mut dyn Host, mut trip: Trip, sent: Sent, outcome: Outcome) {
         let now = host.now();
-        let mean = &mut self.mean[trip.group];
         let answered = outcome.end == Ended::Delivered;
+        let timed_out = outcome.end == Ended::TimeOut;
+        let took = outcome.took as f64;
+        let (mean, slowest) = &mut self.pace[trip.group];
+        let slow = took > *slowest && (answered || timed_out);
         if answered {
-            *mean += (outcome.took as f64 - *mean) * 0.01;
+            *mean += (took - *mean) * 0.01;
         }
-        let ratio = outcome.took as f64 / mean.max(1.0);
+        if (answered || timed_out) && sent.build != self.judge.build {
+            *slowest += *mean * 0.02 * if slow { 0.9 } else { -0.1 };
+        }
+        let ratio = took / mean.max(1.0);
+        let target = self.groups[trip.group].target_latency;
         let failed = matches!(outcome.end, Ended::Error | Ended::TimeOut | Ended::Reset);
         let scatter = 0.5 + 0.5 * self.chance.rand_float();
         let silent = self.pods.get(sent.pod).is_none_or(|pod| self.pods.silent(now, pod));
         self.pods.ended(now, &sent, outcome.end, ratio, scatter);
-        let target = self.groups[trip.group].target_latency;
         self.limit.ended(now, target, if silent { 0 } else { outcome.took }, answered);
-        if !sent.young {
-            if failed {
+        // A hung pod speaks for its machine, not for its build, while others of the build answer.
+        let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
+        let peer = |pod: &Pod| pod.entry.build == sent.build && answers(pod);
+        let lone = timed_out && silent && self.pods.live().any(peer);
+        if !sent.young && !lone && (failed || answered) {
+            self.judge.answered(sent.build);
+            if failed && (!timed_out || outcome.took >= target) {
                 self.judge.failed(now, sent.build);
             }
-            if failed || answered {
-                self.judge.answered(sent.build);
+            if slow {
+                self.judge.slow(now, sent.build);
             }
+            self.consider(host);
         }
         if answered && self.exposure.rules.one_way && trip.key != 0 && self.cap(sent.build).is_some() {
             self.exposure.bound.insert(trip.key);
         }
-        if failed {
-            self.consider(host);
-        }
         if outcome.over || !host.open(trip.hit) {
             return;
         }
