--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,8 +64,8 @@
     sum: f64,
     slow_sum: f64,
     outcomes: u32,
-    sent_new: Window,
-    sent_all: Window,
+    ended_new: Window,
+    ended_all: Window,
 }
 
 impl Judge {
@@ -82,8 +82,8 @@
             sum: 0.0,
             slow_sum: 0.0,
             outcomes: 0,
-            sent_new: Window::new(Judge::SHARE_WINDOW),
-            sent_all: Window::new(Judge::SHARE_WINDOW),
+            ended_new: Window::new(Judge::SHARE_WINDOW),
+            ended_all: Window::new(Judge::SHARE_WINDOW),
         }
     }
 
@@ -97,15 +97,18 @@
 
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
-            self.sent_new = Window::new(Judge::SHARE_WINDOW);
+            self.ended_new = Window::new(Judge::SHARE_WINDOW);
         }
         (self.build, self.stage, self.sum, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0.0, 0);
     }
 
-    fn sent(&mut self, now: Ns, build: Build) {
-        self.sent_all.add(now);
+    /// The share is taken of forwards as they end: failures come that late too, and forwards that a draining pod
+    /// turned away could not have failed. Else a share that grows by the second would look like bad luck.
+    fn ended(&mut self, now: Ns, build: Build) {
+        self.ended_all.add(now);
         if build == self.build {
-            self.sent_new.add(now);
+            self.ended_new.add(now);
+            self.outcomes = self.outcomes.saturating_add(1);
         }
     }
 
@@ -121,7 +124,7 @@
     }
 
     fn step(&mut self, now: Ns, build: Build, odds: f64) -> f64 {
-        let (new, all) = (self.sent_new.most(now) as f64, self.sent_all.most(now) as f64);
+        let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
         if new < 1.0 || new >= all || build > self.build {
             return 0.0;
         }
@@ -137,12 +140,6 @@
     fn worst(&self) -> f64 {
         self.sum.max(self.slow_sum)
     }
-
-    fn answered(&mut self, build: Build) {
-        if build == self.build {
-            self.outcomes = self.outcomes.saturating_add(1);
-        }
-    }
 }
 
 /// This instance's vote: what stands, until when, and whether a call is out.
@@ -469,6 +466,7 @@
     at: Ns,
     zone: ZoneId,
     cell: i64,
+    machine: usize,
     young: bool,
 }
 
@@ -486,8 +484,9 @@
     stage: Option<(Stage, Ns)>,
     taken: Window,
     retried: Window,
-    /// Of each path group, the mean answer time and the time that nine in ten of the earlier build's keep.
-    pace: Vec<(f64, f64)>,
+    mean: Vec<f64>,
+    /// By path group and machine, since a build starts on few machines: the time nine in ten answers keep.
+    slowest: Vec<Vec<f64>>,
     limit: Limit,
 }
 
@@ -509,7 +508,7 @@
         votes: VoteRules,
         lists: ListRules,
     ) -> Logic {
-        let pace = groups.iter().map(|g| g.target_latency as f64).map(|t| (t / 6.0, t / 2.0)).collect();
+        let mean = groups.iter().map(|g| g.target_latency as f64 / 6.0).collect();
         let quiet = groups.iter().map(|group| group.target_latency).min().unwrap_or(S);
         Logic {
             chance: Rand64::new(seed as u128),
@@ -524,7 +523,8 @@
             stage: None,
             taken: Window::new(Logic::RETRY_WINDOW),
             retried: Window::new(Logic::RETRY_WINDOW),
-            pace,
+            mean,
+            slowest: vec![Vec::new(); groups.len()],
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             groups,
         }
@@ -650,10 +650,8 @@
             return;
         }
         self.voter.calling = true;
-        host.log(&format!(
-            "vote {voice:?} build {} stage {} sum {:.2}",
-            stage.build, stage.stage, self.judge.sum
-        ));
+        let sums = (self.judge.sum, self.judge.slow_sum);
+        host.log(&format!("vote {voice:?} build {} stage {} sums {sums:.2?}", stage.build, stage.stage));
         let then = move |logic: &mut Logic, host: &mut dyn Host, news: StageNews| {
             logic.voter.calling = false;
             let counted = news.heard == Heard::Counted;
@@ -703,13 +701,10 @@
         let time_out = self.patience(now, &trip);
         let young_limit = now.saturating_sub(Judge::COLD_SKIP);
         let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
-        let PodEntry { build, zone, cell, started, .. } = *entry;
+        let PodEntry { build, zone, cell, machine, started, .. } = *entry;
         self.pods.sent(now, pod);
         self.limit.out += 1;
-        let sent = Sent { pod, build, at: now, zone, cell, young: started > young_limit };
-        if !sent.young {
-            self.judge.sent(now, build);
-        }
+        let sent = Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit };
         self.exposure.note(now, build, trip.group);
         trip.forwards += 1;
         trip.tried.push(pod);
@@ -745,7 +740,12 @@
         let answered = outcome.end == Ended::Delivered;
         let timed_out = outcome.end == Ended::TimeOut;
         let took = outcome.took as f64;
-        let (mean, slowest) = &mut self.pace[trip.group];
+        let mean = &mut self.mean[trip.group];
+        let slowest = &mut self.slowest[trip.group];
+        if slowest.len() <= sent.machine {
+            slowest.resize(sent.machine + 1, 3.0 * *mean);
+        }
+        let slowest = &mut slowest[sent.machine];
         let slow = took > *slowest && (answered || timed_out);
         if answered {
             *mean += (took - *mean) * 0.01;
@@ -765,7 +765,7 @@
         let peer = |pod: &Pod| pod.entry.build == sent.build && answers(pod);
         let lone = timed_out && silent && self.pods.live().any(peer);
         if !sent.young && !lone && (failed || answered) {
-            self.judge.answered(sent.build);
+            self.judge.ended(now, sent.build);
             if failed && (!timed_out || outcome.took >= target) {
                 self.judge.failed(now, sent.build);
             }
