--- a/src/logic.rs
+++ b/src/logic.rs
@@ -71,6 +71,8 @@
 impl Judge {
     const ALPHA: f64 = 0.01;
     const BETA: f64 = 0.1;
+    const SLOW_ODDS: f64 = 5.0;
+    const SLOW_SHARE: f64 = 0.5;
     const SHARE_WINDOW: Ns = 5 * S;
     /// A pod younger than this fails for being cold, whatever its build.
     const COLD_SKIP: Ns = 3 * S;
@@ -118,9 +120,13 @@
 
     /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
     /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
-    /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier.
+    /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
+    /// it rests once the new build has most of the load.
     fn slow(&mut self, now: Ns, build: Build) {
-        self.slow_sum += self.step(now, build, 4.0);
+        let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
+        if new <= all * Judge::SLOW_SHARE {
+            self.slow_sum += self.step(now, build, Judge::SLOW_ODDS);
+        }
     }
 
     fn step(&mut self, now: Ns, build: Build, odds: f64) -> f64 {
@@ -492,7 +498,7 @@
 
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
-    const NEWER: f64 = 0.8;
+    const NEWER: f64 = 0.9;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
 
