--- a/src/logic.rs
+++ b/src/logic.rs
@@ -286,6 +286,7 @@
     /// Its answer times against the mean of each path group, and when that was last learnt.
     slow: f64,
     slow_at: Ns,
+    slow_told: Ns,
 }
 
 /// What this instance knows of the pods. A pod leaves the table when the list drops it and nothing is out.
@@ -318,9 +319,19 @@
         }
         let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
         let (sent, carried) = (Window::new(self.rules.fall_window), Window::new(self.rules.fall_window));
-        let fresh = (0, 0, 0, 1.0, 0);
-        let (strikes, ill_until, quiet_since, slow, slow_at) = fresh;
-        *slot = Some(Pod { entry, in_flight, sent, carried, strikes, ill_until, quiet_since, slow, slow_at });
+        let (strikes, ill_until, quiet_since, slow, slow_at, slow_told) = (0, 0, 0, 1.0, 0, 0);
+        *slot = Some(Pod {
+            entry,
+            in_flight,
+            sent,
+            carried,
+            strikes,
+            ill_until,
+            quiet_since,
+            slow,
+            slow_at,
+            slow_told,
+        });
     }
 
     fn get(&self, id: PodId) -> Option<&Pod> {
@@ -389,6 +400,16 @@
         pod.sent.add(now);
     }
 
+    /// Whether a slow answer tells anything new: those that waited in one queue are one event, not many.
+    fn first_slow(&mut self, now: Ns, id: PodId, span: Ns) -> bool {
+        let Some(pod) = self.table[id].as_mut() else { return false };
+        let first = now >= pod.slow_told + span;
+        if first {
+            pod.slow_told = now;
+        }
+        first
+    }
+
     /// Health by symptom, whatever its cause. A time-out tells of the pod only if nothing came from it since.
     fn ended(&mut self, now: Ns, sent: &Sent, end: Ended, ratio: f64, scatter: f64) {
         let Some(pod) = self.table[sent.pod].as_mut() else { return };
@@ -775,7 +796,7 @@
             if failed && (!timed_out || outcome.took >= target) {
                 self.judge.failed(now, sent.build);
             }
-            if slow {
+            if slow && self.pods.first_slow(now, sent.pod, target) {
                 self.judge.slow(now, sent.build);
             }
             self.consider(host);
