--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,6 +63,11 @@
     stage: usize,
     sum: f64,
     slow_sum: f64,
+    /// Share of the earlier build's answers that were slow of late, and what came of lowering the share.
+    old_slow: f64,
+    slowed: Option<Ns>,
+    relieved: bool,
+    acquitted: bool,
     outcomes: u32,
     ended_new: Window,
     ended_all: Window,
@@ -73,6 +78,10 @@
     const BETA: f64 = 0.1;
     const SLOW_ODDS: f64 = 5.0;
     const SLOW_SHARE: f64 = 0.5;
+    /// Shares of the earlier build's answers that are slow, of which a tenth is usual.
+    const OLD_SLOW: f64 = 0.25;
+    const OLD_WELL: f64 = 0.15;
+    const RELIEF: Ns = 6 * S;
     const SHARE_WINDOW: Ns = 5 * S;
     /// A pod younger than this fails for being cold, whatever its build.
     const COLD_SKIP: Ns = 3 * S;
@@ -83,6 +92,10 @@
             stage: 0,
             sum: 0.0,
             slow_sum: 0.0,
+            old_slow: 0.1,
+            slowed: None,
+            relieved: false,
+            acquitted: false,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
             ended_all: Window::new(Judge::SHARE_WINDOW),
@@ -100,7 +113,9 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
+            self.relieved = false;
         }
+        (self.slowed, self.acquitted) = (None, false);
         (self.build, self.stage, self.sum, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0.0, 0);
     }
 
@@ -143,6 +158,26 @@
         }
     }
 
+    /// A build that slows every pod alike gives the test no side to compare, so the share itself is the trial: when
+    /// the earlier build's pods turn slow, the share is cut, and only slowness that goes with it and comes back
+    /// with it speaks against the build. What does not go was not the build's. Covers any load that a build puts
+    /// on what all pods share; could harm a good build when two other slowdowns begin and end in its stages.
+    fn shared(&mut self, now: Ns) {
+        match self.slowed {
+            None if self.old_slow > Judge::OLD_SLOW && !self.acquitted && self.ended_new.most(now) > 0 => {
+                self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
+                self.slowed = Some(now);
+            }
+            Some(_) if self.old_slow < Judge::OLD_WELL => (self.slowed, self.relieved) = (None, true),
+            Some(since) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
+            _ => {}
+        }
+    }
+
+    fn doubt(&self) -> bool {
+        self.worst() > Judge::upper() / 2.0 || self.slowed.is_some()
+    }
+
     fn worst(&self) -> f64 {
         self.sum.max(self.slow_sum)
     }
@@ -167,7 +202,7 @@
         Voter { rules, standing: None, again_at: 0, calling: false, held: None }
     }
 
-    fn wanted(&mut self, now: Ns, judge: &Judge, phase: Phase, newest_start: Ns) -> Voice {
+    fn wanted(&mut self, now: Ns, judge: &Judge, phase: Phase, newest_start: Ns, part: f64) -> Voice {
         if !matches!(phase, Phase::Trial | Phase::Released) {
             return Voice::None;
         }
@@ -187,6 +222,9 @@
             let hold = doubt && now - since < self.rules.step;
             return if hold { Voice::Hold } else { Voice::None };
         }
+        if judge.slowed.is_some() || part < Exposure::START {
+            return Voice::None;
+        }
         let passed = judge.worst() < Judge::lower() || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
         if (passed && ran >= Voter::ON_AFTER) || thin {
@@ -515,11 +553,14 @@
     /// By path group and machine, since a build starts on few machines: the time nine in ten answers keep.
     slowest: Vec<Vec<f64>>,
     limit: Limit,
+    taken_ever: u32,
 }
 
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
     const NEWER: f64 = 0.9;
+    /// Hits after which an instance that began amid a trial trusts what it learnt of the earlier build.
+    const LEARN: u32 = 300;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
 
@@ -553,6 +594,7 @@
             mean,
             slowest: vec![Vec::new(); groups.len()],
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
+            taken_ever: 0,
             groups,
         }
     }
@@ -568,7 +610,10 @@
         self.consider(host);
         let now = host.now();
         if now >= self.exposure.moved_at + S {
-            let doubt = self.judge.worst() > Judge::upper() / 2.0;
+            if self.on_trial() {
+                self.judge.shared(now);
+            }
+            let doubt = self.judge.doubt();
             self.exposure.moved_at = now;
             self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(0.1, 1.0);
         }
@@ -654,6 +699,11 @@
         }
     }
 
+    fn on_trial(&self) -> bool {
+        let listed = |stage: &Stage| self.pods.live().any(|pod| pod.entry.build == stage.build);
+        self.stage.is_some_and(|(stage, _)| stage.phase == Phase::Trial && listed(&stage))
+    }
+
     fn guarded(&self, build: Build) -> bool {
         let stage = self.stage.filter(|(stage, _)| stage.build == build).map_or(0, |(stage, _)| stage.stage);
         stage < self.exposure.rules.guarded_stages
@@ -665,7 +715,7 @@
         let starts =
             self.pods.live().filter(|pod| pod.entry.build == stage.build).map(|pod| pod.entry.started);
         let newest = starts.max().unwrap_or(began).max(began);
-        let voice = self.voter.wanted(now, &self.judge, stage.phase, newest);
+        let voice = self.voter.wanted(now, &self.judge, stage.phase, newest, self.exposure.part);
         let want = (stage.build, stage.stage, voice);
         let stands = self.voter.standing;
         let same =
@@ -700,6 +750,7 @@
         let now = host.now();
         self.exposure.take(now, hit.group);
         self.taken.add(now);
+        self.taken_ever = self.taken_ever.saturating_add(1);
         let trip = Trip {
             hit: hit.id,
             group: hit.group,
@@ -764,6 +815,7 @@
 
     fn ended(&mut self, host: &mut dyn Host, mut trip: Trip, sent: Sent, outcome: Outcome) {
         let now = host.now();
+        let trial = self.on_trial();
         let answered = outcome.end == Ended::Delivered;
         let timed_out = outcome.end == Ended::TimeOut;
         let took = outcome.took as f64;
@@ -777,7 +829,7 @@
         if answered {
             *mean += (took - *mean) * 0.01;
         }
-        if (answered || timed_out) && sent.build != self.judge.build {
+        if (answered || timed_out) && (!trial || self.taken_ever < Logic::LEARN) {
             *slowest += *mean * 0.02 * if slow { 0.9 } else { -0.1 };
         }
         let ratio = took / mean.max(1.0);
@@ -796,6 +848,9 @@
             if failed && (!timed_out || outcome.took >= target) {
                 self.judge.failed(now, sent.build);
             }
+            if sent.build < self.judge.build && (answered || timed_out) {
+                self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * 0.02;
+            }
             if slow && self.pods.first_slow(now, sent.pod, target) {
                 self.judge.slow(now, sent.build);
             }
