--- a/src/logic.rs
+++ b/src/logic.rs
@@ -81,6 +81,9 @@
     /// Shares of the earlier build's answers that are slow, of which a tenth is usual.
     const OLD_SLOW: f64 = 0.25;
     const OLD_WELL: f64 = 0.15;
+    const MEMORY_SHARE: f64 = 0.5;
+    /// Failures a forward that a sound build makes by itself, at most.
+    const OWN_RATE: f64 = 0.002;
     const RELIEF: Ns = 6 * S;
     const SHARE_WINDOW: Ns = 5 * S;
     /// A pod younger than this fails for being cold, whatever its build.
@@ -113,10 +116,13 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            self.relieved = false;
+            (self.relieved, self.sum) = (false, 0.0);
         }
+        // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
+        // one. What speaks for it does not, as more traffic may bring out more.
+        self.sum = self.sum.max(0.0);
         (self.slowed, self.acquitted) = (None, false);
-        (self.build, self.stage, self.sum, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0.0, 0);
+        (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
     }
 
     /// The share is taken of forwards as they end: failures come that late too, and forwards that a draining pod
@@ -126,11 +132,23 @@
         if build == self.build {
             self.ended_new.add(now);
             self.outcomes = self.outcomes.saturating_add(1);
+            let p0 = self.share(now);
+            self.remember(p0);
         }
     }
 
-    fn failed(&mut self, now: Ns, build: Build) {
-        self.sum += self.step(now, build, 2.0);
+    /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a broken connection.
+    fn failed(&mut self, now: Ns, build: Build, own: bool) {
+        let p0 = self.share(now);
+        self.sum += self.step(if own { p0.min(Judge::MEMORY_SHARE) } else { p0 }, build, 2.0);
+    }
+
+    /// Once the new build has most of the load the share nears 1 and the test goes blind, so for failures that are
+    /// a pod's own the earlier build keeps half the share from memory, failing at its usual small rate. Covers
+    /// builds that fail late or answer wrongly at a low rate; could harm a build blamed for its callers' mistakes.
+    fn remember(&mut self, p0: f64) {
+        let step = self.step(Judge::MEMORY_SHARE, self.build.wrapping_sub(1), 2.0);
+        self.sum += Judge::OWN_RATE * step * (2.0 * p0 - 1.0).max(0.0);
     }
 
     /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
@@ -138,18 +156,21 @@
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
     fn slow(&mut self, now: Ns, build: Build) {
-        let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
-        if new <= all * Judge::SLOW_SHARE {
-            self.slow_sum += self.step(now, build, Judge::SLOW_ODDS);
+        let p0 = self.share(now);
+        if p0 <= Judge::SLOW_SHARE {
+            self.slow_sum += self.step(p0, build, Judge::SLOW_ODDS);
         }
     }
 
-    fn step(&mut self, now: Ns, build: Build, odds: f64) -> f64 {
+    fn share(&mut self, now: Ns) -> f64 {
         let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
-        if new < 1.0 || new >= all || build > self.build {
+        new / all.max(1.0)
+    }
+
+    fn step(&self, p0: f64, build: Build, odds: f64) -> f64 {
+        if p0 <= 0.0 || p0 >= 1.0 || build > self.build {
             return 0.0;
         }
-        let p0 = new / all;
         let p1 = odds * p0 / (1.0 + (odds - 1.0) * p0);
         if build == self.build {
             (p1 / p0).ln()
@@ -679,7 +700,7 @@
         let Some(pod) = self.pods.table.get(pod).and_then(Option::as_ref) else { return };
         let sent_at = now.saturating_sub(ago);
         if pod.entry.started < sent_at && sent_at - pod.entry.started >= Judge::COLD_SKIP {
-            self.judge.failed(now, pod.entry.build);
+            self.judge.failed(now, pod.entry.build, true);
             self.consider(host);
         }
     }
@@ -846,7 +867,7 @@
         if !sent.young && !lone && (failed || answered) {
             self.judge.ended(now, sent.build);
             if failed && (!timed_out || outcome.took >= target) {
-                self.judge.failed(now, sent.build);
+                self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
             if sent.build < self.judge.build && (answered || timed_out) {
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * 0.02;
