--- a/src/logic.rs
+++ b/src/logic.rs
@@ -443,11 +443,17 @@
         self.table[id].as_mut().is_some_and(|pod| pod.sent.most(now) as f64 + 1.0 <= most)
     }
 
-    fn score(&self, now: Ns, id: PodId) -> f64 {
+    /// How slow a pod is for its size, and so how much each hit in flight there weighs.
+    fn burden(&self, now: Ns, id: PodId) -> f64 {
         let Some(pod) = self.get(id) else { return f64::MAX };
         let idle = now.saturating_sub(pod.slow_at) as f64 / Pods::SLOW_FADES;
         let slow = 1.0 + (pod.slow - 1.0) * (-idle).exp();
-        (pod.in_flight as f64 + 1.0) * slow / (pod.entry.size.max(1e-9) * self.warmth(now, &pod.entry))
+        slow / (pod.entry.size.max(1e-9) * self.warmth(now, &pod.entry))
+    }
+
+    fn score(&self, now: Ns, id: PodId) -> f64 {
+        let in_flight = self.get(id).map_or(0, |pod| pod.in_flight);
+        (in_flight as f64 + 1.0) * self.burden(now, id)
     }
 
     fn sent(&mut self, now: Ns, id: PodId) {
@@ -971,7 +977,7 @@
             let side: Vec<PodId> = fit.iter().filter(of).map(|pod| pod.0).collect();
             let tilt = if newer { Logic::NEWER } else { 1.0 };
             let tilt = if near { tilt } else { tilt * (1.0 + 12.0 * self.rules.cross_zone_price) };
-            for id in self.two(&side) {
+            for id in self.two(now, &side) {
                 let score = self.pods.score(now, id) * tilt;
                 if best.is_none_or(|(_, least)| score < least) {
                     best = Some((id, score));
@@ -981,13 +987,21 @@
         best.map(|(id, _)| id)
     }
 
-    fn two(&mut self, side: &[PodId]) -> Vec<PodId> {
-        let len = side.len() as u64;
-        if len < 3 {
+    /// Drawn by what each pod is known to carry, since two even draws often meet two weak machines.
+    fn two(&mut self, now: Ns, side: &[PodId]) -> Vec<PodId> {
+        if side.len() < 3 {
             return side.to_vec();
         }
-        let first = self.chance.rand_range(0..len);
-        let second = (first + self.chance.rand_range(1..len)) % len;
-        vec![side[first as usize], side[second as usize]]
+        let weights: Vec<f64> = side.iter().map(|id| 1.0 / self.pods.burden(now, *id)).collect();
+        let mut picked = Vec::new();
+        for _ in 0..2 {
+            let mut at = self.chance.rand_float() * weights.iter().sum::<f64>();
+            let past = |weight: &f64| {
+                at -= weight;
+                at < 0.0
+            };
+            picked.push(side[weights.iter().position(past).unwrap_or(side.len() - 1)]);
+        }
+        picked
     }
 }
