--- a/src/logic.rs
+++ b/src/logic.rs
@@ -243,7 +243,7 @@
             let hold = doubt && now - since < self.rules.step;
             return if hold { Voice::Hold } else { Voice::None };
         }
-        if judge.slowed.is_some() || part < Exposure::START {
+        if judge.slowed.is_some() || (judge.relieved && part < Exposure::START) {
             return Voice::None;
         }
         let passed = judge.worst() < Judge::lower() || judge.outcomes >= Voter::ENOUGH;
@@ -517,6 +517,7 @@
     const LATE: f64 = 0.6;
     const LEARN: f64 = 0.03;
     const TOO_LATE: f64 = 0.15;
+    const CROWDED: f64 = 0.33;
 
     /// Hits of less benefit make way first.
     fn room(&self, worth: f64) -> bool {
@@ -642,7 +643,9 @@
             }
             let doubt = self.judge.doubt();
             self.exposure.moved_at = now;
-            self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(0.1, 1.0);
+            // Lowered too far for a sum in doubt, the share would starve the test of what could settle it.
+            let least = if self.judge.slowed.is_some() { 0.1 } else { 0.4 };
+            self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(least, 1.0);
         }
         host.wake(TICK, Box::new(|logic, host, ()| logic.tick(host)));
     }
@@ -870,15 +873,17 @@
         let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
         let peer = |pod: &Pod| pod.entry.build == sent.build && answers(pod);
         let lone = timed_out && silent && self.pods.live().any(peer);
+        // When a third of all answers is late, lateness tells of the load, as a refusal for want of room does.
+        let crowded = self.limit.late > Limit::CROWDED && outcome.end != Ended::Error;
         if !sent.young && !lone && (failed || answered) {
             self.judge.ended(now, sent.build);
-            if failed && (!timed_out || outcome.took >= target) {
+            if failed && !crowded && (!timed_out || outcome.took >= target) {
                 self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
             if sent.build < self.judge.build && (answered || timed_out) {
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * 0.02;
             }
-            if slow && self.pods.first_slow(now, sent.pod, target) {
+            if slow && !crowded && self.pods.first_slow(now, sent.pod, target) {
                 self.judge.slow(now, sent.build);
             }
             self.consider(host);
