--- a/src/logic.rs
+++ b/src/logic.rs
@@ -345,7 +345,7 @@
     /// Its answer times against the mean of each path group, and when that was last learnt.
     slow: f64,
     slow_at: Ns,
-    slow_told: Ns,
+    late_told: Ns,
 }
 
 /// What this instance knows of the pods. A pod leaves the table when the list drops it and nothing is out.
@@ -378,7 +378,7 @@
         }
         let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
         let (sent, carried) = (Window::new(self.rules.fall_window), Window::new(self.rules.fall_window));
-        let (strikes, ill_until, quiet_since, slow, slow_at, slow_told) = (0, 0, 0, 1.0, 0, 0);
+        let (strikes, ill_until, quiet_since, slow, slow_at, late_told) = (0, 0, 0, 1.0, 0, 0);
         *slot = Some(Pod {
             entry,
             in_flight,
@@ -389,7 +389,7 @@
             quiet_since,
             slow,
             slow_at,
-            slow_told,
+            late_told,
         });
     }
 
@@ -465,12 +465,12 @@
         pod.sent.add(now);
     }
 
-    /// Whether a slow answer tells anything new: those that waited in one queue are one event, not many.
-    fn first_slow(&mut self, now: Ns, id: PodId, span: Ns) -> bool {
+    /// Whether a late answer tells anything new of this pod.
+    fn first_late(&mut self, now: Ns, id: PodId, span: Ns) -> bool {
         let Some(pod) = self.table[id].as_mut() else { return false };
-        let first = now >= pod.slow_told + span;
+        let first = now >= pod.late_told + span;
         if first {
-            pod.slow_told = now;
+            pod.late_told = now;
         }
         first
     }
@@ -877,13 +877,19 @@
         let crowded = self.limit.late > Limit::CROWDED && outcome.end != Ended::Error;
         if !sent.young && !lone && (failed || answered) {
             self.judge.ended(now, sent.build);
-            if failed && !crowded && (!timed_out || outcome.took >= target) {
+            // What waited in one queue is late together: one event, not many.
+            let late = (slow || (timed_out && outcome.took >= target)) && !crowded;
+            let first = late && self.pods.first_late(now, sent.pod, target);
+            if outcome.end == Ended::Error
+                || outcome.end == Ended::Reset
+                || (first && timed_out && outcome.took >= target)
+            {
                 self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
             if sent.build < self.judge.build && (answered || timed_out) {
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * 0.02;
             }
-            if slow && !crowded && self.pods.first_slow(now, sent.pod, target) {
+            if first && slow {
                 self.judge.slow(now, sent.build);
             }
             self.consider(host);
