--- a/src/logic.rs
+++ b/src/logic.rs
@@ -561,6 +561,7 @@
     cell: i64,
     machine: usize,
     young: bool,
+    warm: bool,
 }
 
 pub struct Logic {
@@ -586,7 +587,7 @@
 
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
-    const NEWER: f64 = 0.9;
+    const NEWER: f64 = 0.6;
     /// Hits after which an instance that began amid a trial trusts what it learnt of the earlier build.
     const LEARN: u32 = 300;
     const RETRY_PART: f64 = 0.2;
@@ -807,12 +808,13 @@
         }
         let Some(pod) = self.choose(now, &trip) else { return self.give_up(host, trip) };
         let time_out = self.patience(now, &trip);
+        let warm = self.pods.get(pod).is_some_and(|p| self.pods.warmth(now, &p.entry) >= 1.0);
         let young_limit = now.saturating_sub(Judge::COLD_SKIP);
         let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
         let PodEntry { build, zone, cell, machine, started, .. } = *entry;
         self.pods.sent(now, pod);
         self.limit.out += 1;
-        let sent = Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit };
+        let sent = Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm };
         self.exposure.note(now, build, trip.group);
         trip.forwards += 1;
         trip.tried.push(pod);
@@ -877,8 +879,8 @@
         let crowded = self.limit.late > Limit::CROWDED && outcome.end != Ended::Error;
         if !sent.young && !lone && (failed || answered) {
             self.judge.ended(now, sent.build);
-            // What waited in one queue is late together: one event, not many.
-            let late = (slow || (timed_out && outcome.took >= target)) && !crowded;
+            // What waited in one queue is late together: one event, not many. A pod not yet warm is late by nature.
+            let late = (slow || (timed_out && outcome.took >= target)) && !crowded && sent.warm;
             let first = late && self.pods.first_late(now, sent.pod, target);
             if outcome.end == Ended::Error
                 || outcome.end == Ended::Reset
@@ -980,16 +982,13 @@
         }
         let newest = fit.iter().filter_map(|pod| self.pods.get(pod.0)).map(|pod| pod.entry.build).max()?;
         let mut best: Option<(PodId, f64)> = None;
-        for (newer, near) in [(true, true), (true, false), (false, true), (false, false)] {
-            let of = |pod: &&(PodId, Option<Build>, bool, bool)| {
-                let build = self.pods.get(pod.0).map(|pod| pod.entry.build);
-                pod.2 == near && (build == Some(newest)) == newer
-            };
-            let side: Vec<PodId> = fit.iter().filter(of).map(|pod| pod.0).collect();
-            let tilt = if newer { Logic::NEWER } else { 1.0 };
-            let tilt = if near { tilt } else { tilt * (1.0 + 12.0 * self.rules.cross_zone_price) };
+        for near in [true, false] {
+            let side: Vec<PodId> = fit.iter().filter(|pod| pod.2 == near).map(|pod| pod.0).collect();
+            let away = if near { 1.0 } else { 1.0 + 12.0 * self.rules.cross_zone_price };
             for id in self.two(now, &side) {
-                let score = self.pods.score(now, id) * tilt;
+                let newer = self.pods.get(id).is_some_and(|pod| pod.entry.build == newest);
+                let tilt = if newer { Logic::NEWER } else { 1.0 };
+                let score = self.pods.score(now, id) * tilt * away;
                 if best.is_none_or(|(_, least)| score < least) {
                     best = Some((id, score));
                 }
