--- a/src/logic.rs
+++ b/src/logic.rs
@@ -514,7 +514,7 @@
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
-    const LATE: f64 = 0.6;
+    const LATE: f64 = 0.45;
     const LEARN: f64 = 0.03;
     const TOO_LATE: f64 = 0.15;
     const CROWDED: f64 = 0.33;
