--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,6 +68,8 @@
     slowed: Option<Ns>,
     relieved: bool,
     acquitted: bool,
+    /// Pods were slow before the build came, which no lowered share can tell from its doing.
+    strained: bool,
     outcomes: u32,
     ended_new: Window,
     ended_all: Window,
@@ -80,6 +82,7 @@
     const SLOW_SHARE: f64 = 0.5;
     /// Shares of the earlier build's answers that are slow, of which a tenth is usual.
     const OLD_SLOW: f64 = 0.25;
+    const OLD_LEARN: f64 = 0.02;
     const OLD_WELL: f64 = 0.15;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
@@ -99,6 +102,7 @@
             slowed: None,
             relieved: false,
             acquitted: false,
+            strained: false,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
             ended_all: Window::new(Judge::SHARE_WINDOW),
@@ -116,12 +120,12 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            (self.relieved, self.sum) = (false, 0.0);
+            (self.relieved, self.sum, self.strained) = (false, 0.0, self.old_slow > Judge::OLD_SLOW);
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
         self.sum = self.sum.max(0.0);
-        (self.slowed, self.acquitted) = (None, false);
+        (self.slowed, self.acquitted) = (None, self.strained);
         (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
     }
 
@@ -796,6 +800,8 @@
         let worth =
             self.groups[trip.group].benefit / self.groups.iter().map(|g| g.benefit).fold(1e-9, f64::max);
         if !self.limit.room(worth) {
+            // What the limit bounces would have been slow: it must not hide a build that slows every pod.
+            self.judge.old_slow += (1.0 - self.judge.old_slow) * Judge::OLD_LEARN;
             return self.give_up(host, trip);
         }
         self.step(host, trip);
@@ -888,8 +894,8 @@
             {
                 self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
-            if sent.build < self.judge.build && (answered || timed_out) {
-                self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * 0.02;
+            if (sent.build < self.judge.build || !trial) && (answered || timed_out) {
+                self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * Judge::OLD_LEARN;
             }
             if first && slow {
                 self.judge.slow(now, sent.build);
