--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,8 @@
     acquitted: bool,
     /// Pods were slow before the build came, which no lowered share can tell from its doing.
     strained: bool,
+    /// The most of `old_slow` since the last trial; an instance that knows of no time before counts as strained.
+    peak: f64,
     outcomes: u32,
     ended_new: Window,
     ended_all: Window,
@@ -103,6 +105,7 @@
             relieved: false,
             acquitted: false,
             strained: false,
+            peak: 1.0,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
             ended_all: Window::new(Judge::SHARE_WINDOW),
@@ -120,7 +123,8 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            (self.relieved, self.sum, self.strained) = (false, 0.0, self.old_slow > Judge::OLD_SLOW);
+            (self.relieved, self.sum, self.strained) = (false, 0.0, self.peak > Judge::OLD_SLOW);
+            self.peak = 0.0;
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
@@ -520,7 +524,7 @@
     const START: f64 = 60.0;
     const LATE: f64 = 0.45;
     const LEARN: f64 = 0.03;
-    const TOO_LATE: f64 = 0.15;
+    const TOO_LATE: f64 = 0.25;
     const CROWDED: f64 = 0.33;
 
     /// Hits of less benefit make way first.
@@ -645,6 +649,9 @@
         if now >= self.exposure.moved_at + S {
             if self.on_trial() {
                 self.judge.shared(now);
+            } else if self.taken_ever >= Logic::LEARN {
+                let known = if self.judge.peak < 1.0 { self.judge.peak } else { 0.0 };
+                self.judge.peak = known.max(self.judge.old_slow);
             }
             let doubt = self.judge.doubt();
             self.exposure.moved_at = now;
