--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,9 +68,9 @@
     slowed: Option<Ns>,
     relieved: bool,
     acquitted: bool,
-    /// Pods were slow before the build came, which no lowered share can tell from its doing.
-    strained: bool,
-    /// The most of `old_slow` since the last trial; an instance that knows of no time before counts as strained.
+    /// The most of `old_slow` before the build came: an instance that knows of no such time blames none for it.
+    usual: f64,
+    /// The most of `old_slow` since the last trial.
     peak: f64,
     outcomes: u32,
     ended_new: Window,
@@ -81,6 +81,8 @@
     const ALPHA: f64 = 0.01;
     const BETA: f64 = 0.1;
     const SLOW_ODDS: f64 = 5.0;
+    /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
+    const ONE_POD: f64 = 0.6;
     const SLOW_SHARE: f64 = 0.5;
     /// Shares of the earlier build's answers that are slow, of which a tenth is usual.
     const OLD_SLOW: f64 = 0.25;
@@ -104,7 +106,7 @@
             slowed: None,
             relieved: false,
             acquitted: false,
-            strained: false,
+            usual: 1.0,
             peak: 1.0,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
@@ -123,13 +125,13 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            (self.relieved, self.sum, self.strained) = (false, 0.0, self.peak > Judge::OLD_SLOW);
+            (self.relieved, self.sum, self.usual) = (false, 0.0, self.peak);
             self.peak = 0.0;
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
         self.sum = self.sum.max(0.0);
-        (self.slowed, self.acquitted) = (None, self.strained);
+        (self.slowed, self.acquitted) = (None, false);
         (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
     }
 
@@ -163,10 +165,12 @@
     /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
-    fn slow(&mut self, now: Ns, build: Build) {
+    fn slow(&mut self, now: Ns, build: Build, blame: &mut f64) {
         let p0 = self.share(now);
         if p0 <= Judge::SLOW_SHARE {
-            self.slow_sum += self.step(p0, build, Judge::SLOW_ODDS);
+            let step = self.step(p0, build, Judge::SLOW_ODDS).min(Judge::upper() * Judge::ONE_POD - *blame);
+            *blame += step.max(0.0);
+            self.slow_sum += step;
         }
     }
 
@@ -193,11 +197,16 @@
     /// on what all pods share; could harm a good build when two other slowdowns begin and end in its stages.
     fn shared(&mut self, now: Ns) {
         match self.slowed {
-            None if self.old_slow > Judge::OLD_SLOW && !self.acquitted && self.ended_new.most(now) > 0 => {
+            None if self.old_slow > Judge::OLD_SLOW.max(self.usual + 0.15)
+                && !self.acquitted
+                && self.ended_new.most(now) > 0 =>
+            {
                 self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
                 self.slowed = Some(now);
             }
-            Some(_) if self.old_slow < Judge::OLD_WELL => (self.slowed, self.relieved) = (None, true),
+            Some(_) if self.old_slow < Judge::OLD_WELL.max(self.usual) => {
+                (self.slowed, self.relieved) = (None, true)
+            }
             Some(since) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
             _ => {}
         }
@@ -354,6 +363,8 @@
     slow: f64,
     slow_at: Ns,
     late_told: Ns,
+    /// What its slow answers put on the sum of this stage.
+    blame: f64,
 }
 
 /// What this instance knows of the pods. A pod leaves the table when the list drops it and nothing is out.
@@ -386,7 +397,7 @@
         }
         let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
         let (sent, carried) = (Window::new(self.rules.fall_window), Window::new(self.rules.fall_window));
-        let (strikes, ill_until, quiet_since, slow, slow_at, late_told) = (0, 0, 0, 1.0, 0, 0);
+        let (strikes, ill_until, quiet_since, slow, slow_at, late_told, blame) = (0, 0, 0, 1.0, 0, 0, 0.0);
         *slot = Some(Pod {
             entry,
             in_flight,
@@ -398,6 +409,7 @@
             slow,
             slow_at,
             late_told,
+            blame,
         });
     }
 
@@ -704,6 +716,7 @@
         if old != Some((stage.build, stage.stage)) {
             self.judge.restart(stage.build, stage.stage);
             self.voter.held = None;
+            self.pods.table.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
             self.exposure.part = Exposure::START;
         }
         let going = matches!(stage.phase, Phase::GoingBack | Phase::Withdrawn);
@@ -905,7 +918,9 @@
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * Judge::OLD_LEARN;
             }
             if first && slow {
-                self.judge.slow(now, sent.build);
+                if let Some(pod) = self.pods.table[sent.pod].as_mut() {
+                    self.judge.slow(now, sent.build, &mut pod.blame);
+                }
             }
             self.consider(host);
         }
