--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,9 +68,7 @@
     slowed: Option<Ns>,
     relieved: bool,
     acquitted: bool,
-    /// The most of `old_slow` before the build came: an instance that knows of no such time blames none for it.
-    usual: f64,
-    /// The most of `old_slow` since the last trial.
+    /// The most of `old_slow` outside trials; an instance that knows of no such time blames no build for it.
     peak: f64,
     outcomes: u32,
     ended_new: Window,
@@ -106,7 +104,6 @@
             slowed: None,
             relieved: false,
             acquitted: false,
-            usual: 1.0,
             peak: 1.0,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
@@ -125,8 +122,7 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            (self.relieved, self.sum, self.usual) = (false, 0.0, self.peak);
-            self.peak = 0.0;
+            (self.relieved, self.sum) = (false, 0.0);
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
@@ -197,14 +193,14 @@
     /// on what all pods share; could harm a good build when two other slowdowns begin and end in its stages.
     fn shared(&mut self, now: Ns) {
         match self.slowed {
-            None if self.old_slow > Judge::OLD_SLOW.max(self.usual + 0.15)
+            None if self.old_slow > Judge::OLD_SLOW.max(self.peak + 0.15)
                 && !self.acquitted
                 && self.ended_new.most(now) > 0 =>
             {
                 self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
                 self.slowed = Some(now);
             }
-            Some(_) if self.old_slow < Judge::OLD_WELL.max(self.usual) => {
+            Some(_) if self.old_slow < Judge::OLD_WELL.max(self.peak) => {
                 (self.slowed, self.relieved) = (None, true)
             }
             Some(since) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
@@ -609,7 +605,7 @@
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
     const NEWER: f64 = 0.6;
     /// Hits after which an instance that began amid a trial trusts what it learnt of the earlier build.
-    const LEARN: u32 = 300;
+    const LEARN: u32 = 100;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
 
@@ -662,7 +658,7 @@
             if self.on_trial() {
                 self.judge.shared(now);
             } else if self.taken_ever >= Logic::LEARN {
-                let known = if self.judge.peak < 1.0 { self.judge.peak } else { 0.0 };
+                let known = if self.judge.peak < 1.0 { self.judge.peak * 0.98 } else { 0.0 };
                 self.judge.peak = known.max(self.judge.old_slow);
             }
             let doubt = self.judge.doubt();
