--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,7 +65,7 @@
     slow_sum: f64,
     /// Share of the earlier build's answers that were slow of late, and what came of lowering the share.
     old_slow: f64,
-    slowed: Option<Ns>,
+    slowed: Option<(Ns, f64)>,
     relieved: bool,
     acquitted: bool,
     /// The most of `old_slow` outside trials; an instance that knows of no such time blames no build for it.
@@ -82,14 +82,13 @@
     /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
     const ONE_POD: f64 = 0.6;
     const SLOW_SHARE: f64 = 0.5;
-    /// Shares of the earlier build's answers that are slow, of which a tenth is usual.
+    /// Share of slow answers that is too many, where a tenth is usual.
     const OLD_SLOW: f64 = 0.25;
     const OLD_LEARN: f64 = 0.02;
-    const OLD_WELL: f64 = 0.15;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
-    const RELIEF: Ns = 6 * S;
+    const RELIEF: Ns = 8 * S;
     const SHARE_WINDOW: Ns = 5 * S;
     /// A pod younger than this fails for being cold, whatever its build.
     const COLD_SKIP: Ns = 3 * S;
@@ -122,12 +121,12 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            (self.relieved, self.sum) = (false, 0.0);
+            (self.slowed, self.relieved, self.sum) = (None, false, 0.0);
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
         self.sum = self.sum.max(0.0);
-        (self.slowed, self.acquitted) = (None, false);
+        self.acquitted = false;
         (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
     }
 
@@ -192,19 +191,19 @@
     /// with it speaks against the build. What does not go was not the build's. Covers any load that a build puts
     /// on what all pods share; could harm a good build when two other slowdowns begin and end in its stages.
     fn shared(&mut self, now: Ns) {
+        let slow = self.old_slow;
         match self.slowed {
-            None if self.old_slow > Judge::OLD_SLOW.max(self.peak + 0.15)
+            None if slow > Judge::OLD_SLOW.max(self.peak + 0.15)
                 && !self.acquitted
                 && self.ended_new.most(now) > 0 =>
             {
                 self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
-                self.slowed = Some(now);
+                self.slowed = Some((now, slow));
             }
-            Some(_) if self.old_slow < Judge::OLD_WELL.max(self.peak) => {
-                (self.slowed, self.relieved) = (None, true)
-            }
-            Some(since) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
-            _ => {}
+            Some((_, worst)) if slow < worst / 2.0 => (self.slowed, self.relieved) = (None, true),
+            Some((since, _)) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
+            Some((since, worst)) => self.slowed = Some((since, worst.max(slow))),
+            None => {}
         }
     }
 
@@ -578,6 +577,8 @@
     machine: usize,
     young: bool,
     warm: bool,
+    /// Nothing of this instance was in flight there, so a slow answer is not for a crowd of its own making.
+    alone: bool,
 }
 
 pub struct Logic {
@@ -834,9 +835,11 @@
         let young_limit = now.saturating_sub(Judge::COLD_SKIP);
         let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
         let PodEntry { build, zone, cell, machine, started, .. } = *entry;
+        let alone = self.pods.get(pod).is_some_and(|pod| pod.in_flight == 0);
         self.pods.sent(now, pod);
         self.limit.out += 1;
-        let sent = Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm };
+        let sent =
+            Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm, alone };
         self.exposure.note(now, build, trip.group);
         trip.forwards += 1;
         trip.tried.push(pod);
@@ -879,11 +882,11 @@
             slowest.resize(sent.machine + 1, 3.0 * *mean);
         }
         let slowest = &mut slowest[sent.machine];
-        let slow = took > *slowest && (answered || timed_out);
+        let slow = took > *slowest && (answered || timed_out) && sent.alone;
         if answered {
             *mean += (took - *mean) * 0.01;
         }
-        if (answered || timed_out) && (!trial || self.taken_ever < Logic::LEARN) {
+        if (answered || timed_out) && sent.alone && (!trial || self.taken_ever < Logic::LEARN) {
             *slowest += *mean * 0.02 * if slow { 0.9 } else { -0.1 };
         }
         let ratio = took / mean.max(1.0);
@@ -910,7 +913,7 @@
             {
                 self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
-            if (sent.build < self.judge.build || !trial) && (answered || timed_out) {
+            if (sent.build < self.judge.build || !trial) && (answered || timed_out) && sent.alone {
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * Judge::OLD_LEARN;
             }
             if first && slow {
