--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,11 +68,13 @@
     slowed: Option<(Ns, f64)>,
     relieved: bool,
     acquitted: bool,
-    /// The most of `old_slow` outside trials; an instance that knows of no such time blames no build for it.
+    /// The most of `old_slow` outside trials, fading.
     peak: f64,
     outcomes: u32,
     ended_new: Window,
     ended_all: Window,
+    lately_new: Window,
+    lately_all: Window,
 }
 
 impl Judge {
@@ -84,12 +86,16 @@
     const SLOW_SHARE: f64 = 0.5;
     /// Share of slow answers that is too many, where a tenth is usual.
     const OLD_SLOW: f64 = 0.25;
+    /// Taken for the worst before a trial by an instance that began amid it.
+    const UNKNOWN: f64 = 0.35;
     const OLD_LEARN: f64 = 0.02;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
     const RELIEF: Ns = 8 * S;
     const SHARE_WINDOW: Ns = 5 * S;
+    const SHORT_WINDOW: Ns = 1500 * MS;
+    const THIN: f64 = 5.0;
     /// A pod younger than this fails for being cold, whatever its build.
     const COLD_SKIP: Ns = 3 * S;
 
@@ -103,10 +109,12 @@
             slowed: None,
             relieved: false,
             acquitted: false,
-            peak: 1.0,
+            peak: Judge::UNKNOWN,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
             ended_all: Window::new(Judge::SHARE_WINDOW),
+            lately_new: Window::new(Judge::SHORT_WINDOW),
+            lately_all: Window::new(Judge::SHORT_WINDOW),
         }
     }
 
@@ -121,6 +129,7 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.ended_new = Window::new(Judge::SHARE_WINDOW);
+            self.lately_new = Window::new(Judge::SHORT_WINDOW);
             (self.slowed, self.relieved, self.sum) = (None, false, 0.0);
         }
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
@@ -134,8 +143,10 @@
     /// turned away could not have failed. Else a share that grows by the second would look like bad luck.
     fn ended(&mut self, now: Ns, build: Build) {
         self.ended_all.add(now);
+        self.lately_all.add(now);
         if build == self.build {
             self.ended_new.add(now);
+            self.lately_new.add(now);
             self.outcomes = self.outcomes.saturating_add(1);
             let p0 = self.share(now);
             self.remember(p0);
@@ -169,9 +180,12 @@
         }
     }
 
+    /// The share rises by leaps at a stage's start, when the longer window would still blame the build for having
+    /// more forwards than it counts: the higher of a long and a short look, the short one shrunk where thin.
     fn share(&mut self, now: Ns) -> f64 {
         let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
-        new / all.max(1.0)
+        let (late, lately) = (self.lately_new.most(now) as f64, self.lately_all.most(now) as f64);
+        (new / all.max(1.0)).max(late / (lately + Judge::THIN))
     }
 
     fn step(&self, p0: f64, build: Build, odds: f64) -> f64 {
@@ -659,7 +673,7 @@
             if self.on_trial() {
                 self.judge.shared(now);
             } else if self.taken_ever >= Logic::LEARN {
-                let known = if self.judge.peak < 1.0 { self.judge.peak * 0.98 } else { 0.0 };
+                let known = if self.judge.peak != Judge::UNKNOWN { self.judge.peak * 0.98 } else { 0.0 };
                 self.judge.peak = known.max(self.judge.old_slow);
             }
             let doubt = self.judge.doubt();
