--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,7 +67,6 @@
     old_slow: f64,
     slowed: Option<(Ns, f64)>,
     relieved: bool,
-    acquitted: bool,
     /// The most of `old_slow` outside trials, fading.
     peak: f64,
     outcomes: u32,
@@ -108,7 +107,6 @@
             old_slow: 0.1,
             slowed: None,
             relieved: false,
-            acquitted: false,
             peak: Judge::UNKNOWN,
             outcomes: 0,
             ended_new: Window::new(Judge::SHARE_WINDOW),
@@ -135,7 +133,6 @@
         // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
         // one. What speaks for it does not, as more traffic may bring out more.
         self.sum = self.sum.max(0.0);
-        self.acquitted = false;
         (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
     }
 
@@ -207,15 +204,14 @@
     fn shared(&mut self, now: Ns) {
         let slow = self.old_slow;
         match self.slowed {
-            None if slow > Judge::OLD_SLOW.max(self.peak + 0.15)
-                && !self.acquitted
-                && self.ended_new.most(now) > 0 =>
-            {
+            None if slow > Judge::OLD_SLOW.max(self.peak + 0.15) && self.ended_new.most(now) > 0 => {
                 self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
                 self.slowed = Some((now, slow));
             }
             Some((_, worst)) if slow < worst / 2.0 => (self.slowed, self.relieved) = (None, true),
-            Some((since, _)) if now - since > Judge::RELIEF => (self.slowed, self.acquitted) = (None, true),
+            Some((since, _)) if now - since > Judge::RELIEF => {
+                (self.slowed, self.peak) = (None, self.peak.max(slow))
+            }
             Some((since, worst)) => self.slowed = Some((since, worst.max(slow))),
             None => {}
         }
