--- a/src/logic.rs
+++ b/src/logic.rs
@@ -587,8 +587,8 @@
     machine: usize,
     young: bool,
     warm: bool,
-    /// Nothing of this instance was in flight there, so a slow answer is not for a crowd of its own making.
-    alone: bool,
+    /// No more of this instance was in flight there than elsewhere: slowness is not of its own making.
+    even: bool,
 }
 
 pub struct Logic {
@@ -845,11 +845,12 @@
         let young_limit = now.saturating_sub(Judge::COLD_SKIP);
         let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
         let PodEntry { build, zone, cell, machine, started, .. } = *entry;
-        let alone = self.pods.get(pod).is_some_and(|pod| pod.in_flight == 0);
+        let live = self.pods.live().count() as u32;
+        let even = self.pods.get(pod).is_some_and(|pod| pod.in_flight * live <= self.limit.out);
         self.pods.sent(now, pod);
         self.limit.out += 1;
         let sent =
-            Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm, alone };
+            Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm, even };
         self.exposure.note(now, build, trip.group);
         trip.forwards += 1;
         trip.tried.push(pod);
@@ -892,11 +893,11 @@
             slowest.resize(sent.machine + 1, 3.0 * *mean);
         }
         let slowest = &mut slowest[sent.machine];
-        let slow = took > *slowest && (answered || timed_out) && sent.alone;
+        let slow = took > *slowest && (answered || timed_out) && sent.even;
         if answered {
             *mean += (took - *mean) * 0.01;
         }
-        if (answered || timed_out) && sent.alone && (!trial || self.taken_ever < Logic::LEARN) {
+        if (answered || timed_out) && sent.even && (!trial || self.taken_ever < Logic::LEARN) {
             *slowest += *mean * 0.02 * if slow { 0.9 } else { -0.1 };
         }
         let ratio = took / mean.max(1.0);
@@ -923,7 +924,7 @@
             {
                 self.judge.failed(now, sent.build, outcome.end == Ended::Error);
             }
-            if (sent.build < self.judge.build || !trial) && (answered || timed_out) && sent.alone {
+            if (sent.build < self.judge.build || !trial) && (answered || timed_out) && sent.even {
                 self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * Judge::OLD_LEARN;
             }
             if first && slow {
