--- a/src/logic.rs
+++ b/src/logic.rs
@@ -674,9 +674,17 @@
             }
             let doubt = self.judge.doubt();
             self.exposure.moved_at = now;
-            // Lowered too far for a sum in doubt, the share would starve the test of what could settle it.
-            let least = if self.judge.slowed.is_some() { 0.1 } else { 0.4 };
-            self.exposure.part = (self.exposure.part * if doubt { 0.5 } else { 2.0 }).clamp(least, 1.0);
+            // Lowered too far for a sum in doubt, the share would starve the test of what could settle it; the
+            // trial by share wants none at all, since bounces leave a small part of the hits a large one of forwards.
+            let lower = (self.exposure.part * 0.5).max(0.4);
+            let higher = (self.exposure.part * 2.0).clamp(0.2, 1.0);
+            self.exposure.part = if self.judge.slowed.is_some() {
+                0.0
+            } else if doubt {
+                lower
+            } else {
+                higher
+            };
         }
         host.wake(TICK, Box::new(|logic, host, ()| logic.tick(host)));
     }
