--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod logic;
 pub mod port;
+mod state;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,52 +8,36 @@
 //! fall on the build on trial beyond that build's share of its forwards, `Voter` turns the sum into a vote.
 
 use crate::port::*;
+use crate::state::*;
 use oorandom::Rand64;
 use std::collections::HashSet;
 
 const MS: Ns = 1_000_000;
 const S: Ns = 1_000 * MS;
 const TICK: Ns = 200 * MS;
-
-/// Counts over a sliding window, kept in slices. Slices empty as the window moves on.
-struct Window {
-    slice: Ns,
-    at: Ns,
-    counts: [u32; Window::SLICES + 1],
+/// How finely windows move on.
+const SLICES: usize = 40;
+
+/// A build's share of forwards, of those that ended: failures come that late too, and what a draining pod turned
+/// away could not have failed. Else a share that grows by the second would look like the build's bad luck.
+struct Share {
+    new: [Window; 2],
+    all: [Window; 2],
 }
 
-impl Window {
-    const SLICES: usize = 40;
-
-    fn new(span: Ns) -> Window {
-        Window { slice: (span / Window::SLICES as Ns).max(1), at: 0, counts: [0; Window::SLICES + 1] }
-    }
-
-    fn roll(&mut self, now: Ns) {
-        let at = now / self.slice;
-        let len = self.counts.len() as Ns;
-        for step in 0..(at - self.at.min(at)).min(len) {
-            self.counts[((at - step) % len) as usize] = 0;
-        }
-        self.at = self.at.max(at);
-    }
-
-    fn add(&mut self, now: Ns) {
-        self.roll(now);
-        self.counts[(self.at % self.counts.len() as Ns) as usize] += 1;
-    }
+impl Share {
+    const SPANS: [Ns; 2] = [5 * S, 1500 * MS];
+    const THIN: f64 = 5.0;
 
-    /// Never less than what the last window held.
-    fn most(&mut self, now: Ns) -> u32 {
-        self.roll(now);
-        self.counts.iter().sum()
+    fn windows() -> [Window; 2] {
+        Share::SPANS.map(|span| Window::new(span, SLICES))
     }
 
-    /// Never more than what the last window held.
-    fn least(&mut self, now: Ns) -> u32 {
-        let all = self.most(now);
-        let len = self.counts.len() as Ns;
-        all - self.counts[((self.at + 1) % len) as usize] - self.counts[((self.at + 2) % len) as usize]
+    /// It rises by leaps at a stage's start, when the long look still blames the build for having more forwards
+    /// than it counts: so the higher of a long and a short look, the short one shrunk where it is thin.
+    fn of(&mut self, now: Ns) -> f64 {
+        let [long, short] = [0, 1].map(|n| (self.new[n].most(now) as f64, self.all[n].most(now) as f64));
+        (long.0 / long.1.max(1.0)).max(short.0 / (short.1 + Share::THIN))
     }
 }
 
@@ -61,107 +45,85 @@
 struct Judge {
     build: Build,
     stage: usize,
+    share: Share,
+    outcomes: u32,
     sum: f64,
     slow_sum: f64,
-    /// Share of the earlier build's answers that were slow of late, and what came of lowering the share.
+    /// How much of late is slow on the earlier build's pods, the most of that outside trials, fading, and what
+    /// came of taking the share away: since when and from which level, and whether the slowness went with it.
     old_slow: f64,
+    usual: Option<f64>,
     slowed: Option<(Ns, f64)>,
     relieved: bool,
-    /// The most of `old_slow` outside trials, fading.
-    peak: f64,
-    outcomes: u32,
-    ended_new: Window,
-    ended_all: Window,
-    lately_new: Window,
-    lately_all: Window,
 }
 
 impl Judge {
     const ALPHA: f64 = 0.01;
     const BETA: f64 = 0.1;
+    const ODDS: f64 = 2.0;
+    /// A pod younger than this fails for being cold, whatever its build.
+    const COLD_SKIP: Ns = 3 * S;
     const SLOW_ODDS: f64 = 5.0;
+    const SLOW_SHARE: f64 = 0.5;
     /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
     const ONE_POD: f64 = 0.6;
-    const SLOW_SHARE: f64 = 0.5;
-    /// Share of slow answers that is too many, where a tenth is usual.
-    const OLD_SLOW: f64 = 0.25;
-    /// Taken for the worst before a trial by an instance that began amid it.
-    const UNKNOWN: f64 = 0.35;
-    const OLD_LEARN: f64 = 0.02;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
+    /// Slow answers of the earlier build that are too many, where a tenth is usual; how far above the usual; and
+    /// the usual taken by an instance that began amid the trial.
+    const OLD_SLOW: f64 = 0.25;
+    const ABOVE: f64 = 0.15;
+    const UNKNOWN: f64 = 0.35;
+    const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
-    const SHARE_WINDOW: Ns = 5 * S;
-    const SHORT_WINDOW: Ns = 1500 * MS;
-    const THIN: f64 = 5.0;
-    /// A pod younger than this fails for being cold, whatever its build.
-    const COLD_SKIP: Ns = 3 * S;
 
     fn new() -> Judge {
-        Judge {
-            build: 0,
-            stage: 0,
-            sum: 0.0,
-            slow_sum: 0.0,
-            old_slow: 0.1,
-            slowed: None,
-            relieved: false,
-            peak: Judge::UNKNOWN,
-            outcomes: 0,
-            ended_new: Window::new(Judge::SHARE_WINDOW),
-            ended_all: Window::new(Judge::SHARE_WINDOW),
-            lately_new: Window::new(Judge::SHORT_WINDOW),
-            lately_all: Window::new(Judge::SHORT_WINDOW),
-        }
+        let (build, stage, share, outcomes, sum, slow_sum) =
+            (0, 0, Share { new: Share::windows(), all: Share::windows() }, 0, 0.0, 0.0);
+        let (old_slow, usual, slowed, relieved) = (0.1, None, None, false);
+        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, slowed, relieved }
     }
 
-    fn upper() -> f64 {
-        ((1.0 - Judge::BETA) / Judge::ALPHA).ln()
+    /// Wald's bounds on the sum: on below the first, back above the second.
+    fn bounds() -> (f64, f64) {
+        ((Judge::BETA / (1.0 - Judge::ALPHA)).ln(), ((1.0 - Judge::BETA) / Judge::ALPHA).ln())
     }
 
-    fn lower() -> f64 {
-        (Judge::BETA / (1.0 - Judge::ALPHA)).ln()
+    fn worst(&self) -> f64 {
+        self.sum.max(self.slow_sum)
     }
 
+    /// What speaks against the build outlives its stage, as a low rate of wrong answers never fills the sum within
+    /// one. What speaks for it does not: more traffic may bring out more.
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
-            self.ended_new = Window::new(Judge::SHARE_WINDOW);
-            self.lately_new = Window::new(Judge::SHORT_WINDOW);
+            self.share.new = Share::windows();
             (self.slowed, self.relieved, self.sum) = (None, false, 0.0);
         }
-        // What speaks against the build outlives its stage: a low rate of wrong answers never fills the sum within
-        // one. What speaks for it does not, as more traffic may bring out more.
-        self.sum = self.sum.max(0.0);
-        (self.build, self.stage, self.slow_sum, self.outcomes) = (build, stage, 0.0, 0);
+        (self.sum, self.slow_sum, self.outcomes) = (self.sum.max(0.0), 0.0, 0);
+        (self.build, self.stage) = (build, stage);
     }
 
-    /// The share is taken of forwards as they end: failures come that late too, and forwards that a draining pod
-    /// turned away could not have failed. Else a share that grows by the second would look like bad luck.
+    /// Once the new build has most of the load its share nears 1 and the test goes blind, so for failures that are
+    /// a pod's own the earlier build keeps half the share from memory, failing at its usual small rate. Covers
+    /// builds that fail late or answer wrongly at a low rate; could harm a build blamed for its callers' mistakes.
     fn ended(&mut self, now: Ns, build: Build) {
-        self.ended_all.add(now);
-        self.lately_all.add(now);
+        self.share.all.iter_mut().for_each(|window| window.add(now));
         if build == self.build {
-            self.ended_new.add(now);
-            self.lately_new.add(now);
+            self.share.new.iter_mut().for_each(|window| window.add(now));
             self.outcomes = self.outcomes.saturating_add(1);
-            let p0 = self.share(now);
-            self.remember(p0);
+            let beyond = (2.0 * self.share.of(now) - 1.0).max(0.0);
+            self.sum += Judge::OWN_RATE * beyond * Judge::step(Judge::MEMORY_SHARE, false, Judge::ODDS);
         }
     }
 
     /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a broken connection.
     fn failed(&mut self, now: Ns, build: Build, own: bool) {
-        let p0 = self.share(now);
-        self.sum += self.step(if own { p0.min(Judge::MEMORY_SHARE) } else { p0 }, build, 2.0);
-    }
-
-    /// Once the new build has most of the load the share nears 1 and the test goes blind, so for failures that are
-    /// a pod's own the earlier build keeps half the share from memory, failing at its usual small rate. Covers
-    /// builds that fail late or answer wrongly at a low rate; could harm a build blamed for its callers' mistakes.
-    fn remember(&mut self, p0: f64) {
-        let step = self.step(Judge::MEMORY_SHARE, self.build.wrapping_sub(1), 2.0);
-        self.sum += Judge::OWN_RATE * step * (2.0 * p0 - 1.0).max(0.0);
+        let p0 = self.share.of(now).min(if own { Judge::MEMORY_SHARE } else { 1.0 });
+        if build <= self.build {
+            self.sum += Judge::step(p0, build == self.build, Judge::ODDS);
+        }
     }
 
     /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
@@ -169,60 +131,47 @@
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
     fn slow(&mut self, now: Ns, build: Build, blame: &mut f64) {
-        let p0 = self.share(now);
-        if p0 <= Judge::SLOW_SHARE {
-            let step = self.step(p0, build, Judge::SLOW_ODDS).min(Judge::upper() * Judge::ONE_POD - *blame);
+        let p0 = self.share.of(now);
+        if p0 <= Judge::SLOW_SHARE && build <= self.build {
+            let step = Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
+            let step = step.min(Judge::bounds().1 * Judge::ONE_POD - *blame);
             *blame += step.max(0.0);
             self.slow_sum += step;
         }
     }
 
-    /// The share rises by leaps at a stage's start, when the longer window would still blame the build for having
-    /// more forwards than it counts: the higher of a long and a short look, the short one shrunk where thin.
-    fn share(&mut self, now: Ns) -> f64 {
-        let (new, all) = (self.ended_new.most(now) as f64, self.ended_all.most(now) as f64);
-        let (late, lately) = (self.lately_new.most(now) as f64, self.lately_all.most(now) as f64);
-        (new / all.max(1.0)).max(late / (lately + Judge::THIN))
-    }
-
-    fn step(&self, p0: f64, build: Build, odds: f64) -> f64 {
-        if p0 <= 0.0 || p0 >= 1.0 || build > self.build {
-            return 0.0;
-        }
+    fn step(p0: f64, new: bool, odds: f64) -> f64 {
         let p1 = odds * p0 / (1.0 + (odds - 1.0) * p0);
-        if build == self.build {
-            (p1 / p0).ln()
-        } else {
-            ((1.0 - p1) / (1.0 - p0)).ln()
+        match (p0 <= 0.0 || p0 >= 1.0, new) {
+            (true, _) => 0.0,
+            (_, true) => (p1 / p0).ln(),
+            (_, false) => ((1.0 - p1) / (1.0 - p0)).ln(),
         }
     }
 
     /// A build that slows every pod alike gives the test no side to compare, so the share itself is the trial: when
-    /// the earlier build's pods turn slow, the share is cut, and only slowness that goes with it and comes back
-    /// with it speaks against the build. What does not go was not the build's. Covers any load that a build puts
-    /// on what all pods share; could harm a good build when two other slowdowns begin and end in its stages.
+    /// the earlier build's pods turn slower than ever before it, the share is taken away, and only slowness that
+    /// goes with it and comes back with it speaks against the build. Covers any load that a build puts on what all
+    /// pods share; could harm a good build when two other slowdowns begin and end in its stages.
     fn shared(&mut self, now: Ns) {
-        let slow = self.old_slow;
+        let (slow, usual) = (self.old_slow, self.usual.unwrap_or(Judge::UNKNOWN));
+        let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
         match self.slowed {
-            None if slow > Judge::OLD_SLOW.max(self.peak + 0.15) && self.ended_new.most(now) > 0 => {
-                self.sum += if self.relieved { Judge::upper() * 1.01 } else { 0.0 };
+            None if began => {
+                self.sum += if self.relieved { Judge::bounds().1 * 1.01 } else { 0.0 };
                 self.slowed = Some((now, slow));
             }
+            None => {}
             Some((_, worst)) if slow < worst / 2.0 => (self.slowed, self.relieved) = (None, true),
-            Some((since, _)) if now - since > Judge::RELIEF => {
-                (self.slowed, self.peak) = (None, self.peak.max(slow))
+            Some((at, _)) if now - at > Judge::RELIEF => {
+                (self.slowed, self.usual) = (None, Some(usual.max(slow)))
             }
-            Some((since, worst)) => self.slowed = Some((since, worst.max(slow))),
-            None => {}
+            Some((at, worst)) => self.slowed = Some((at, worst.max(slow))),
         }
     }
 
-    fn doubt(&self) -> bool {
-        self.worst() > Judge::upper() / 2.0 || self.slowed.is_some()
-    }
-
-    fn worst(&self) -> f64 {
-        self.sum.max(self.slow_sum)
+    fn old_answer(&mut self, slow: bool) {
+        self.old_slow += (slow as u8 as f64 - self.old_slow) * Judge::OLD_LEARN;
     }
 }
 
@@ -241,39 +190,23 @@
     const ON_AFTER_THIN: Ns = 6 * S;
     const ENOUGH: u32 = 10;
 
-    fn new(rules: VoteRules) -> Voter {
-        Voter { rules, standing: None, again_at: 0, calling: false, held: None }
-    }
-
-    fn wanted(&mut self, now: Ns, judge: &Judge, phase: Phase, newest_start: Ns, part: f64) -> Voice {
-        if !matches!(phase, Phase::Trial | Phase::Released) {
-            return Voice::None;
-        }
-        if judge.worst() > Judge::upper() {
+    /// `ran` is the time since the stage's newest start, `calm` that no trial by share is on.
+    fn wanted(&mut self, now: Ns, judge: &Judge, phase: Phase, ran: Ns, calm: bool) -> Voice {
+        let on_trial = phase == Phase::Trial;
+        if judge.worst() > Judge::bounds().1 && (on_trial || phase == Phase::Released) {
             return Voice::Back;
         }
-        if phase == Phase::Released {
-            return Voice::None;
-        }
-        let ran = now.saturating_sub(newest_start);
-        if self.rules.control == Control::Clock {
-            let since = *self.held.get_or_insert(now);
-            let doubt = judge.worst() > Judge::upper() / 2.0;
-            if !doubt {
-                self.held = None;
-            }
-            let hold = doubt && now - since < self.rules.step;
-            return if hold { Voice::Hold } else { Voice::None };
-        }
-        if judge.slowed.is_some() || (judge.relieved && part < Exposure::START) {
-            return Voice::None;
+        if on_trial && self.rules.control == Control::Clock {
+            // One step a stage at most, however often the doubt comes back.
+            let doubt = judge.worst() > Judge::bounds().1 / 2.0;
+            let since = *self.held.get_or_insert(if doubt { now } else { return Voice::None });
+            return if doubt && now - since < self.rules.step { Voice::Hold } else { Voice::None };
         }
-        let passed = judge.worst() < Judge::lower() || judge.outcomes >= Voter::ENOUGH;
+        let passed = judge.worst() < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
-        if (passed && ran >= Voter::ON_AFTER) || thin {
-            Voice::On
-        } else {
-            Voice::None
+        match on_trial && calm && (thin || (passed && ran >= Voter::ON_AFTER)) {
+            true => Voice::On,
+            false => Voice::None,
         }
     }
 
@@ -291,145 +224,75 @@
     taken: Vec<Window>,
     /// Emptied of a build when no listed pod runs it and it is no longer on trial.
     sent: Vec<(Build, Vec<Window>)>,
-    /// The part of the cap in use.
+    /// The part of the cap in use, and when that was last weighed.
     part: f64,
-    moved_at: Ns,
-    /// Keys that the build on trial has answered, where they are bound to it; emptied with the build.
+    weighed: Ns,
+    /// Keys that the newest build has answered, where that binds them to it; emptied when it goes back or the
+    /// next one comes, and no longer than `MOST_KEYS`.
     bound: HashSet<u64>,
 }
 
 impl Exposure {
     const START: f64 = 0.8;
+    const DOUBTED: f64 = 0.4;
+    const AGAIN: f64 = 0.2;
     const MOST_KEYS: usize = 1 << 16;
 
-    fn new(rules: ExposureRules, groups: usize, now: Ns) -> Exposure {
-        let buckets = if rules.per_group { groups } else { 1 };
-        let taken = (0..buckets).map(|_| Window::new(rules.window)).collect();
-        Exposure {
-            rules,
-            started: now,
-            taken,
-            sent: Vec::new(),
-            part: Exposure::START,
-            moved_at: now,
-            bound: HashSet::new(),
-        }
-    }
-
     fn bucket(&self, group: GroupId) -> usize {
-        if self.rules.per_group {
-            group
-        } else {
-            0
-        }
+        group * self.rules.per_group as usize
     }
 
-    fn take(&mut self, now: Ns, group: GroupId) {
-        let bucket = self.bucket(group);
-        self.taken[bucket].add(now);
+    /// The windows of a build's forwards, one for each that hits are counted in.
+    fn sent(&mut self, build: Build) -> &mut Vec<Window> {
+        let at = self.sent.iter().position(|(known, _)| *known == build).unwrap_or_else(|| {
+            self.sent
+                .push((build, self.taken.iter().map(|_| Window::new(self.rules.window, SLICES)).collect()));
+            self.sent.len() - 1
+        });
+        &mut self.sent[at].1
     }
 
-    /// Whether `part` of the cap leaves room for one more forward.
+    /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have used
+    /// up the free ones within the same window.
     fn room(&mut self, now: Ns, build: Build, group: GroupId, cap: f64, part: f64) -> bool {
         let bucket = self.bucket(group);
-        let sent = match self.sent.iter_mut().find(|(b, _)| *b == build) {
-            Some((_, windows)) => windows[bucket].most(now) as f64,
-            None => 0.0,
+        let free = if now - self.started <= self.rules.window { 0.0 } else { self.rules.free };
+        let most = part * (free + cap * self.taken[bucket].least(now) as f64);
+        cap > 0.0 && self.sent(build)[bucket].most(now) as f64 + 1.0 <= most
+    }
+
+    /// Halved on doubt, doubled while it goes well. Lowered too far for a sum in doubt, the share would starve the
+    /// test of what could settle it; the trial by share wants none at all, since under bounces a small part of the
+    /// hits is a large one of the forwards.
+    fn weigh(&mut self, judge: &Judge) {
+        self.part = match judge.worst() > Judge::bounds().1 / 2.0 {
+            _ if judge.slowed.is_some() => 0.0,
+            true => (self.part * 0.5).max(Exposure::DOUBTED),
+            false => (self.part * 2.0).clamp(Exposure::AGAIN, 1.0),
         };
-        // An earlier life of this instance may have used up the free ones within the same window.
-        let fresh = now - self.started <= self.rules.window;
-        let free = if fresh { 0.0 } else { self.rules.free };
-        cap > 0.0 && sent + 1.0 <= part * (free + cap * self.taken[bucket].least(now) as f64)
-    }
-
-    fn note(&mut self, now: Ns, build: Build, group: GroupId) {
-        let bucket = self.bucket(group);
-        if !self.sent.iter().any(|(b, _)| *b == build) {
-            let windows = self.taken.iter().map(|_| Window::new(self.rules.window)).collect();
-            self.sent.push((build, windows));
-        }
-        if let Some((_, windows)) = self.sent.iter_mut().find(|(b, _)| *b == build) {
-            windows[bucket].add(now);
-        }
     }
 }
 
-struct Pod {
-    entry: PodEntry,
-    in_flight: u32,
-    sent: Window,
-    carried: Window,
-    /// Failures since the last answer, and until when they keep hits away.
-    strikes: u32,
-    ill_until: Ns,
-    /// Since when forwards are out with no answer at all.
-    quiet_since: Ns,
-    /// Its answer times against the mean of each path group, and when that was last learnt.
-    slow: f64,
-    slow_at: Ns,
-    late_told: Ns,
-    /// What its slow answers put on the sum of this stage.
-    blame: f64,
-}
-
-/// What this instance knows of the pods. A pod leaves the table when the list drops it and nothing is out.
+/// The pods and what their symptoms say.
 struct Pods {
     rules: PodRules,
     /// How long a pod may be silent before it looks hung.
     quiet: Ns,
-    table: Vec<Option<Pod>>,
+    table: Table,
 }
 
 impl Pods {
     const ILL_AFTER: u32 = 2;
     const ILL: Ns = 500 * MS;
-    const ILL_MOST: Ns = 8 * S;
     /// Part of the fall multiple that all instances together may use on a cold pod.
     const COLD_PART: f64 = 0.6;
+    const SLOW_LEARN: f64 = 0.1;
     const SLOW_FADES: f64 = 5e9;
 
-    fn apply(&mut self, entry: PodEntry) {
-        if self.table.len() <= entry.pod {
-            self.table.resize_with(entry.pod + 1, || None);
-        }
-        let slot = &mut self.table[entry.pod];
-        let (started, build) = (entry.started, entry.build);
-        if let Some(pod) =
-            slot.as_mut().filter(|pod| (pod.entry.started, pod.entry.build) == (started, build))
-        {
-            pod.entry = entry;
-            return;
-        }
-        let in_flight = slot.as_ref().map_or(0, |pod| pod.in_flight);
-        let (sent, carried) = (Window::new(self.rules.fall_window), Window::new(self.rules.fall_window));
-        let (strikes, ill_until, quiet_since, slow, slow_at, late_told, blame) = (0, 0, 0, 1.0, 0, 0, 0.0);
-        *slot = Some(Pod {
-            entry,
-            in_flight,
-            sent,
-            carried,
-            strikes,
-            ill_until,
-            quiet_since,
-            slow,
-            slow_at,
-            late_told,
-            blame,
-        });
-    }
-
-    fn get(&self, id: PodId) -> Option<&Pod> {
-        self.table.get(id).and_then(Option::as_ref)
-    }
-
-    fn live(&self) -> impl Iterator<Item = &Pod> {
-        self.table.iter().flatten().filter(|pod| pod.entry.state == PodState::Running)
-    }
-
+    /// The part of its capacity that a pod surely has.
     fn warmth(&self, now: Ns, entry: &PodEntry) -> f64 {
-        let age = now.saturating_sub(entry.started) as f64;
-        let cold = self.rules.cold_share;
-        (cold + (1.0 - cold) * age / self.rules.warm_up.max(1) as f64).min(1.0)
+        let age = now.saturating_sub(entry.started) as f64 / self.rules.warm_up.max(1) as f64;
+        (self.rules.cold_share + (1.0 - self.rules.cold_share) * age).min(1.0)
     }
 
     fn silent(&self, now: Ns, pod: &Pod) -> bool {
@@ -446,17 +309,20 @@
     /// Whether a cold pod has room. The guide is what warm pods of its machine answer to this instance: answers,
     /// not forwards, since those outrun any capacity when the rest of the fleet is lost or full.
     fn cold_room(&mut self, now: Ns, id: PodId) -> bool {
-        let Some(entry) = self.get(id).map(|pod| pod.entry.clone()) else { return false };
+        let Some(entry) = self.table.get(id).map(|pod| pod.entry) else { return false };
         let warmth = self.warmth(now, &entry);
         if warmth >= 1.0 {
             return true;
         }
+        let warm: Vec<PodId> = self
+            .table
+            .live()
+            .filter(|pod| self.warmth(now, &pod.entry) >= 1.0)
+            .map(|pod| pod.entry.pod)
+            .collect();
         let (mut alike, mut all) = ((0.0, 0.0), (0.0, 0.0));
-        let (cold, warm_up) = (self.rules.cold_share, self.rules.warm_up);
-        for peer in self.table.iter_mut().flatten().filter(|peer| peer.entry.state == PodState::Running) {
-            if cold < 1.0 && now.saturating_sub(peer.entry.started) < warm_up {
-                continue;
-            }
+        for peer in warm {
+            let Some(peer) = self.table.get_mut(peer) else { continue };
             let carried = peer.carried.most(now) as f64 * entry.size / peer.entry.size.max(1e-9);
             all = (all.0 + 1.0, all.1 + carried);
             if peer.entry.machine == entry.machine {
@@ -465,24 +331,18 @@
         }
         let carried = if alike.0 > 0.0 { alike.1 / alike.0 } else { 0.5 * all.1 / f64::max(all.0, 1.0) };
         let most = (Pods::COLD_PART * self.rules.fall_multiple * warmth * carried).max(1.0);
-        self.table[id].as_mut().is_some_and(|pod| pod.sent.most(now) as f64 + 1.0 <= most)
+        self.table.get_mut(id).is_some_and(|pod| pod.sent.most(now) as f64 + 1.0 <= most)
     }
 
     /// How slow a pod is for its size, and so how much each hit in flight there weighs.
-    fn burden(&self, now: Ns, id: PodId) -> f64 {
-        let Some(pod) = self.get(id) else { return f64::MAX };
+    fn burden(&self, now: Ns, pod: &Pod) -> f64 {
         let idle = now.saturating_sub(pod.slow_at) as f64 / Pods::SLOW_FADES;
         let slow = 1.0 + (pod.slow - 1.0) * (-idle).exp();
         slow / (pod.entry.size.max(1e-9) * self.warmth(now, &pod.entry))
     }
 
-    fn score(&self, now: Ns, id: PodId) -> f64 {
-        let in_flight = self.get(id).map_or(0, |pod| pod.in_flight);
-        (in_flight as f64 + 1.0) * self.burden(now, id)
-    }
-
     fn sent(&mut self, now: Ns, id: PodId) {
-        let Some(pod) = self.table[id].as_mut() else { return };
+        let Some(pod) = self.table.get_mut(id) else { return };
         if pod.in_flight == 0 {
             pod.quiet_since = now;
         }
@@ -490,26 +350,16 @@
         pod.sent.add(now);
     }
 
-    /// Whether a late answer tells anything new of this pod.
-    fn first_late(&mut self, now: Ns, id: PodId, span: Ns) -> bool {
-        let Some(pod) = self.table[id].as_mut() else { return false };
-        let first = now >= pod.late_told + span;
-        if first {
-            pod.late_told = now;
-        }
-        first
-    }
-
     /// Health by symptom, whatever its cause. A time-out tells of the pod only if nothing came from it since.
     fn ended(&mut self, now: Ns, sent: &Sent, end: Ended, ratio: f64, scatter: f64) {
-        let Some(pod) = self.table[sent.pod].as_mut() else { return };
+        let Some(pod) = self.table.get_mut(sent.pod) else { return };
         pod.in_flight = pod.in_flight.saturating_sub(1);
         let hung = end == Ended::TimeOut && pod.quiet_since <= sent.at;
         if !matches!(end, Ended::TimeOut | Ended::Cancelled | Ended::NotSent) {
             pod.quiet_since = now;
         }
         if matches!(end, Ended::Delivered | Ended::TimeOut) {
-            pod.slow += (ratio.min(10.0) - pod.slow) * 0.1;
+            pod.slow += (ratio.min(10.0) - pod.slow) * Pods::SLOW_LEARN;
             pod.slow_at = now;
         }
         if end == Ended::Delivered {
@@ -519,20 +369,20 @@
             pod.strikes += if end == Ended::NoConnection { Pods::ILL_AFTER } else { 1 };
             if pod.strikes >= Pods::ILL_AFTER {
                 let doubled = Pods::ILL << (pod.strikes - Pods::ILL_AFTER).min(4);
-                pod.ill_until = now + (doubled.min(Pods::ILL_MOST) as f64 * scatter) as Ns;
+                pod.ill_until = now + (doubled as f64 * scatter) as Ns;
             }
         }
     }
 }
 
 /// Bounds the hits in flight by how quickly answers come, so that a queue that would make every answer late is
-/// bounced at the door instead. Covers overload, lost pods and slow fleets alike; could harm where a few heavy
-/// hits are late by nature, so a cut needs lateness and comes once an answer time at most.
+/// bounced at the door instead. Covers overload, lost pods and slow fleets alike; could harm where many hits are
+/// heavy by nature, so a cut needs a quarter of the answers late, and another one waits for its effect.
 struct Limit {
     most: f64,
     out: u32,
     cut_at: Ns,
-    /// Share of late answers of late.
+    /// Share of late answers, of late.
     late: f64,
 }
 
@@ -562,35 +412,6 @@
     }
 }
 
-/// A hit on its way, handed from step to step.
-struct Trip {
-    hit: HitId,
-    group: GroupId,
-    key: u64,
-    deadline: Ns,
-    target_at: Ns,
-    forwards: u32,
-    tried: Vec<PodId>,
-    /// When and where it may have run first.
-    may_run: Option<(Ns, ZoneId, i64)>,
-    /// A build on trial failed it: no further forward there while there is another.
-    shy: bool,
-}
-
-/// One forward, for the closure that gets its outcome.
-struct Sent {
-    pod: PodId,
-    build: Build,
-    at: Ns,
-    zone: ZoneId,
-    cell: i64,
-    machine: usize,
-    young: bool,
-    warm: bool,
-    /// No more of this instance was in flight there than elsewhere: slowness is not of its own making.
-    even: bool,
-}
-
 pub struct Logic {
     chance: Rand64,
     place: Place,
@@ -602,20 +423,23 @@
     exposure: Exposure,
     judge: Judge,
     voter: Voter,
+    limit: Limit,
     stage: Option<(Stage, Ns)>,
     taken: Window,
     retried: Window,
+    hits: u32,
+    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep, by
+    /// machine since a new build starts on few.
     mean: Vec<f64>,
-    /// By path group and machine, since a build starts on few machines: the time nine in ten answers keep.
     slowest: Vec<Vec<f64>>,
-    limit: Limit,
-    taken_ever: u32,
 }
 
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
     const NEWER: f64 = 0.6;
-    /// Hits after which an instance that began amid a trial trusts what it learnt of the earlier build.
+    /// How much a forward across zones weighs, for each point of its price.
+    const AWAY: f64 = 12.0;
+    /// Hits after which an instance trusts what it has learnt of the time before a trial.
     const LEARN: u32 = 100;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
@@ -632,7 +456,9 @@
         votes: VoteRules,
         lists: ListRules,
     ) -> Logic {
-        let mean = groups.iter().map(|g| g.target_latency as f64 / 6.0).collect();
+        let counted = if exposure.per_group { groups.len() } else { 1 };
+        let taken = (0..counted).map(|_| Window::new(exposure.window, SLICES)).collect();
+        let (sent, part, bound) = (Vec::new(), Exposure::START, HashSet::new());
         let quiet = groups.iter().map(|group| group.target_latency).min().unwrap_or(S);
         Logic {
             chance: Rand64::new(seed as u128),
@@ -640,17 +466,17 @@
             rules,
             lists,
             list_wait: 0,
-            pods: Pods { rules: pods, quiet, table: Vec::new() },
-            exposure: Exposure::new(exposure, groups.len(), now),
+            pods: Pods { rules: pods, quiet, table: Table::default() },
+            exposure: Exposure { rules: exposure, started: now, taken, sent, part, weighed: now, bound },
             judge: Judge::new(),
-            voter: Voter::new(votes),
+            voter: Voter { rules: votes, standing: None, again_at: 0, calling: false, held: None },
+            limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             stage: None,
-            taken: Window::new(Logic::RETRY_WINDOW),
-            retried: Window::new(Logic::RETRY_WINDOW),
-            mean,
+            taken: Window::new(Logic::RETRY_WINDOW, SLICES),
+            retried: Window::new(Logic::RETRY_WINDOW, SLICES),
+            hits: 0,
+            mean: groups.iter().map(|group| group.target_latency as f64 / 6.0).collect(),
             slowest: vec![Vec::new(); groups.len()],
-            limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
-            taken_ever: 0,
             groups,
         }
     }
@@ -665,53 +491,25 @@
     fn tick(&mut self, host: &mut dyn Host) {
         self.consider(host);
         let now = host.now();
-        if now >= self.exposure.moved_at + S {
+        if now >= self.exposure.weighed + S {
             if self.on_trial() {
                 self.judge.shared(now);
-            } else if self.taken_ever >= Logic::LEARN {
-                let known = if self.judge.peak != Judge::UNKNOWN { self.judge.peak * 0.98 } else { 0.0 };
-                self.judge.peak = known.max(self.judge.old_slow);
+            } else if self.hits >= Logic::LEARN {
+                let before = self.judge.usual.unwrap_or(0.0) * 0.98;
+                self.judge.usual = Some(before.max(self.judge.old_slow));
             }
-            let doubt = self.judge.doubt();
-            self.exposure.moved_at = now;
-            // Lowered too far for a sum in doubt, the share would starve the test of what could settle it; the
-            // trial by share wants none at all, since bounces leave a small part of the hits a large one of forwards.
-            let lower = (self.exposure.part * 0.5).max(0.4);
-            let higher = (self.exposure.part * 2.0).clamp(0.2, 1.0);
-            self.exposure.part = if self.judge.slowed.is_some() {
-                0.0
-            } else if doubt {
-                lower
-            } else {
-                higher
-            };
+            self.exposure.weigh(&self.judge);
+            self.exposure.weighed = now;
         }
         host.wake(TICK, Box::new(|logic, host, ()| logic.tick(host)));
     }
 
-    // The list.
-
     pub fn list(&mut self, _host: &mut dyn Host, whole: bool, entries: &[PodEntry]) {
         self.list_wait = 0;
-        if whole {
-            let named: HashSet<PodId> = entries.iter().map(|entry| entry.pod).collect();
-            for (id, slot) in self.pods.table.iter_mut().enumerate() {
-                if let Some(pod) = slot.as_mut().filter(|_| !named.contains(&id)) {
-                    pod.entry.state = PodState::Gone;
-                }
-            }
-        }
-        for entry in entries {
-            self.pods.apply(entry.clone());
-        }
-        for slot in self.pods.table.iter_mut() {
-            if slot.as_ref().is_some_and(|pod| pod.entry.state == PodState::Gone && pod.in_flight == 0) {
-                *slot = None;
-            }
-        }
+        let span = self.pods.rules.fall_window;
+        self.pods.table.apply(whole, entries, || Window::new(span, SLICES));
         let (table, trial) = (&self.pods.table, self.judge.build);
-        let listed = |build: Build| table.iter().flatten().any(|pod| pod.entry.build == build);
-        self.exposure.sent.retain(|(build, _)| *build >= trial || listed(*build));
+        self.exposure.sent.retain(|(build, _)| *build >= trial || table.of_build(*build).next().is_some());
     }
 
     /// A watch that failed may or may not stand: ask again, later each time and at scattered moments.
@@ -724,15 +522,13 @@
         host.wake(wait, Box::new(|_, host, ()| host.watch_list(true)));
     }
 
-    // The build on trial.
-
     pub fn news(&mut self, host: &mut dyn Host, stage: Stage) {
         let old = self.stage.map(|(old, _)| (old.build, old.stage));
         if old != Some((stage.build, stage.stage)) {
             self.judge.restart(stage.build, stage.stage);
             self.voter.held = None;
-            self.pods.table.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
             self.exposure.part = Exposure::START;
+            self.pods.table.slots.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
         }
         let going = matches!(stage.phase, Phase::GoingBack | Phase::Withdrawn);
         if going || old.is_some_and(|(build, _)| build != stage.build) {
@@ -742,58 +538,56 @@
         self.consider(host);
     }
 
+    /// The platform's counts come late and tell nothing of who was asked: the design judges by own forwards.
     pub fn tally(&mut self, _host: &mut dyn Host, _tally: Tally) {}
 
     pub fn flagged(&mut self, host: &mut dyn Host, pod: PodId, _group: GroupId, ago: Ns) {
-        let now = host.now();
-        let Some(pod) = self.pods.table.get(pod).and_then(Option::as_ref) else { return };
-        let sent_at = now.saturating_sub(ago);
-        if pod.entry.started < sent_at && sent_at - pod.entry.started >= Judge::COLD_SKIP {
-            self.judge.failed(now, pod.entry.build, true);
+        let (now, sent_at) = (host.now(), host.now().saturating_sub(ago));
+        let Some(entry) = self.pods.table.get(pod).map(|pod| &pod.entry) else { return };
+        if sent_at >= entry.started + Judge::COLD_SKIP {
+            self.judge.failed(now, entry.build, true);
             self.consider(host);
         }
     }
 
-    /// The cap a build is under, or none where it is not on trial.
+    /// The cap a build is under, or none where it is not on trial. One not announced yet is in its first stage.
     fn cap(&self, build: Build) -> Option<f64> {
         let first = self.exposure.rules.caps.first().copied().unwrap_or(0.0);
-        let Some((stage, _)) = self.stage else {
-            let oldest = self.pods.live().map(|pod| pod.entry.build).min();
-            return if oldest.is_some_and(|oldest| build > oldest) { Some(first) } else { None };
-        };
-        match build.cmp(&stage.build) {
-            std::cmp::Ordering::Less => None,
-            std::cmp::Ordering::Greater => Some(first),
-            std::cmp::Ordering::Equal if stage.phase == Phase::Released => None,
-            std::cmp::Ordering::Equal => Some(stage.cap),
+        // Keys answered by a build not announced could not be held to it.
+        let first = if self.exposure.rules.one_way { 0.0 } else { first };
+        let told = self.stage.map(|(stage, _)| stage);
+        let oldest = || self.pods.table.live().map(|pod| pod.entry.build).min();
+        match told.map(|stage| stage.build).or_else(oldest) {
+            Some(known) if build > known => Some(first),
+            known => told.filter(|s| known == Some(build) && s.phase != Phase::Released).map(|s| s.cap),
         }
     }
 
     fn on_trial(&self) -> bool {
-        let listed = |stage: &Stage| self.pods.live().any(|pod| pod.entry.build == stage.build);
-        self.stage.is_some_and(|(stage, _)| stage.phase == Phase::Trial && listed(&stage))
-    }
-
-    fn guarded(&self, build: Build) -> bool {
-        let stage = self.stage.filter(|(stage, _)| stage.build == build).map_or(0, |(stage, _)| stage.stage);
-        stage < self.exposure.rules.guarded_stages
+        let trial = self.stage.filter(|(stage, _)| stage.phase == Phase::Trial);
+        trial.is_some_and(|(stage, _)| self.pods.table.of_build(stage.build).next().is_some())
     }
 
     fn consider(&mut self, host: &mut dyn Host) {
         let Some((stage, began)) = self.stage else { return };
         let now = host.now();
-        let starts =
-            self.pods.live().filter(|pod| pod.entry.build == stage.build).map(|pod| pod.entry.started);
-        let newest = starts.max().unwrap_or(began).max(began);
-        let voice = self.voter.wanted(now, &self.judge, stage.phase, newest, self.exposure.part);
+        let newest = self
+            .pods
+            .table
+            .of_build(stage.build)
+            .map(|pod| pod.entry.started)
+            .max()
+            .unwrap_or(began)
+            .max(began);
+        let restored = !self.judge.relieved || self.exposure.part >= Exposure::START;
+        let (ran, calm) = (now.saturating_sub(newest), self.judge.slowed.is_none() && restored);
+        let voice = self.voter.wanted(now, &self.judge, stage.phase, ran, calm);
         let want = (stage.build, stage.stage, voice);
         let stands = self.voter.standing;
-        let same =
-            stands == Some(want) || (voice == Voice::None && stands.is_none_or(|s| s.2 != Voice::Hold));
-        if self.voter.calling || (voice == Voice::None && same) || (same && now < self.voter.again_at) {
-            return;
-        }
-        if !same && stands.is_none() && now < self.voter.again_at {
+        let held = stands.is_some_and(|(.., voice)| voice == Voice::Hold);
+        let idle = voice == Voice::None && !held;
+        let early = now < self.voter.again_at && (stands.is_none() || stands == Some(want));
+        if self.voter.calling || idle || early {
             return;
         }
         self.voter.calling = true;
@@ -802,10 +596,10 @@
         let then = move |logic: &mut Logic, host: &mut dyn Host, news: StageNews| {
             logic.voter.calling = false;
             let counted = news.heard == Heard::Counted;
-            logic.voter.standing = if counted { Some(want) } else { None };
+            logic.voter.standing = counted.then_some(want);
             let soon = (100 + logic.chance.rand_range(0..300)) * MS;
-            let wait = if counted { logic.voter.renewal(&mut logic.chance) } else { soon };
-            logic.voter.again_at = if counted { now + wait } else { host.now() + wait };
+            let late = now + logic.voter.renewal(&mut logic.chance);
+            logic.voter.again_at = if counted { late } else { host.now() + soon };
             match news.stage {
                 Some(stage) => logic.news(host, stage),
                 None => logic.consider(host),
@@ -814,161 +608,159 @@
         host.vote(stage.build, stage.stage, voice, Box::new(then));
     }
 
-    // The steps of a hit.
-
     pub fn hit(&mut self, host: &mut dyn Host, hit: Hit) {
         let now = host.now();
-        self.exposure.take(now, hit.group);
+        let bucket = self.exposure.bucket(hit.group);
+        self.exposure.taken[bucket].add(now);
         self.taken.add(now);
-        self.taken_ever = self.taken_ever.saturating_add(1);
-        let trip = Trip {
-            hit: hit.id,
-            group: hit.group,
-            key: hit.key,
-            deadline: now + hit.left,
-            target_at: now + self.groups[hit.group].target_latency,
-            forwards: 0,
-            tried: Vec::new(),
-            may_run: None,
-            shy: false,
-        };
-        let worth =
-            self.groups[trip.group].benefit / self.groups.iter().map(|g| g.benefit).fold(1e-9, f64::max);
-        if !self.limit.room(worth) {
-            // What the limit bounces would have been slow: it must not hide a build that slows every pod.
-            self.judge.old_slow += (1.0 - self.judge.old_slow) * Judge::OLD_LEARN;
-            return self.give_up(host, trip);
+        self.hits = self.hits.saturating_add(1);
+        let group = self.groups[hit.group];
+        let (deadline, target_at) = (now + hit.left, now + group.target_latency);
+        let (tried, may_run, shy) = (Vec::new(), None, false);
+        let trip =
+            Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, may_run, shy };
+        let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
+        if self.limit.room(worth) {
+            return self.step(host, trip);
         }
-        self.step(host, trip);
+        // What the limit bounces would have been slow: it must not hide a build that slows every pod.
+        self.judge.old_answer(true);
+        self.give_up(host, trip);
     }
 
     fn step(&mut self, host: &mut dyn Host, mut trip: Trip) {
         let now = host.now();
-        if now >= trip.deadline || trip.forwards >= self.rules.max_forwards {
+        let spent = now >= trip.deadline || trip.tried.len() >= self.rules.max_forwards as usize;
+        let chosen = if spent { None } else { self.choose(now, &trip) };
+        let Some((pod, chosen)) = chosen.and_then(|id| self.pods.table.get(id).map(|pod| (id, pod))) else {
             return self.give_up(host, trip);
-        }
-        let Some(pod) = self.choose(now, &trip) else { return self.give_up(host, trip) };
+        };
+        let warm = self.pods.warmth(now, &chosen.entry) >= 1.0;
+        let even = chosen.in_flight * self.pods.table.live().count() as u32 <= self.limit.out;
+        let sent = Sent { pod, entry: chosen.entry, at: now, warm, even };
         let time_out = self.patience(now, &trip);
-        let warm = self.pods.get(pod).is_some_and(|p| self.pods.warmth(now, &p.entry) >= 1.0);
-        let young_limit = now.saturating_sub(Judge::COLD_SKIP);
-        let Some(entry) = self.pods.get(pod).map(|pod| &pod.entry) else { return self.give_up(host, trip) };
-        let PodEntry { build, zone, cell, machine, started, .. } = *entry;
-        let live = self.pods.live().count() as u32;
-        let even = self.pods.get(pod).is_some_and(|pod| pod.in_flight * live <= self.limit.out);
         self.pods.sent(now, pod);
         self.limit.out += 1;
-        let sent =
-            Sent { pod, build, at: now, zone, cell, machine, young: started > young_limit, warm, even };
-        self.exposure.note(now, build, trip.group);
-        trip.forwards += 1;
+        let bucket = self.exposure.bucket(trip.group);
+        self.exposure.sent(sent.entry.build)[bucket].add(now);
         trip.tried.push(pod);
         let hit = trip.hit;
-        host.forward(
-            hit,
-            pod,
-            time_out,
-            Box::new(move |logic, host, outcome| logic.ended(host, trip, sent, outcome)),
-        );
+        let then = move |logic: &mut Logic, host: &mut dyn Host, end| logic.ended(host, trip, sent, end);
+        host.forward(hit, pod, time_out, Box::new(then));
     }
 
-    /// Retries are bounded by hits taken, so that a sick fleet is not asked for several times the work; those
-    /// that surely never ran cost it little.
+    /// Retries are bounded by hits taken, so that a sick fleet is not asked for several times the work; those that
+    /// surely never ran cost it little.
     fn budget(&mut self, now: Ns, ran: bool) -> bool {
         let part = if ran { Logic::RETRY_PART } else { 2.0 * Logic::RETRY_PART };
         (self.retried.most(now) as f64) < part * self.taken.most(now) as f64 + 1.0
     }
 
+    /// Half the target latency where a retry may still make it in the other half, else all that is left.
     fn patience(&mut self, now: Ns, trip: &Trip) -> Ns {
-        let group = self.groups[trip.group];
-        let left = trip.deadline - now;
-        let last = trip.forwards + 1 >= self.rules.max_forwards;
-        let again = group.kind != Kind::Mutating && !last;
-        if again && now + group.target_latency / 2 < trip.target_at && self.budget(now, true) {
-            return (group.target_latency / 2).min(left);
+        let (group, left) = (self.groups[trip.group], trip.deadline - now);
+        let last = trip.tried.len() + 1 >= self.rules.max_forwards as usize;
+        let half = group.target_latency / 2;
+        let again = group.kind != Kind::Mutating && !last && now + half < trip.target_at;
+        if again && self.budget(now, true) {
+            half.min(left)
+        } else {
+            left
         }
-        left
     }
 
     fn ended(&mut self, host: &mut dyn Host, mut trip: Trip, sent: Sent, outcome: Outcome) {
-        let now = host.now();
-        let trial = self.on_trial();
-        let answered = outcome.end == Ended::Delivered;
-        let timed_out = outcome.end == Ended::TimeOut;
-        let took = outcome.took as f64;
-        let mean = &mut self.mean[trip.group];
-        let slowest = &mut self.slowest[trip.group];
-        if slowest.len() <= sent.machine {
-            slowest.resize(sent.machine + 1, 3.0 * *mean);
-        }
-        let slowest = &mut slowest[sent.machine];
-        let slow = took > *slowest && (answered || timed_out) && sent.even;
-        if answered {
-            *mean += (took - *mean) * 0.01;
-        }
-        if (answered || timed_out) && sent.even && (!trial || self.taken_ever < Logic::LEARN) {
-            *slowest += *mean * 0.02 * if slow { 0.9 } else { -0.1 };
-        }
-        let ratio = took / mean.max(1.0);
-        let target = self.groups[trip.group].target_latency;
-        let failed = matches!(outcome.end, Ended::Error | Ended::TimeOut | Ended::Reset);
+        let (now, end, build) = (host.now(), outcome.end, sent.entry.build);
+        let group = self.groups[trip.group];
+        let failed = matches!(end, Ended::Error | Ended::TimeOut | Ended::Reset);
+        let (slow, ratio) = self.pace(&trip, &sent, &outcome);
         let scatter = 0.5 + 0.5 * self.chance.rand_float();
-        let silent = self.pods.get(sent.pod).is_none_or(|pod| self.pods.silent(now, pod));
-        self.pods.ended(now, &sent, outcome.end, ratio, scatter);
-        self.limit.ended(now, target, if silent { 0 } else { outcome.took }, answered);
-        // A hung pod speaks for its machine, not for its build, while others of the build answer.
-        let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
-        let peer = |pod: &Pod| pod.entry.build == sent.build && answers(pod);
-        let lone = timed_out && silent && self.pods.live().any(peer);
-        // When a third of all answers is late, lateness tells of the load, as a refusal for want of room does.
-        let crowded = self.limit.late > Limit::CROWDED && outcome.end != Ended::Error;
-        if !sent.young && !lone && (failed || answered) {
-            self.judge.ended(now, sent.build);
-            // What waited in one queue is late together: one event, not many. A pod not yet warm is late by nature.
-            let late = (slow || (timed_out && outcome.took >= target)) && !crowded && sent.warm;
-            let first = late && self.pods.first_late(now, sent.pod, target);
-            if outcome.end == Ended::Error
-                || outcome.end == Ended::Reset
-                || (first && timed_out && outcome.took >= target)
-            {
-                self.judge.failed(now, sent.build, outcome.end == Ended::Error);
-            }
-            if (sent.build < self.judge.build || !trial) && (answered || timed_out) && sent.even {
-                self.judge.old_slow += (slow as u8 as f64 - self.judge.old_slow) * Judge::OLD_LEARN;
-            }
-            if first && slow {
-                if let Some(pod) = self.pods.table[sent.pod].as_mut() {
-                    self.judge.slow(now, sent.build, &mut pod.blame);
-                }
-            }
+        let silent = self.pods.table.get(sent.pod).is_none_or(|pod| self.pods.silent(now, pod));
+        self.pods.ended(now, &sent, end, ratio, scatter);
+        let waited = if silent { 0 } else { outcome.took };
+        self.limit.ended(now, group.target_latency, waited, end == Ended::Delivered);
+        if failed || end == Ended::Delivered {
+            self.evidence(now, &sent, &outcome, group.target_latency, slow, silent);
             self.consider(host);
         }
-        if answered && self.exposure.rules.one_way && trip.key != 0 && self.cap(sent.build).is_some() {
+        let newest = self.stage.is_some_and(|(stage, _)| build >= stage.build);
+        if end == Ended::Delivered && self.exposure.rules.one_way && trip.key != 0 && newest {
             self.exposure.bound.insert(trip.key);
         }
         if outcome.over || !host.open(trip.hit) {
             return;
         }
-        let ran = !outcome.end.never_ran();
+        let ran = !end.never_ran();
         if ran && trip.may_run.is_none() {
-            trip.may_run = Some((sent.at, sent.zone, sent.cell));
+            trip.may_run = Some((sent.at, sent.entry.zone, sent.entry.cell));
         }
-        let group = &self.groups[trip.group];
         let late = now >= trip.target_at && group.late_benefit <= 0.0;
-        let allowed = match group.kind {
-            Kind::Mutating => trip.may_run.is_none(),
-            _ => true,
-        };
-        if late || !allowed || !self.budget(now, ran) {
+        let never = group.kind == Kind::Mutating && trip.may_run.is_some();
+        if late || never || !self.budget(now, ran) {
             return self.give_up(host, trip);
         }
         self.retried.add(now);
-        trip.shy |= failed && self.cap(sent.build).is_some();
+        trip.shy |= failed && self.cap(build).is_some();
         self.step(host, trip);
     }
 
+    /// Whether an answer is among the slowest tenth for its path group and machine, learnt outside trials, and how
+    /// it compares to the path group's mean.
+    fn pace(&mut self, trip: &Trip, sent: &Sent, outcome: &Outcome) -> (bool, f64) {
+        let learn = !self.on_trial() || self.hits < Logic::LEARN;
+        let answered = outcome.end == Ended::Delivered;
+        let (mean, by_machine) = (&mut self.mean[trip.group], &mut self.slowest[trip.group]);
+        if by_machine.len() <= sent.entry.machine {
+            by_machine.resize(sent.entry.machine + 1, 3.0 * *mean);
+        }
+        let (took, slowest) = (outcome.took as f64, &mut by_machine[sent.entry.machine]);
+        let told = (answered || outcome.end == Ended::TimeOut) && sent.even;
+        let slow = told && took > *slowest;
+        if answered {
+            *mean += (took - *mean) * 0.01;
+        }
+        if told && learn {
+            *slowest += *mean * if slow { 0.018 } else { -0.002 };
+        }
+        (slow, took / mean.max(1.0))
+    }
+
+    /// What an outcome says of its build. A hung pod speaks for its machine while others of the build answer, and a
+    /// young one for its coldness. Lateness tells of the load when a third of all is late, as a refusal for want of
+    /// room does, of warming up in a pod not yet warm, and what waited in one queue is late together: one event.
+    fn evidence(&mut self, now: Ns, sent: &Sent, outcome: &Outcome, target: Ns, slow: bool, silent: bool) {
+        let build = sent.entry.build;
+        let timed_out = outcome.end == Ended::TimeOut;
+        let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
+        let young = sent.entry.started + Judge::COLD_SKIP > sent.at;
+        if young || (timed_out && silent && self.pods.table.of_build(build).any(answers)) {
+            return;
+        }
+        self.judge.ended(now, build);
+        let too_long = timed_out && outcome.took >= target;
+        let crowded = self.limit.late > Limit::CROWDED;
+        let mut first = false;
+        if let Some(pod) = self.pods.table.get_mut(sent.pod) {
+            first = (slow || too_long) && !crowded && sent.warm && now >= pod.late_at + target;
+            if first {
+                pod.late_at = now;
+            }
+            if first && slow {
+                self.judge.slow(now, build, &mut pod.blame);
+            }
+        }
+        if (too_long && first) || matches!(outcome.end, Ended::Error | Ended::Reset) {
+            self.judge.failed(now, build, outcome.end == Ended::Error);
+        }
+        let told = (timed_out || outcome.end == Ended::Delivered) && sent.even;
+        if told && (build < self.judge.build || !self.on_trial()) {
+            self.judge.old_answer(slow);
+        }
+    }
+
+    /// At once, whatever time is left: a bounce where a retry by the client can do no harm, else an error.
     fn give_up(&mut self, host: &mut dyn Host, trip: Trip) {
-        let group = &self.groups[trip.group];
-        let come_back = self.rules.max_come_back;
+        let (group, come_back) = (self.groups[trip.group], self.rules.max_come_back);
         let harmless = match (trip.may_run, group.kind) {
             (None, _) | (_, Kind::Repeatable) => true,
             (Some((at, ..)), Kind::Tagged) => {
@@ -983,60 +775,68 @@
         }
     }
 
-    /// The pod for the next forward of a hit: two random choices by what is in flight, on either side of the
-    /// build on trial and of the zone border, then the better after each side's tilt.
-    fn choose(&mut self, now: Ns, trip: &Trip) -> Option<PodId> {
+    /// The pods that the rules allow for the next forward of a hit.
+    fn allowed(&mut self, now: Ns, trip: &Trip) -> Vec<Fit> {
         let group = self.groups[trip.group];
-        let one_way = self.exposure.rules.one_way;
-        let bound = one_way && self.exposure.bound.contains(&trip.key);
-        let keys_full = one_way && !bound && self.exposure.bound.len() >= Exposure::MOST_KEYS;
-        let mut fit: Vec<(PodId, Option<Build>, bool, bool)> = Vec::new();
-        for pod in self.pods.live() {
-            let entry = &pod.entry;
-            let inside = trip.may_run.is_none_or(|(at, zone, cell)| {
-                let same = match group.scope {
+        let rules = &self.exposure.rules;
+        let (newest, stage) = self.stage.map_or((0, 0), |(stage, _)| (stage.build, stage.stage));
+        let released = self.stage.is_some_and(|(stage, _)| stage.phase == Phase::Released);
+        let known = self.exposure.bound.contains(&trip.key);
+        let keys_full = rules.one_way && !known && self.exposure.bound.len() >= Exposure::MOST_KEYS;
+        let mut fit = Vec::new();
+        for pod in self.pods.table.live() {
+            let (entry, cap) = (&pod.entry, self.cap(pod.entry.build));
+            let drops_repeats = trip.may_run.is_none_or(|(at, zone, cell)| {
+                let inside = match group.scope {
                     Scope::All => true,
                     Scope::Zone => entry.zone == zone,
                     Scope::Cell => entry.cell == cell,
                 };
-                group.kind != Kind::Tagged || (same && now < at + group.repeat_window)
+                group.kind != Kind::Tagged || (inside && now < at + group.repeat_window)
             });
-            let cap = self.cap(entry.build);
-            let closed = self.guarded(entry.build) && group.kind != Kind::Repeatable;
-            let trial = cap.map(|_| entry.build);
-            let held = bound && entry.build < self.judge.build;
-            if inside && !held && (trial.is_none() || (!closed && !keys_full && cap > Some(0.0))) {
-                fit.push((entry.pod, trial, entry.zone == self.place.zone, self.pods.well(now, pod)));
+            let stage = if entry.build == newest { stage } else { 0 };
+            let guarded = stage < rules.guarded_stages && group.kind != Kind::Repeatable;
+            let shut = cap.is_some_and(|cap| cap <= 0.0 || guarded || keys_full);
+            // Where the table of keys is full, any key may have been answered by the released build.
+            let bound = rules.one_way && entry.build < newest && (known || (keys_full && released));
+            if drops_repeats && !shut && !bound {
+                let (near, well) = (entry.zone == self.place.zone, self.pods.well(now, pod));
+                fit.push(Fit { pod: entry.pod, build: entry.build, cap, near, well });
             }
         }
+        let on_trial = fit.iter().filter(|fit| fit.cap.is_some()).max_by_key(|fit| fit.build);
+        let trial = on_trial.map(|fit| (fit.build, fit.cap.unwrap_or(0.0)));
+        // The part in use is a wish, the cap is the rule: with no other pods the whole of it may be used.
+        let part = if fit.iter().all(|fit| fit.cap.is_some()) { 1.0 } else { self.exposure.part };
+        let trial = trial.filter(|(build, cap)| self.exposure.room(now, *build, trip.group, *cap, part));
+        fit.retain(|fit| fit.cap.is_none() || trial.is_some_and(|(build, _)| fit.build == build));
+        fit.retain(|fit| self.pods.cold_room(now, fit.pod));
+        fit
+    }
+
+    /// Two random choices by what is in flight, near and away, then the better after the tilts.
+    fn choose(&mut self, now: Ns, trip: &Trip) -> Option<PodId> {
+        let mut fit = self.allowed(now, trip);
         // When most pods look ill, the trouble is not theirs: shunning them would crowd the rest.
-        let panic = fit.iter().filter(|pod| pod.3).count() * 3 < fit.len();
-        let only_trial = fit.iter().all(|pod| pod.1.is_some());
-        let trial = fit.iter().filter_map(|pod| pod.1).max();
-        let part = if only_trial { 1.0 } else { self.exposure.part };
-        let room = trial.is_some_and(|build| {
-            let cap = self.cap(build).unwrap_or(0.0);
-            self.exposure.room(now, build, trip.group, cap, part)
-        });
-        fit.retain(|pod| pod.1.is_none() || (room && pod.1 == trial));
-        fit.retain(|pod| self.pods.cold_room(now, pod.0));
-        if fit.iter().any(|pod| (pod.3 || panic) && !trip.tried.contains(&pod.0)) {
-            fit.retain(|pod| (pod.3 || panic) && !trip.tried.contains(&pod.0));
+        let panic = fit.iter().filter(|fit| fit.well).count() * 3 < fit.len();
+        let good = |fit: &Fit| (fit.well || panic) && !trip.tried.contains(&fit.pod);
+        if fit.iter().any(good) {
+            fit.retain(good);
         }
-        if trip.shy && fit.iter().any(|pod| pod.1.is_none()) {
-            fit.retain(|pod| pod.1.is_none());
+        if trip.shy && fit.iter().any(|fit| fit.cap.is_none()) {
+            fit.retain(|fit| fit.cap.is_none());
         }
-        let newest = fit.iter().filter_map(|pod| self.pods.get(pod.0)).map(|pod| pod.entry.build).max()?;
+        let newest = fit.iter().map(|fit| fit.build).max()?;
         let mut best: Option<(PodId, f64)> = None;
         for near in [true, false] {
-            let side: Vec<PodId> = fit.iter().filter(|pod| pod.2 == near).map(|pod| pod.0).collect();
-            let away = if near { 1.0 } else { 1.0 + 12.0 * self.rules.cross_zone_price };
-            for id in self.two(now, &side) {
-                let newer = self.pods.get(id).is_some_and(|pod| pod.entry.build == newest);
-                let tilt = if newer { Logic::NEWER } else { 1.0 };
-                let score = self.pods.score(now, id) * tilt * away;
+            let away = if near { 1.0 } else { 1.0 + Logic::AWAY * self.rules.cross_zone_price };
+            let side: Vec<&Fit> = fit.iter().filter(|fit| fit.near == near).collect();
+            for fit in self.two(now, &side) {
+                let Some(pod) = self.pods.table.get(fit.pod) else { continue };
+                let tilt = if fit.build == newest { away * Logic::NEWER } else { away };
+                let score = (pod.in_flight as f64 + 1.0) * self.pods.burden(now, pod) * tilt;
                 if best.is_none_or(|(_, least)| score < least) {
-                    best = Some((id, score));
+                    best = Some((fit.pod, score));
                 }
             }
         }
@@ -1044,20 +844,21 @@
     }
 
     /// Drawn by what each pod is known to carry, since two even draws often meet two weak machines.
-    fn two(&mut self, now: Ns, side: &[PodId]) -> Vec<PodId> {
+    fn two<'a>(&mut self, now: Ns, side: &[&'a Fit]) -> Vec<&'a Fit> {
         if side.len() < 3 {
             return side.to_vec();
         }
-        let weights: Vec<f64> = side.iter().map(|id| 1.0 / self.pods.burden(now, *id)).collect();
-        let mut picked = Vec::new();
-        for _ in 0..2 {
+        let carries =
+            |fit: &&Fit| self.pods.table.get(fit.pod).map_or(0.0, |pod| 1.0 / self.pods.burden(now, pod));
+        let weights: Vec<f64> = side.iter().map(carries).collect();
+        let draw = |_| {
             let mut at = self.chance.rand_float() * weights.iter().sum::<f64>();
             let past = |weight: &f64| {
                 at -= weight;
                 at < 0.0
             };
-            picked.push(side[weights.iter().position(past).unwrap_or(side.len() - 1)]);
-        }
-        picked
+            side[weights.iter().position(past).unwrap_or(side.len() - 1)]
+        };
+        (0..2).map(draw).collect()
     }
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -202,7 +202,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct PodEntry {
     pub pod: PodId,
     pub state: PodState,
