--- a/crates/adapter/src/door.rs
+++ b/crates/adapter/src/door.rs
@@ -304,7 +304,7 @@
                     banks.get(&f.whole("bank")?).ok_or_else(|| f.complain("bank", "a list never sent"))?;
                 let mut entries = Vec::with_capacity(rows.len());
                 for row in rows {
-                    let mut entry = row.entry.clone();
+                    let mut entry = row.entry;
                     entry.pod = door.pod_index(&row.pod);
                     entry.zone = place(&mut door.names.zones, &row.zone);
                     entry.machine = place(&mut door.names.machines, &row.machine);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 //! fall on the build on trial beyond that build's share of its forwards, `Voter` turns the sum into a vote.
 
 use crate::port::*;
+pub use crate::state::Logic;
 use crate::state::*;
 use oorandom::Rand64;
 use std::collections::HashSet;
@@ -18,13 +19,6 @@
 /// How finely windows move on.
 const SLICES: usize = 40;
 
-/// A build's share of forwards, of those that ended: failures come that late too, and what a draining pod turned
-/// away could not have failed. Else a share that grows by the second would look like the build's bad luck.
-struct Share {
-    new: [Window; 2],
-    all: [Window; 2],
-}
-
 impl Share {
     const SPANS: [Ns; 2] = [5 * S, 1500 * MS];
     const THIN: f64 = 5.0;
@@ -41,22 +35,6 @@
     }
 }
 
-/// Wald's test on who the failures came from, for one build and stage.
-struct Judge {
-    build: Build,
-    stage: usize,
-    share: Share,
-    outcomes: u32,
-    sum: f64,
-    slow_sum: f64,
-    /// How much of late is slow on the earlier build's pods, the most of that outside trials, fading, and what
-    /// came of taking the share away: since when and from which level, and whether the slowness went with it.
-    old_slow: f64,
-    usual: Option<f64>,
-    slowed: Option<(Ns, f64)>,
-    relieved: bool,
-}
-
 impl Judge {
     const ALPHA: f64 = 0.01;
     const BETA: f64 = 0.1;
@@ -65,8 +43,6 @@
     const COLD_SKIP: Ns = 3 * S;
     const SLOW_ODDS: f64 = 5.0;
     const SLOW_SHARE: f64 = 0.5;
-    /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
-    const ONE_POD: f64 = 0.6;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
@@ -78,13 +54,6 @@
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
 
-    fn new() -> Judge {
-        let (build, stage, share, outcomes, sum, slow_sum) =
-            (0, 0, Share { new: Share::windows(), all: Share::windows() }, 0, 0.0, 0.0);
-        let (old_slow, usual, slowed, relieved) = (0.1, None, None, false);
-        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, slowed, relieved }
-    }
-
     /// Wald's bounds on the sum: on below the first, back above the second.
     fn bounds() -> (f64, f64) {
         ((Judge::BETA / (1.0 - Judge::ALPHA)).ln(), ((1.0 - Judge::BETA) / Judge::ALPHA).ln())
@@ -130,13 +99,10 @@
     /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
-    fn slow(&mut self, now: Ns, build: Build, blame: &mut f64) {
+    fn slow(&mut self, now: Ns, build: Build) {
         let p0 = self.share.of(now);
         if p0 <= Judge::SLOW_SHARE && build <= self.build {
-            let step = Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
-            let step = step.min(Judge::bounds().1 * Judge::ONE_POD - *blame);
-            *blame += step.max(0.0);
-            self.slow_sum += step;
+            self.slow_sum += Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
         }
     }
 
@@ -175,16 +141,6 @@
     }
 }
 
-/// This instance's vote: what stands, until when, and whether a call is out.
-struct Voter {
-    rules: VoteRules,
-    standing: Option<(Build, usize, Voice)>,
-    again_at: Ns,
-    calling: bool,
-    /// Since when this stage is held, under a clock.
-    held: Option<Ns>,
-}
-
 impl Voter {
     const ON_AFTER: Ns = 3 * S;
     const ON_AFTER_THIN: Ns = 6 * S;
@@ -204,9 +160,11 @@
         }
         let passed = judge.worst() < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
-        match on_trial && calm && (thin || (passed && ran >= Voter::ON_AFTER)) {
-            true => Voice::On,
-            false => Voice::None,
+        let on = on_trial && calm && (thin || (passed && ran >= Voter::ON_AFTER));
+        if on {
+            Voice::On
+        } else {
+            Voice::None
         }
     }
 
@@ -217,41 +175,12 @@
     }
 }
 
-/// Forwards to builds on trial against the hits taken, over the told window.
-struct Exposure {
-    rules: ExposureRules,
-    started: Ns,
-    taken: Vec<Window>,
-    /// Emptied of a build when no listed pod runs it and it is no longer on trial.
-    sent: Vec<(Build, Vec<Window>)>,
-    /// The part of the cap in use, and when that was last weighed.
-    part: f64,
-    weighed: Ns,
-    /// Keys that the newest build has answered, where that binds them to it; emptied when it goes back or the
-    /// next one comes, and no longer than `MOST_KEYS`.
-    bound: HashSet<u64>,
-}
-
 impl Exposure {
     const START: f64 = 0.8;
     const DOUBTED: f64 = 0.4;
     const AGAIN: f64 = 0.2;
     const MOST_KEYS: usize = 1 << 16;
 
-    fn bucket(&self, group: GroupId) -> usize {
-        group * self.rules.per_group as usize
-    }
-
-    /// The windows of a build's forwards, one for each that hits are counted in.
-    fn sent(&mut self, build: Build) -> &mut Vec<Window> {
-        let at = self.sent.iter().position(|(known, _)| *known == build).unwrap_or_else(|| {
-            self.sent
-                .push((build, self.taken.iter().map(|_| Window::new(self.rules.window, SLICES)).collect()));
-            self.sent.len() - 1
-        });
-        &mut self.sent[at].1
-    }
-
     /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have used
     /// up the free ones within the same window.
     fn room(&mut self, now: Ns, build: Build, group: GroupId, cap: f64, part: f64) -> bool {
@@ -273,14 +202,6 @@
     }
 }
 
-/// The pods and what their symptoms say.
-struct Pods {
-    rules: PodRules,
-    /// How long a pod may be silent before it looks hung.
-    quiet: Ns,
-    table: Table,
-}
-
 impl Pods {
     const ILL_AFTER: u32 = 2;
     const ILL: Ns = 500 * MS;
@@ -314,15 +235,9 @@
         if warmth >= 1.0 {
             return true;
         }
-        let warm: Vec<PodId> = self
-            .table
-            .live()
-            .filter(|pod| self.warmth(now, &pod.entry) >= 1.0)
-            .map(|pod| pod.entry.pod)
-            .collect();
         let (mut alike, mut all) = ((0.0, 0.0), (0.0, 0.0));
-        for peer in warm {
-            let Some(peer) = self.table.get_mut(peer) else { continue };
+        let warm = |pod: &&mut Pod| pod.runs() && now.saturating_sub(pod.entry.started) >= self.rules.warm_up;
+        for peer in self.table.slots.iter_mut().flatten().filter(warm) {
             let carried = peer.carried.most(now) as f64 * entry.size / peer.entry.size.max(1e-9);
             all = (all.0 + 1.0, all.1 + carried);
             if peer.entry.machine == entry.machine {
@@ -341,15 +256,6 @@
         slow / (pod.entry.size.max(1e-9) * self.warmth(now, &pod.entry))
     }
 
-    fn sent(&mut self, now: Ns, id: PodId) {
-        let Some(pod) = self.table.get_mut(id) else { return };
-        if pod.in_flight == 0 {
-            pod.quiet_since = now;
-        }
-        pod.in_flight += 1;
-        pod.sent.add(now);
-    }
-
     /// Health by symptom, whatever its cause. A time-out tells of the pod only if nothing came from it since.
     fn ended(&mut self, now: Ns, sent: &Sent, end: Ended, ratio: f64, scatter: f64) {
         let Some(pod) = self.table.get_mut(sent.pod) else { return };
@@ -378,14 +284,6 @@
 /// Bounds the hits in flight by how quickly answers come, so that a queue that would make every answer late is
 /// bounced at the door instead. Covers overload, lost pods and slow fleets alike; could harm where many hits are
 /// heavy by nature, so a cut needs a quarter of the answers late, and another one waits for its effect.
-struct Limit {
-    most: f64,
-    out: u32,
-    cut_at: Ns,
-    /// Share of late answers, of late.
-    late: f64,
-}
-
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
@@ -412,28 +310,6 @@
     }
 }
 
-pub struct Logic {
-    chance: Rand64,
-    place: Place,
-    groups: Vec<PathGroup>,
-    rules: ForwardRules,
-    lists: ListRules,
-    list_wait: Ns,
-    pods: Pods,
-    exposure: Exposure,
-    judge: Judge,
-    voter: Voter,
-    limit: Limit,
-    stage: Option<(Stage, Ns)>,
-    taken: Window,
-    retried: Window,
-    hits: u32,
-    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep, by
-    /// machine since a new build starts on few.
-    mean: Vec<f64>,
-    slowest: Vec<Vec<f64>>,
-}
-
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
     const NEWER: f64 = 0.6;
@@ -468,7 +344,7 @@
             list_wait: 0,
             pods: Pods { rules: pods, quiet, table: Table::default() },
             exposure: Exposure { rules: exposure, started: now, taken, sent, part, weighed: now, bound },
-            judge: Judge::new(),
+            judge: Judge::new(Share { new: Share::windows(), all: Share::windows() }),
             voter: Voter { rules: votes, standing: None, again_at: 0, calling: false, held: None },
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             stage: None,
@@ -528,7 +404,6 @@
             self.judge.restart(stage.build, stage.stage);
             self.voter.held = None;
             self.exposure.part = Exposure::START;
-            self.pods.table.slots.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
         }
         let going = matches!(stage.phase, Phase::GoingBack | Phase::Withdrawn);
         if going || old.is_some_and(|(build, _)| build != stage.build) {
@@ -538,7 +413,7 @@
         self.consider(host);
     }
 
-    /// The platform's counts come late and tell nothing of who was asked: the design judges by own forwards.
+    /// Counts of all instances come late: the design judges by own forwards.
     pub fn tally(&mut self, _host: &mut dyn Host, _tally: Tally) {}
 
     pub fn flagged(&mut self, host: &mut dyn Host, pod: PodId, _group: GroupId, ago: Ns) {
@@ -639,7 +514,7 @@
         let even = chosen.in_flight * self.pods.table.live().count() as u32 <= self.limit.out;
         let sent = Sent { pod, entry: chosen.entry, at: now, warm, even };
         let time_out = self.patience(now, &trip);
-        self.pods.sent(now, pod);
+        self.pods.table.send(now, pod);
         self.limit.out += 1;
         let bucket = self.exposure.bucket(trip.group);
         self.exposure.sent(sent.entry.build)[bucket].add(now);
@@ -739,15 +614,13 @@
         self.judge.ended(now, build);
         let too_long = timed_out && outcome.took >= target;
         let crowded = self.limit.late > Limit::CROWDED;
-        let mut first = false;
-        if let Some(pod) = self.pods.table.get_mut(sent.pod) {
-            first = (slow || too_long) && !crowded && sent.warm && now >= pod.late_at + target;
-            if first {
-                pod.late_at = now;
-            }
-            if first && slow {
-                self.judge.slow(now, build, &mut pod.blame);
-            }
+        let late = (slow || too_long) && !crowded && sent.warm;
+        let first = late && self.pods.table.get(sent.pod).is_some_and(|pod| now >= pod.late_at + target);
+        if let Some(pod) = self.pods.table.get_mut(sent.pod).filter(|_| first) {
+            pod.late_at = now;
+        }
+        if first && slow {
+            self.judge.slow(now, build);
         }
         if (too_long && first) || matches!(outcome.end, Ended::Error | Ended::Reset) {
             self.judge.failed(now, build, outcome.end == Ended::Error);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! What the decision module keeps in mind: plain state with no decision in it. What it means stands in `logic.rs`.
 
 use crate::port::*;
+use oorandom::Rand64;
+use std::collections::HashSet;
 
 /// Counts over a sliding window, kept in slices. Slices empty as the window moves on.
 pub struct Window {
@@ -14,6 +16,11 @@
         Window { slice: (span / slices as Ns).max(1), at: 0, counts: vec![0; slices + 1] }
     }
 
+    /// An empty one of the same span.
+    pub fn like(&self) -> Window {
+        Window { slice: self.slice, at: 0, counts: vec![0; self.counts.len()] }
+    }
+
     fn roll(&mut self, now: Ns) {
         let (at, len) = (now / self.slice, self.counts.len() as Ns);
         for step in 0..(at - self.at.min(at)).min(len) {
@@ -54,9 +61,8 @@
     /// Its answer times against the mean of each path group, and when that was last learnt.
     pub slow: f64,
     pub slow_at: Ns,
-    /// When it was last late, and what its slow answers put on the sum of this stage.
+    /// When it was last late.
     pub late_at: Ns,
-    pub blame: f64,
 }
 
 impl Pod {
@@ -72,7 +78,6 @@
             slow: 1.0,
             slow_at: 0,
             late_at: 0,
-            blame: 0.0,
         }
     }
 
@@ -118,6 +123,15 @@
         self.slots.get_mut(id).and_then(Option::as_mut)
     }
 
+    pub fn send(&mut self, now: Ns, id: PodId) {
+        let Some(pod) = self.get_mut(id) else { return };
+        if pod.in_flight == 0 {
+            pod.quiet_since = now;
+        }
+        pod.in_flight += 1;
+        pod.sent.add(now);
+    }
+
     pub fn live(&self) -> impl Iterator<Item = &Pod> {
         self.slots.iter().flatten().filter(|pod| pod.runs())
     }
@@ -127,6 +141,94 @@
     }
 }
 
+/// A build's share of forwards, of those that ended: failures come that late too, and what a draining pod turned
+/// away could not have failed. Else a share that grows by the second would look like the build's bad luck.
+pub struct Share {
+    pub new: [Window; 2],
+    pub all: [Window; 2],
+}
+
+/// Wald's test on who the failures came from, for one build and stage.
+pub struct Judge {
+    pub build: Build,
+    pub stage: usize,
+    pub share: Share,
+    pub outcomes: u32,
+    pub sum: f64,
+    pub slow_sum: f64,
+    /// How much of late is slow on the earlier build's pods, the most of that outside trials, fading, and what
+    /// came of taking the share away: since when and from which level, and whether the slowness went with it.
+    pub old_slow: f64,
+    pub usual: Option<f64>,
+    pub slowed: Option<(Ns, f64)>,
+    pub relieved: bool,
+}
+
+impl Judge {
+    pub fn new(share: Share) -> Judge {
+        let (build, stage, outcomes, sum, slow_sum) = (0, 0, 0, 0.0, 0.0);
+        let (old_slow, usual, slowed, relieved) = (0.0, None, None, false);
+        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, slowed, relieved }
+    }
+}
+
+/// This instance's vote: what stands, until when, and whether a call is out.
+pub struct Voter {
+    pub rules: VoteRules,
+    pub standing: Option<(Build, usize, Voice)>,
+    pub again_at: Ns,
+    pub calling: bool,
+    /// Since when this stage is held, under a clock.
+    pub held: Option<Ns>,
+}
+
+/// Forwards to builds on trial against the hits taken, over the told window.
+pub struct Exposure {
+    pub rules: ExposureRules,
+    pub started: Ns,
+    pub taken: Vec<Window>,
+    /// Emptied of a build when no listed pod runs it and it is no longer on trial.
+    pub sent: Vec<(Build, Vec<Window>)>,
+    /// The part of the cap in use, and when that was last weighed.
+    pub part: f64,
+    pub weighed: Ns,
+    /// Keys that the newest build has answered, where that binds them to it; emptied when it goes back or the
+    /// next one comes, and no longer than `MOST_KEYS`.
+    pub bound: HashSet<u64>,
+}
+
+impl Exposure {
+    /// The window that hits of a path group are counted in.
+    pub fn bucket(&self, group: GroupId) -> usize {
+        group * self.rules.per_group as usize
+    }
+
+    /// The windows of a build's forwards, one for each that hits are counted in.
+    pub fn sent(&mut self, build: Build) -> &mut Vec<Window> {
+        let at = self.sent.iter().position(|(known, _)| *known == build).unwrap_or_else(|| {
+            self.sent.push((build, self.taken.iter().map(Window::like).collect()));
+            self.sent.len() - 1
+        });
+        &mut self.sent[at].1
+    }
+}
+
+/// The pods and what their symptoms say.
+pub struct Pods {
+    pub rules: PodRules,
+    /// How long a pod may be silent before it looks hung.
+    pub quiet: Ns,
+    pub table: Table,
+}
+
+pub struct Limit {
+    pub most: f64,
+    pub out: u32,
+    pub cut_at: Ns,
+    /// Share of late answers, of late.
+    pub late: f64,
+}
+
 /// A hit on its way, handed from step to step.
 pub struct Trip {
     pub hit: HitId,
@@ -159,3 +261,26 @@
     pub near: bool,
     pub well: bool,
 }
+
+/// The module's state: its parts, and what only their interplay needs.
+pub struct Logic {
+    pub(crate) chance: Rand64,
+    pub(crate) place: Place,
+    pub(crate) groups: Vec<PathGroup>,
+    pub(crate) rules: ForwardRules,
+    pub(crate) lists: ListRules,
+    pub(crate) list_wait: Ns,
+    pub(crate) pods: Pods,
+    pub(crate) exposure: Exposure,
+    pub(crate) judge: Judge,
+    pub(crate) voter: Voter,
+    pub(crate) limit: Limit,
+    pub(crate) stage: Option<(Stage, Ns)>,
+    pub(crate) taken: Window,
+    pub(crate) retried: Window,
+    pub(crate) hits: u32,
+    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep, by
+    /// machine since a new build starts on few.
+    pub(crate) mean: Vec<f64>,
+    pub(crate) slowest: Vec<Vec<f64>>,
+}
