--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,8 @@
     const COLD_SKIP: Ns = 3 * S;
     const SLOW_ODDS: f64 = 5.0;
     const SLOW_SHARE: f64 = 0.5;
+    /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
+    const ONE_POD: f64 = 0.6;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
@@ -99,10 +101,12 @@
     /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
-    fn slow(&mut self, now: Ns, build: Build) {
+    fn slow(&mut self, now: Ns, build: Build, blame: &mut f64) {
         let p0 = self.share.of(now);
         if p0 <= Judge::SLOW_SHARE && build <= self.build {
-            self.slow_sum += Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
+            let step = Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
+            let step = step.min(Judge::bounds().1 * Judge::ONE_POD - *blame);
+            (self.slow_sum, *blame) = (self.slow_sum + step, *blame + step.max(0.0));
         }
     }
 
@@ -404,6 +408,7 @@
             self.judge.restart(stage.build, stage.stage);
             self.voter.held = None;
             self.exposure.part = Exposure::START;
+            self.pods.table.slots.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
         }
         let going = matches!(stage.phase, Phase::GoingBack | Phase::Withdrawn);
         if going || old.is_some_and(|(build, _)| build != stage.build) {
@@ -446,14 +451,7 @@
     fn consider(&mut self, host: &mut dyn Host) {
         let Some((stage, began)) = self.stage else { return };
         let now = host.now();
-        let newest = self
-            .pods
-            .table
-            .of_build(stage.build)
-            .map(|pod| pod.entry.started)
-            .max()
-            .unwrap_or(began)
-            .max(began);
+        let newest = self.pods.table.newest_start(stage.build).unwrap_or(began).max(began);
         let restored = !self.judge.relieved || self.exposure.part >= Exposure::START;
         let (ran, calm) = (now.saturating_sub(newest), self.judge.slowed.is_none() && restored);
         let voice = self.voter.wanted(now, &self.judge, stage.phase, ran, calm);
@@ -490,10 +488,7 @@
         self.taken.add(now);
         self.hits = self.hits.saturating_add(1);
         let group = self.groups[hit.group];
-        let (deadline, target_at) = (now + hit.left, now + group.target_latency);
-        let (tried, may_run, shy) = (Vec::new(), None, false);
-        let trip =
-            Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, may_run, shy };
+        let trip = Trip::new(&hit, now + hit.left, now + group.target_latency);
         let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
         if self.limit.room(worth) {
             return self.step(host, trip);
@@ -618,9 +613,9 @@
         let first = late && self.pods.table.get(sent.pod).is_some_and(|pod| now >= pod.late_at + target);
         if let Some(pod) = self.pods.table.get_mut(sent.pod).filter(|_| first) {
             pod.late_at = now;
-        }
-        if first && slow {
-            self.judge.slow(now, build);
+            if slow {
+                self.judge.slow(now, build, &mut pod.blame);
+            }
         }
         if (too_long && first) || matches!(outcome.end, Ended::Error | Ended::Reset) {
             self.judge.failed(now, build, outcome.end == Ended::Error);
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,8 +61,9 @@
     /// Its answer times against the mean of each path group, and when that was last learnt.
     pub slow: f64,
     pub slow_at: Ns,
-    /// When it was last late.
+    /// When it was last late, and what its slow answers put on the sum of this stage.
     pub late_at: Ns,
+    pub blame: f64,
 }
 
 impl Pod {
@@ -78,6 +79,7 @@
             slow: 1.0,
             slow_at: 0,
             late_at: 0,
+            blame: 0.0,
         }
     }
 
@@ -136,6 +138,10 @@
         self.slots.iter().flatten().filter(|pod| pod.runs())
     }
 
+    pub fn newest_start(&self, build: Build) -> Option<Ns> {
+        self.of_build(build).map(|pod| pod.entry.started).max()
+    }
+
     pub fn of_build(&self, build: Build) -> impl Iterator<Item = &Pod> {
         self.live().filter(move |pod| pod.entry.build == build)
     }
@@ -243,6 +249,13 @@
     pub shy: bool,
 }
 
+impl Trip {
+    pub fn new(hit: &Hit, deadline: Ns, target_at: Ns) -> Trip {
+        let (tried, may_run, shy) = (Vec::new(), None, false);
+        Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, may_run, shy }
+    }
+}
+
 /// One forward, for the closure that gets its outcome.
 pub struct Sent {
     pub pod: PodId,
