--- a/src/logic.rs
+++ b/src/logic.rs
@@ -587,10 +587,10 @@
         let told = (answered || outcome.end == Ended::TimeOut) && sent.even;
         let slow = told && took > *slowest;
         if answered {
-            *mean += (took - *mean) * 0.01;
+            *mean += (took - *mean) * (1.0 / self.hits as f64).max(0.01);
         }
         if told && learn {
-            *slowest += *mean * if slow { 0.018 } else { -0.002 };
+            *slowest = (*slowest + *mean * if slow { 0.018 } else { -0.002 }).min(5.0 * *mean);
         }
         (slow, took / mean.max(1.0))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -297,3 +297,10 @@
     pub(crate) mean: Vec<f64>,
     pub(crate) slowest: Vec<Vec<f64>>,
 }
+
+impl Logic {
+    /// The sums of the test on failures and of the one on slow answers, for whoever watches.
+    pub fn sums(&self) -> (f64, f64) {
+        (self.judge.sum, self.judge.slow_sum)
+    }
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,325 @@
+//! Plays the scenarios of `tests/cases` against the module: a line is a command, a name and `key=value` pairs.
+//! Pods answer as their `acts` say; nothing here models a machine, a queue or a network.
+
+use havenplank::{logic::Logic, port::*};
+use std::collections::{BTreeMap, HashMap};
+use test_case::test_case;
+
+enum Due {
+    Arrives(Hit),
+    Ends(HitId, usize),
+    Wakes(Then<()>),
+    VoteTold(Then<StageNews>, StageNews),
+}
+
+#[derive(Default)]
+struct Stand {
+    now: Ns,
+    due: BTreeMap<(Ns, u64), Due>,
+    seq: u64,
+    acts: Vec<String>,
+    builds: Vec<Build>,
+    deadlines: HashMap<HitId, Ns>,
+    forwards: HashMap<(HitId, usize), (usize, Ns, Ended, Then<Outcome>)>,
+    sent: HashMap<HitId, usize>,
+    unheard: bool,
+    counts: BTreeMap<String, f64>,
+}
+
+impl Stand {
+    fn at(&mut self, time: Ns, due: Due) {
+        self.seq += 1;
+        self.due.insert((time, self.seq), due);
+    }
+
+    fn count(&mut self, what: String) {
+        *self.counts.entry(what).or_default() += 1.0;
+    }
+
+    fn finish(&mut self, hit: HitId, how: &str) {
+        if let Some(deadline) = self.deadlines.remove(&hit) {
+            let overdue = self.now > deadline;
+            self.count(if overdue { "overdue".into() } else { how.into() });
+            self.counts.insert("answered_at".into(), self.now as f64 / 1e9);
+        }
+    }
+}
+
+impl Host for Stand {
+    fn now(&self) -> Ns {
+        self.now
+    }
+    fn open(&self, hit: HitId) -> bool {
+        self.deadlines.contains_key(&hit)
+    }
+    fn forward(&mut self, hit: HitId, pod: PodId, time_out: Ns, then: Then<Outcome>) {
+        assert!(self.open(hit), "a forward for a hit that is over");
+        let act = self.acts[pod].clone();
+        let (end, takes) = act.split_once(':').unwrap_or((&act, "0s"));
+        let end = match end {
+            "ok" => Ended::Delivered,
+            "error" => Ended::Error,
+            "dead" => Ended::NoConnection,
+            "full" => Ended::Full,
+            _ => Ended::TimeOut,
+        };
+        let limit = self.deadlines[&hit].min(self.now + time_out);
+        let wanted = if end == Ended::TimeOut { limit } else { self.now + span(takes) };
+        let end = if wanted > limit { Ended::TimeOut } else { end };
+        let number = *self.sent.entry(hit).and_modify(|n| *n += 1).or_insert(0);
+        self.count("forwards".into());
+        self.count(format!("forwards:pod{pod}"));
+        self.count(format!("forwards:build{}", self.builds[pod]));
+        self.forwards.insert((hit, number), (pod, self.now, end, then));
+        self.at(wanted.min(limit), Due::Ends(hit, number));
+    }
+    fn cancel(&mut self, _: HitId, _: u32) {
+        self.count("cancels".into());
+    }
+    fn bounce(&mut self, hit: HitId, _: Ns) {
+        self.finish(hit, "bounced");
+    }
+    fn error(&mut self, hit: HitId) {
+        self.finish(hit, "errored");
+    }
+    fn vote(&mut self, _: Build, _: usize, voice: Voice, then: Then<StageNews>) {
+        self.count(format!("votes:{voice:?}").to_lowercase());
+        let last = self.now as f64 / 1e9;
+        let first = self.counts.entry(format!("first:{voice:?}").to_lowercase()).or_insert(last);
+        let gap = last - *first;
+        self.counts.insert("vote_gap".into(), gap);
+        let heard = if self.unheard { Heard::Unknown } else { Heard::Counted };
+        let told = self.now + 50_000_000;
+        self.at(told, Due::VoteTold(then, StageNews { heard, stage: None }));
+    }
+    fn probe(&mut self, _: PodId, _: Then<ProbeEnd>) {
+        self.count("probes".into());
+    }
+    fn ask_list(&mut self) {
+        self.count("asks".into());
+    }
+    fn watch_list(&mut self, _: bool) {
+        self.count("watches".into());
+    }
+    fn wake(&mut self, after: Ns, then: Then<()>) {
+        let time = self.now + after.max(1);
+        self.at(time, Due::Wakes(then));
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+fn span(text: &str) -> Ns {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1e6),
+        None => (text.strip_suffix('s').unwrap_or(text), 1e9),
+    };
+    (number.parse::<f64>().unwrap_or_else(|_| panic!("not a span: {text}")) * unit) as Ns
+}
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl Pairs<'_> {
+    fn text(&self, key: &str, other: &str) -> String {
+        self.0.get(key).unwrap_or(&other).to_string()
+    }
+    fn span(&self, key: &str, other: &str) -> Ns {
+        span(&self.text(key, other))
+    }
+    fn number(&self, key: &str, other: f64) -> f64 {
+        self.0.get(key).map_or(other, |text| text.parse().unwrap_or_else(|_| panic!("not a number: {text}")))
+    }
+    fn group(&self) -> PathGroup {
+        let kind = match self.text("kind", "repeatable").as_str() {
+            "tagged" => Kind::Tagged,
+            "mutating" => Kind::Mutating,
+            _ => Kind::Repeatable,
+        };
+        let scope = if self.text("scope", "all") == "zone" { Scope::Zone } else { Scope::All };
+        PathGroup {
+            kind,
+            scope,
+            repeat_window: self.span("window", "5s"),
+            target_latency: self.span("target", "1s"),
+            client_timeout: self.span("timeout", "2s"),
+            benefit: self.number("benefit", 1.0),
+            late_benefit: self.number("late", 0.0),
+            stream: false,
+        }
+    }
+    fn logic(&self, now: Ns, groups: Vec<PathGroup>) -> Logic {
+        let control = match self.text("control", "any").as_str() {
+            "count" => Control::Count,
+            "clock" => Control::Clock,
+            _ => Control::Any,
+        };
+        let pods = PodRules {
+            drain_grace: span("500ms"),
+            cold_share: self.number("cold", 0.3),
+            warm_up: span("5s"),
+            fall_multiple: 2.0,
+            fall_window: span("1s"),
+            may_probe: false,
+        };
+        let exposure = ExposureRules {
+            window: span("2s"),
+            free: self.number("free", 2.0),
+            per_group: self.number("per_group", 0.0) > 0.0,
+            guarded_stages: self.number("guarded", 0.0) as usize,
+            one_way: self.number("one_way", 0.0) > 0.0,
+            caps: self.text("caps", "0.1,0.5,1").split(',').map(|cap| cap.parse().unwrap()).collect(),
+        };
+        let (life, step) = (self.span("life", "4s"), self.span("step", "4s"));
+        let call_time_out = self.span("call", "1200ms");
+        let votes = VoteRules { control, life, call_time_out, calls_per_s: 25.0, step };
+        let rules = ForwardRules {
+            max_forwards: 4,
+            copies: false,
+            may_cancel: true,
+            max_come_back: span("500ms"),
+            cross_zone_price: self.number("cross", 0.0),
+        };
+        let list = ListRules { must_ask: self.number("ask", 0.0) > 0.0, ask_within: span("10s") };
+        let place = Place { rank: 0, instances: 2, zone: 0 };
+        Logic::new(now, 7, place, groups, rules, pods, exposure, votes, list)
+    }
+}
+
+fn play(stand: &mut Stand, logic: &mut Logic, until: Ns) {
+    while let Some(next) = stand.due.first_entry().filter(|next| next.key().0 <= until) {
+        stand.now = next.key().0;
+        match next.remove() {
+            Due::Arrives(hit) => {
+                stand.deadlines.insert(hit.id, stand.now + hit.left);
+                logic.hit(stand, hit);
+            }
+            Due::Ends(hit, number) => {
+                let (_, since, end, then) = stand.forwards.remove(&(hit, number)).unwrap();
+                if end == Ended::Delivered {
+                    stand.finish(hit, "delivered");
+                }
+                let over = !stand.open(hit);
+                let took = stand.now - since;
+                then(logic, stand, Outcome { end, took, over, load: None });
+            }
+            Due::Wakes(then) => then(logic, stand, ()),
+            Due::VoteTold(then, news) => then(logic, stand, news),
+        }
+    }
+    stand.now = until;
+}
+
+fn run(text: &str) {
+    // The clock begins at an arbitrary value, so that no pod looks freshly started by chance.
+    let mut stand = Stand { now: span("1000s"), ..Stand::default() };
+    let (mut groups, mut setup, mut logic) = (Vec::new(), String::new(), None::<Logic>);
+    let (mut pods, mut names, mut hits): (Vec<PodEntry>, Vec<String>, u64) = (Vec::new(), Vec::new(), 0);
+    for line in text.lines().filter(|line| !line.starts_with('#') && !line.trim().is_empty()) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let pairs = Pairs(words.iter().filter_map(|word| word.split_once('=')).collect());
+        if !matches!(words[0], "group" | "rules") && logic.is_none() || words[0] == "restart" {
+            let made = Pairs(setup.split_whitespace().filter_map(|word| word.split_once('=')).collect());
+            stand.unheard = made.number("unheard", 0.0) > 0.0;
+            stand.due.clear();
+            logic = Some(made.logic(stand.now, groups.clone()));
+            logic.as_mut().unwrap().begin(&mut stand);
+            logic.as_mut().unwrap().list(&mut stand, true, &pods);
+        }
+        match words[0] {
+            "group" => groups.push(pairs.group()),
+            "rules" => setup = line.to_string(),
+            "restart" => {}
+            "pod" => {
+                let name = words[1].to_string();
+                let pod = names.iter().position(|known| *known == name).unwrap_or_else(|| {
+                    names.push(name);
+                    stand.acts.push(String::new());
+                    stand.builds.push(0);
+                    names.len() - 1
+                });
+                let build = pairs.number("build", 1.0) as Build;
+                (stand.acts[pod], stand.builds[pod]) = (pairs.text("acts", "ok:20ms"), build);
+                let state = match pairs.text("state", "running").as_str() {
+                    "draining" => PodState::Draining,
+                    "gone" => PodState::Gone,
+                    _ => PodState::Running,
+                };
+                let started = if pairs.0.contains_key("fresh") { stand.now } else { 0 };
+                let (zone, machine) = (pairs.number("zone", 0.0) as usize, 0);
+                let entry = PodEntry { pod, state, build, started, zone, machine, cell: 0, size: 1.0 };
+                pods.retain(|known| known.pod != pod);
+                pods.push(entry);
+                logic.as_mut().unwrap().list(&mut stand, false, &[entry]);
+            }
+            "acts" => stand.acts[names.iter().position(|name| *name == words[1]).unwrap()] = words[2].into(),
+            "news" => {
+                let phase = match pairs.text("phase", "trial").as_str() {
+                    "back" => Phase::GoingBack,
+                    "released" => Phase::Released,
+                    "withdrawn" => Phase::Withdrawn,
+                    _ => Phase::Trial,
+                };
+                let (build, stage) =
+                    (pairs.number("build", 2.0) as Build, pairs.number("stage", 0.0) as usize);
+                let cap = pairs.number("cap", 0.1);
+                let news = Stage { build, stage, phase, cap, age: pairs.span("age", "0s") };
+                logic.as_mut().unwrap().news(&mut stand, news);
+            }
+            "hits" => {
+                for n in 0..words[1].parse::<u64>().unwrap() {
+                    hits += 1;
+                    let (group, key) = (pairs.number("group", 0.0) as usize, pairs.number("key", 0.0) as u64);
+                    let (left, repeat) = (pairs.span("left", "2s"), false);
+                    let hit = Hit { id: hits, group, customer: None, key, left, cost_hint: None, repeat };
+                    let time = stand.now + n * pairs.span("every", "10ms");
+                    stand.at(time, Due::Arrives(hit));
+                }
+            }
+            "flag" => {
+                let pod = names.iter().position(|name| *name == words[1]).unwrap();
+                for _ in 0..pairs.number("times", 1.0) as u32 {
+                    logic.as_mut().unwrap().flagged(&mut stand, pod, 0, span("1s"));
+                }
+            }
+            "list-failed" => logic.as_mut().unwrap().list_failed(&mut stand),
+            "forget" => stand.counts.clear(),
+            "run" => {
+                let until = stand.now + span(words[1]);
+                play(&mut stand, logic.as_mut().unwrap(), until);
+            }
+            "expect" => {
+                let (sum, slow_sum) = logic.as_ref().unwrap().sums();
+                let value = match words[1] {
+                    "sum" => sum,
+                    "slow_sum" => slow_sum,
+                    "open" => stand.deadlines.len() as f64,
+                    name => stand.counts.get(name).copied().unwrap_or(0.0),
+                };
+                let bound: f64 = words[3].parse().unwrap();
+                let holds = match words[2] {
+                    "=" => (value - bound).abs() < 1e-3,
+                    "<=" => value <= bound,
+                    ">=" => value >= bound,
+                    other => panic!("no such comparison: {other}"),
+                };
+                assert!(holds, "{line}: it is {value}; counted {:?}", stand.counts);
+            }
+            other => panic!("no such command: {other}"),
+        }
+    }
+}
+
+macro_rules! cases {
+    ($($name:literal),* $(,)?) => {
+        $(#[test_case(include_str!(concat!("cases/", $name, ".txt")); $name)])*
+        fn scenario(text: &str) {
+            run(text)
+        }
+    };
+}
+
+cases! {
+    "answered-in-time", "mutating-never-twice", "tagged-in-its-group", "tagged-in-its-window", "drained-pods",
+    "cold-budget", "exposure-cap", "exposure-restart", "exposure-guarded", "exposure-one-way", "exposure-lowered",
+    "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod", "judge-blame", "judge-shared",
+    "vote-any", "vote-count", "vote-clock", "vote-renewal", "list-asked", "limit", "panic", "retry-budget",
+}
