--- a/src/logic.rs
+++ b/src/logic.rs
@@ -587,7 +587,7 @@
         let told = (answered || outcome.end == Ended::TimeOut) && sent.even;
         let slow = told && took > *slowest;
         if answered {
-            *mean += (took - *mean) * (1.0 / self.hits as f64).max(0.01);
+            *mean += (took - *mean) * (2.0 / self.hits as f64).clamp(0.01, 0.05);
         }
         if told && learn {
             *slowest = (*slowest + *mean * if slow { 0.018 } else { -0.002 }).min(5.0 * *mean);
