--- a/src/logic.rs
+++ b/src/logic.rs
@@ -128,7 +128,7 @@
         let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
         match self.slowed {
             None if began => {
-                self.sum += if self.relieved { Judge::bounds().1 * 1.01 } else { 0.0 };
+                self.sum = self.sum.max(if self.relieved { Judge::bounds().1 * 1.01 } else { 0.0 });
                 self.slowed = Some((now, slow));
             }
             None => {}
