--- a/src/logic.rs
+++ b/src/logic.rs
@@ -162,7 +162,7 @@
             let since = *self.held.get_or_insert(if doubt { now } else { return Voice::None });
             return if doubt && now - since < self.rules.step { Voice::Hold } else { Voice::None };
         }
-        let passed = judge.worst() < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
+        let passed = judge.sum < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
         let on = on_trial && calm && (thin || (passed && ran >= Voter::ON_AFTER));
         if on {
