--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,6 +13,9 @@
     VoteTold(Then<StageNews>, StageNews),
 }
 
+/// A forward that is out: since when, how it will end, and who is told.
+type Out = (Ns, Ended, Then<Outcome>);
+
 #[derive(Default)]
 struct Stand {
     now: Ns,
@@ -21,7 +24,7 @@
     acts: Vec<String>,
     builds: Vec<Build>,
     deadlines: HashMap<HitId, Ns>,
-    forwards: HashMap<(HitId, usize), (usize, Ns, Ended, Then<Outcome>)>,
+    forwards: HashMap<(HitId, usize), Out>,
     sent: HashMap<HitId, usize>,
     unheard: bool,
     counts: BTreeMap<String, f64>,
@@ -71,7 +74,7 @@
         self.count("forwards".into());
         self.count(format!("forwards:pod{pod}"));
         self.count(format!("forwards:build{}", self.builds[pod]));
-        self.forwards.insert((hit, number), (pod, self.now, end, then));
+        self.forwards.insert((hit, number), (self.now, end, then));
         self.at(wanted.min(limit), Due::Ends(hit, number));
     }
     fn cancel(&mut self, _: HitId, _: u32) {
@@ -194,7 +197,7 @@
                 logic.hit(stand, hit);
             }
             Due::Ends(hit, number) => {
-                let (_, since, end, then) = stand.forwards.remove(&(hit, number)).unwrap();
+                let (since, end, then) = stand.forwards.remove(&(hit, number)).unwrap();
                 if end == Ended::Delivered {
                     stand.finish(hit, "delivered");
                 }
