--- a/src/logic.rs
+++ b/src/logic.rs
@@ -148,6 +148,7 @@
 impl Voter {
     const ON_AFTER: Ns = 3 * S;
     const ON_AFTER_THIN: Ns = 6 * S;
+    const DOUBT_HOLDS: Ns = 12 * S;
     const ENOUGH: u32 = 10;
 
     /// `ran` is the time since the stage's newest start, `calm` that no trial by share is on.
@@ -164,7 +165,9 @@
         }
         let passed = judge.sum < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
-        let on = on_trial && calm && (thin || (passed && ran >= Voter::ON_AFTER));
+        // As under a clock doubt holds, for a while: votes against a build need time that an early on would take.
+        let doubt = judge.worst() > Judge::bounds().1 / 2.0 && ran < Voter::DOUBT_HOLDS;
+        let on = on_trial && calm && !doubt && (thin || (passed && ran >= Voter::ON_AFTER));
         if on {
             Voice::On
         } else {
@@ -296,7 +299,6 @@
     const TOO_LATE: f64 = 0.25;
     const CROWDED: f64 = 0.33;
 
-    /// Hits of less benefit make way first.
     fn room(&self, worth: f64) -> bool {
         (self.out as f64) < self.most * (0.75 + 0.25 * worth)
     }
