--- a/src/logic.rs
+++ b/src/logic.rs
@@ -294,7 +294,7 @@
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
-    const LATE: f64 = 0.6;
+    const LATE: f64 = 0.35;
     const LEARN: f64 = 0.03;
     const TOO_LATE: f64 = 0.25;
     const CROWDED: f64 = 0.33;
