--- a/src/logic.rs
+++ b/src/logic.rs
@@ -294,7 +294,7 @@
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
-    const LATE: f64 = 0.35;
+    const LATE: f64 = 0.45;
     const LEARN: f64 = 0.03;
     const TOO_LATE: f64 = 0.25;
     const CROWDED: f64 = 0.33;
@@ -528,16 +528,14 @@
         (self.retried.most(now) as f64) < part * self.taken.most(now) as f64 + 1.0
     }
 
-    /// Half the target latency where a retry may still make it in the other half, else all that is left.
-    fn patience(&mut self, now: Ns, trip: &Trip) -> Ns {
+    /// As long as the answer is worth waiting for. An earlier time-out with a retry does the work twice just when
+    /// pods are slow; hung pods are told by their silence instead.
+    fn patience(&self, now: Ns, trip: &Trip) -> Ns {
         let (group, left) = (self.groups[trip.group], trip.deadline - now);
-        let last = trip.tried.len() + 1 >= self.rules.max_forwards as usize;
-        let half = group.target_latency / 2;
-        let again = group.kind != Kind::Mutating && !last && now + half < trip.target_at;
-        if again && self.budget(now, true) {
-            half.min(left)
-        } else {
+        if group.kind == Kind::Mutating {
             left
+        } else {
+            left.min(group.target_latency)
         }
     }
 
