--- a/src/logic.rs
+++ b/src/logic.rs
@@ -132,7 +132,10 @@
                 self.slowed = Some((now, slow));
             }
             None => {}
-            Some((_, worst)) if slow < worst / 2.0 => (self.slowed, self.relieved) = (None, true),
+            // Slowness that comes and goes by itself must come back worse to count.
+            Some((_, worst)) if slow < worst / 2.0 => {
+                (self.slowed, self.relieved, self.usual) = (None, true, Some((usual + worst) / 2.0))
+            }
             Some((at, _)) if now - at > Judge::RELIEF => {
                 (self.slowed, self.usual) = (None, Some(usual.max(slow)))
             }
@@ -590,7 +593,8 @@
             *mean += (took - *mean) * (2.0 / self.hits as f64).clamp(0.01, 0.05);
         }
         if told && learn {
-            *slowest = (*slowest + *mean * if slow { 0.018 } else { -0.002 }).min(5.0 * *mean);
+            let gain = *mean * (20.0 / self.hits as f64).clamp(0.02, 0.1);
+            *slowest = (*slowest + gain * if slow { 0.9 } else { -0.1 }).min(5.0 * *mean);
         }
         (slow, took / mean.max(1.0))
     }
