--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,8 @@
     const ALPHA: f64 = 0.01;
     const BETA: f64 = 0.1;
     const ODDS: f64 = 2.0;
+    /// Sound builds make next to none of their own, so the alternative may be wider and the answer quicker.
+    const OWN_ODDS: f64 = 4.0;
     /// A pod younger than this fails for being cold, whatever its build.
     const COLD_SKIP: Ns = 3 * S;
     const SLOW_ODDS: f64 = 5.0;
@@ -85,15 +87,15 @@
             self.share.new.iter_mut().for_each(|window| window.add(now));
             self.outcomes = self.outcomes.saturating_add(1);
             let beyond = (2.0 * self.share.of(now) - 1.0).max(0.0);
-            self.sum += Judge::OWN_RATE * beyond * Judge::step(Judge::MEMORY_SHARE, false, Judge::ODDS);
+            self.sum += Judge::OWN_RATE * beyond * Judge::step(Judge::MEMORY_SHARE, false, Judge::OWN_ODDS);
         }
     }
 
     /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a broken connection.
     fn failed(&mut self, now: Ns, build: Build, own: bool) {
-        let p0 = self.share.of(now).min(if own { Judge::MEMORY_SHARE } else { 1.0 });
+        let (most, odds) = if own { (Judge::MEMORY_SHARE, Judge::OWN_ODDS) } else { (1.0, Judge::ODDS) };
         if build <= self.build {
-            self.sum += Judge::step(p0, build == self.build, Judge::ODDS);
+            self.sum += Judge::step(self.share.of(now).min(most), build == self.build, odds);
         }
     }
 
@@ -535,11 +537,7 @@
     /// pods are slow; hung pods are told by their silence instead.
     fn patience(&self, now: Ns, trip: &Trip) -> Ns {
         let (group, left) = (self.groups[trip.group], trip.deadline - now);
-        if group.kind == Kind::Mutating {
-            left
-        } else {
-            left.min(group.target_latency)
-        }
+        left.min(if group.kind == Kind::Mutating { left } else { group.target_latency })
     }
 
     fn ended(&mut self, host: &mut dyn Host, mut trip: Trip, sent: Sent, outcome: Outcome) {
