--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,8 +52,8 @@
     const OWN_RATE: f64 = 0.002;
     /// Slow answers of the earlier build that are too many, where a tenth is usual; how far above the usual; and
     /// the usual taken by an instance that began amid the trial.
-    const OLD_SLOW: f64 = 0.25;
-    const ABOVE: f64 = 0.15;
+    const OLD_SLOW: f64 = 0.18;
+    const ABOVE: f64 = 0.08;
     const UNKNOWN: f64 = 0.35;
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
