--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,6 +57,7 @@
     const UNKNOWN: f64 = 0.35;
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
+    const RELIEFS: u32 = 2;
 
     /// Wald's bounds on the sum: on below the first, back above the second.
     fn bounds() -> (f64, f64) {
@@ -72,7 +73,7 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.share.new = Share::windows();
-            (self.slowed, self.relieved, self.sum) = (None, false, 0.0);
+            (self.slowed, self.relieved, self.sum) = (None, 0, 0.0);
         }
         (self.sum, self.slow_sum, self.outcomes) = (self.sum.max(0.0), 0.0, 0);
         (self.build, self.stage) = (build, stage);
@@ -130,13 +131,18 @@
         let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
         match self.slowed {
             None if began => {
-                self.sum = self.sum.max(if self.relieved { Judge::bounds().1 * 1.01 } else { 0.0 });
+                self.sum = self.sum.max(if self.relieved >= Judge::RELIEFS {
+                    Judge::bounds().1 * 1.01
+                } else {
+                    0.0
+                });
                 self.slowed = Some((now, slow));
             }
             None => {}
             // Slowness that comes and goes by itself must come back worse to count.
             Some((_, worst)) if slow < worst / 2.0 => {
-                (self.slowed, self.relieved, self.usual) = (None, true, Some((usual + worst) / 2.0))
+                (self.slowed, self.relieved, self.usual) =
+                    (None, self.relieved + 1, Some((usual + worst) / 2.0))
             }
             Some((at, _)) if now - at > Judge::RELIEF => {
                 (self.slowed, self.usual) = (None, Some(usual.max(slow)))
@@ -459,7 +465,7 @@
         let Some((stage, began)) = self.stage else { return };
         let now = host.now();
         let newest = self.pods.table.newest_start(stage.build).unwrap_or(began).max(began);
-        let restored = !self.judge.relieved || self.exposure.part >= Exposure::START;
+        let restored = self.judge.relieved == 0 || self.exposure.part >= Exposure::START;
         let (ran, calm) = (now.saturating_sub(newest), self.judge.slowed.is_none() && restored);
         let voice = self.voter.wanted(now, &self.judge, stage.phase, ran, calm);
         let want = (stage.build, stage.stage, voice);
--- a/src/state.rs
+++ b/src/state.rs
@@ -167,13 +167,13 @@
     pub old_slow: f64,
     pub usual: Option<f64>,
     pub slowed: Option<(Ns, f64)>,
-    pub relieved: bool,
+    pub relieved: u32,
 }
 
 impl Judge {
     pub fn new(share: Share) -> Judge {
         let (build, stage, outcomes, sum, slow_sum) = (0, 0, 0, 0.0, 0.0);
-        let (old_slow, usual, slowed, relieved) = (0.0, None, None, false);
+        let (old_slow, usual, slowed, relieved) = (0.0, None, None, 0);
         Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, slowed, relieved }
     }
 }
