--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,8 @@
     const UNKNOWN: f64 = 0.35;
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
-    const RELIEFS: u32 = 2;
+    const CONTROL: Ns = 3 * S;
+    const BLAMED: Ns = 12 * S;
 
     /// Wald's bounds on the sum: on below the first, back above the second.
     fn bounds() -> (f64, f64) {
@@ -73,7 +74,7 @@
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.share.new = Share::windows();
-            (self.slowed, self.relieved, self.sum) = (None, 0, 0.0);
+            (self.trial, self.sum) = (ShareTrial::None, 0.0);
         }
         (self.sum, self.slow_sum, self.outcomes) = (self.sum.max(0.0), 0.0, 0);
         (self.build, self.stage) = (build, stage);
@@ -129,25 +130,28 @@
     fn shared(&mut self, now: Ns) {
         let (slow, usual) = (self.old_slow, self.usual.unwrap_or(Judge::UNKNOWN));
         let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
-        match self.slowed {
-            None if began => {
-                self.sum = self.sum.max(if self.relieved >= Judge::RELIEFS {
-                    Judge::bounds().1 * 1.01
-                } else {
-                    0.0
-                });
-                self.slowed = Some((now, slow));
+        self.trial = match self.trial {
+            ShareTrial::None if began => ShareTrial::Away(now, slow),
+            ShareTrial::Restored(at) if began => {
+                let verdict = if now - at < Judge::BLAMED { Judge::bounds().1 * 1.01 } else { 0.0 };
+                self.sum = self.sum.max(verdict);
+                ShareTrial::Away(now, slow)
+            }
+            ShareTrial::Away(_, worst) if slow < worst / 2.0 => ShareTrial::Control(now, worst),
+            ShareTrial::Away(at, worst) if now - at < Judge::RELIEF => ShareTrial::Away(at, worst.max(slow)),
+            // It did not go with the share, or came back without it: such slowness is usual from now on.
+            ShareTrial::Control(at, worst) if !began && now - at < Judge::CONTROL => {
+                ShareTrial::Control(at, worst)
             }
-            None => {}
-            // Slowness that comes and goes by itself must come back worse to count.
-            Some((_, worst)) if slow < worst / 2.0 => {
-                (self.slowed, self.relieved, self.usual) =
-                    (None, self.relieved + 1, Some((usual + worst) / 2.0))
+            ShareTrial::Control(_, worst) if !began => {
+                self.usual = Some((usual + worst) / 2.0);
+                ShareTrial::Restored(now)
             }
-            Some((at, _)) if now - at > Judge::RELIEF => {
-                (self.slowed, self.usual) = (None, Some(usual.max(slow)))
+            ShareTrial::Away(..) | ShareTrial::Control(..) => {
+                self.usual = Some(usual.max(slow));
+                ShareTrial::None
             }
-            Some((at, worst)) => self.slowed = Some((at, worst.max(slow))),
+            other => other,
         }
     }
 
@@ -213,7 +217,7 @@
     /// hits is a large one of the forwards.
     fn weigh(&mut self, judge: &Judge) {
         self.part = match judge.worst() > Judge::bounds().1 / 2.0 {
-            _ if judge.slowed.is_some() => 0.0,
+            _ if judge.share_away() => 0.0,
             true => (self.part * 0.5).max(Exposure::DOUBTED),
             false => (self.part * 2.0).clamp(Exposure::AGAIN, 1.0),
         };
@@ -465,8 +469,8 @@
         let Some((stage, began)) = self.stage else { return };
         let now = host.now();
         let newest = self.pods.table.newest_start(stage.build).unwrap_or(began).max(began);
-        let restored = self.judge.relieved == 0 || self.exposure.part >= Exposure::START;
-        let (ran, calm) = (now.saturating_sub(newest), self.judge.slowed.is_none() && restored);
+        let restored = self.judge.trial == ShareTrial::None || self.exposure.part >= Exposure::START;
+        let (ran, calm) = (now.saturating_sub(newest), !self.judge.share_away() && restored);
         let voice = self.voter.wanted(now, &self.judge, stage.phase, ran, calm);
         let want = (stage.build, stage.stage, voice);
         let stands = self.voter.standing;
@@ -607,8 +611,7 @@
     /// young one for its coldness. Lateness tells of the load when a third of all is late, as a refusal for want of
     /// room does, of warming up in a pod not yet warm, and what waited in one queue is late together: one event.
     fn evidence(&mut self, now: Ns, sent: &Sent, outcome: &Outcome, target: Ns, slow: bool, silent: bool) {
-        let build = sent.entry.build;
-        let timed_out = outcome.end == Ended::TimeOut;
+        let (build, timed_out) = (sent.entry.build, outcome.end == Ended::TimeOut);
         let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
         let young = sent.entry.started + Judge::COLD_SKIP > sent.at;
         if young || (timed_out && silent && self.pods.table.of_build(build).any(answers)) {
@@ -616,8 +619,7 @@
         }
         self.judge.ended(now, build);
         let too_long = timed_out && outcome.took >= target;
-        let crowded = self.limit.late > Limit::CROWDED;
-        let late = (slow || too_long) && !crowded && sent.warm;
+        let late = (slow || too_long) && self.limit.late <= Limit::CROWDED && sent.warm;
         let first = late && self.pods.table.get(sent.pod).is_some_and(|pod| now >= pod.late_at + target);
         if let Some(pod) = self.pods.table.get_mut(sent.pod).filter(|_| first) {
             pod.late_at = now;
@@ -637,13 +639,9 @@
     /// At once, whatever time is left: a bounce where a retry by the client can do no harm, else an error.
     fn give_up(&mut self, host: &mut dyn Host, trip: Trip) {
         let (group, come_back) = (self.groups[trip.group], self.rules.max_come_back);
-        let harmless = match (trip.may_run, group.kind) {
-            (None, _) | (_, Kind::Repeatable) => true,
-            (Some((at, ..)), Kind::Tagged) => {
-                group.scope == Scope::All && host.now() + come_back < at + group.repeat_window
-            }
-            (Some(_), Kind::Mutating) => false,
-        };
+        let dropped = |at: Ns| host.now() + come_back < at + group.repeat_window && group.scope == Scope::All;
+        let harmless = group.kind == Kind::Repeatable
+            || trip.may_run.is_none_or(|(at, ..)| group.kind == Kind::Tagged && dropped(at));
         if harmless {
             host.bounce(trip.hit, come_back)
         } else {
@@ -662,14 +660,10 @@
         let mut fit = Vec::new();
         for pod in self.pods.table.live() {
             let (entry, cap) = (&pod.entry, self.cap(pod.entry.build));
-            let drops_repeats = trip.may_run.is_none_or(|(at, zone, cell)| {
-                let inside = match group.scope {
-                    Scope::All => true,
-                    Scope::Zone => entry.zone == zone,
-                    Scope::Cell => entry.cell == cell,
-                };
-                group.kind != Kind::Tagged || (inside && now < at + group.repeat_window)
-            });
+            let drops_repeats = group.kind != Kind::Tagged
+                || trip.may_run.is_none_or(|(at, zone, cell)| {
+                    entry.shares(group.scope, zone, cell) && now < at + group.repeat_window
+                });
             let stage = if entry.build == newest { stage } else { 0 };
             let guarded = stage < rules.guarded_stages && group.kind != Kind::Repeatable;
             let shut = cap.is_some_and(|cap| cap <= 0.0 || guarded || keys_full);
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,17 @@
     }
 }
 
+impl PodEntry {
+    /// Whether it is in the group of pods that share which repeats they drop.
+    pub fn shares(&self, scope: Scope, zone: ZoneId, cell: i64) -> bool {
+        match scope {
+            Scope::All => true,
+            Scope::Zone => self.zone == zone,
+            Scope::Cell => self.cell == cell,
+        }
+    }
+}
+
 /// The pods by index. One leaves the table when the list drops it and nothing is out.
 #[derive(Default)]
 pub struct Table {
@@ -154,6 +165,16 @@
     pub all: [Window; 2],
 }
 
+/// Where the trial by share stands: since when the share is away and the worst slowness since; since when that is
+/// gone, with the share still away; since when the share is back.
+#[derive(Clone, Copy, PartialEq)]
+pub enum ShareTrial {
+    None,
+    Away(Ns, f64),
+    Control(Ns, f64),
+    Restored(Ns),
+}
+
 /// Wald's test on who the failures came from, for one build and stage.
 pub struct Judge {
     pub build: Build,
@@ -162,19 +183,21 @@
     pub outcomes: u32,
     pub sum: f64,
     pub slow_sum: f64,
-    /// How much of late is slow on the earlier build's pods, the most of that outside trials, fading, and what
-    /// came of taking the share away: since when and from which level, and whether the slowness went with it.
+    /// How much of late is slow on the earlier build's pods, and the most of that outside trials, fading.
     pub old_slow: f64,
     pub usual: Option<f64>,
-    pub slowed: Option<(Ns, f64)>,
-    pub relieved: u32,
+    pub trial: ShareTrial,
 }
 
 impl Judge {
+    pub fn share_away(&self) -> bool {
+        matches!(self.trial, ShareTrial::Away(..) | ShareTrial::Control(..))
+    }
+
     pub fn new(share: Share) -> Judge {
         let (build, stage, outcomes, sum, slow_sum) = (0, 0, 0, 0.0, 0.0);
-        let (old_slow, usual, slowed, relieved) = (0.0, None, None, 0);
-        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, slowed, relieved }
+        let (old_slow, usual, trial) = (0.0, None, ShareTrial::None);
+        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, trial }
     }
 }
 
