--- a/src/logic.rs
+++ b/src/logic.rs
@@ -140,10 +140,8 @@
             ShareTrial::Away(_, worst) if slow < worst / 2.0 => ShareTrial::Control(now, worst),
             ShareTrial::Away(at, worst) if now - at < Judge::RELIEF => ShareTrial::Away(at, worst.max(slow)),
             // It did not go with the share, or came back without it: such slowness is usual from now on.
-            ShareTrial::Control(at, worst) if !began && now - at < Judge::CONTROL => {
-                ShareTrial::Control(at, worst)
-            }
-            ShareTrial::Control(_, worst) if !began => {
+            ShareTrial::Control(at, worst) if slow < worst / 2.0 && now - at < Judge::CONTROL => self.trial,
+            ShareTrial::Control(_, worst) if slow < worst / 2.0 => {
                 self.usual = Some((usual + worst) / 2.0);
                 ShareTrial::Restored(now)
             }
