--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,12 +11,12 @@
 pub use crate::state::Logic;
 use crate::state::*;
 use oorandom::Rand64;
+use std::cmp::Ordering;
 use std::collections::HashSet;
 
 const MS: Ns = 1_000_000;
 const S: Ns = 1_000 * MS;
 const TICK: Ns = 200 * MS;
-/// How finely windows move on.
 const SLICES: usize = 40;
 
 impl Share {
@@ -45,8 +45,8 @@
     const COLD_SKIP: Ns = 3 * S;
     const SLOW_ODDS: f64 = 5.0;
     const SLOW_SHARE: f64 = 0.5;
-    /// Part of the upper bound that one pod's slow answers may fill: machines are slow by themselves, too.
-    const ONE_POD: f64 = 0.6;
+    /// Part of the upper bound after which one pod alone says no more: machines fail by themselves, too.
+    const ONE_POD: f64 = 0.4;
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
@@ -89,37 +89,38 @@
             self.share.new.iter_mut().for_each(|window| window.add(now));
             self.outcomes = self.outcomes.saturating_add(1);
             let beyond = (2.0 * self.share.of(now) - 1.0).max(0.0);
-            self.sum += Judge::OWN_RATE * beyond * Judge::step(Judge::MEMORY_SHARE, false, Judge::OWN_ODDS);
+            self.sum += Judge::OWN_RATE
+                * beyond
+                * self.step(Judge::MEMORY_SHARE, self.build.wrapping_sub(1), Judge::OWN_ODDS);
         }
     }
 
     /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a broken connection.
-    fn failed(&mut self, now: Ns, build: Build, own: bool) {
+    fn failed(&mut self, now: Ns, build: Build, own: bool) -> f64 {
         let (most, odds) = if own { (Judge::MEMORY_SHARE, Judge::OWN_ODDS) } else { (1.0, Judge::ODDS) };
-        if build <= self.build {
-            self.sum += Judge::step(self.share.of(now).min(most), build == self.build, odds);
-        }
+        let p0 = self.share.of(now).min(most);
+        let step = self.step(p0, build, odds);
+        self.sum += step;
+        step
     }
 
     /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
     /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
     /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
     /// it rests once the new build has most of the load.
-    fn slow(&mut self, now: Ns, build: Build, blame: &mut f64) {
+    fn slow(&mut self, now: Ns, build: Build) -> f64 {
         let p0 = self.share.of(now);
-        if p0 <= Judge::SLOW_SHARE && build <= self.build {
-            let step = Judge::step(p0, build == self.build, Judge::SLOW_ODDS);
-            let step = step.min(Judge::bounds().1 * Judge::ONE_POD - *blame);
-            (self.slow_sum, *blame) = (self.slow_sum + step, *blame + step.max(0.0));
-        }
+        let step = if p0 <= Judge::SLOW_SHARE { self.step(p0, build, Judge::SLOW_ODDS) } else { 0.0 };
+        self.slow_sum += step;
+        step
     }
 
-    fn step(p0: f64, new: bool, odds: f64) -> f64 {
+    fn step(&self, p0: f64, build: Build, odds: f64) -> f64 {
         let p1 = odds * p0 / (1.0 + (odds - 1.0) * p0);
-        match (p0 <= 0.0 || p0 >= 1.0, new) {
-            (true, _) => 0.0,
-            (_, true) => (p1 / p0).ln(),
-            (_, false) => ((1.0 - p1) / (1.0 - p0)).ln(),
+        match build.cmp(&self.build) {
+            Ordering::Less if p0 < 1.0 => ((1.0 - p1) / (1.0 - p0)).ln(),
+            Ordering::Equal if p0 > 0.0 => (p1 / p0).ln(),
+            _ => 0.0,
         }
     }
 
@@ -433,7 +434,6 @@
         self.consider(host);
     }
 
-    /// Counts of all instances come late: the design judges by own forwards.
     pub fn tally(&mut self, _host: &mut dyn Host, _tally: Tally) {}
 
     pub fn flagged(&mut self, host: &mut dyn Host, pod: PodId, _group: GroupId, ago: Ns) {
@@ -619,14 +619,16 @@
         let too_long = timed_out && outcome.took >= target;
         let late = (slow || too_long) && self.limit.late <= Limit::CROWDED && sent.warm;
         let first = late && self.pods.table.get(sent.pod).is_some_and(|pod| now >= pod.late_at + target);
-        if let Some(pod) = self.pods.table.get_mut(sent.pod).filter(|_| first) {
-            pod.late_at = now;
-            if slow {
-                self.judge.slow(now, build, &mut pod.blame);
-            }
-        }
-        if (too_long && first) || matches!(outcome.end, Ended::Error | Ended::Reset) {
-            self.judge.failed(now, build, outcome.end == Ended::Error);
+        let lone = self.pods.table.of_build(build).count() < 2;
+        let Some(pod) = self.pods.table.get_mut(sent.pod) else { return };
+        let heard = pod.blame < Judge::bounds().1 * Judge::ONE_POD;
+        pod.late_at = if first { now } else { pod.late_at };
+        if first && slow && heard {
+            pod.blame += self.judge.slow(now, build).max(0.0);
+        }
+        let failed = (too_long && first) || matches!(outcome.end, Ended::Error | Ended::Reset);
+        if failed && (heard || lone) {
+            pod.blame += self.judge.failed(now, build, outcome.end == Ended::Error).max(0.0);
         }
         let told = (timed_out || outcome.end == Ended::Delivered) && sent.even;
         if told && (build < self.judge.build || !self.on_trial()) {
