--- a/src/logic.rs
+++ b/src/logic.rs
@@ -131,6 +131,7 @@
     fn shared(&mut self, now: Ns) {
         let (slow, usual) = (self.old_slow, self.usual.unwrap_or(Judge::UNKNOWN));
         let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
+        let half = |worst: f64| slow < (usual + worst) / 2.0;
         self.trial = match self.trial {
             ShareTrial::None if began => ShareTrial::Away(now, slow),
             ShareTrial::Restored(at) if began => {
@@ -138,11 +139,11 @@
                 self.sum = self.sum.max(verdict);
                 ShareTrial::Away(now, slow)
             }
-            ShareTrial::Away(_, worst) if slow < worst / 2.0 => ShareTrial::Control(now, worst),
+            ShareTrial::Away(_, worst) if half(worst) => ShareTrial::Control(now, worst),
             ShareTrial::Away(at, worst) if now - at < Judge::RELIEF => ShareTrial::Away(at, worst.max(slow)),
             // It did not go with the share, or came back without it: such slowness is usual from now on.
-            ShareTrial::Control(at, worst) if slow < worst / 2.0 && now - at < Judge::CONTROL => self.trial,
-            ShareTrial::Control(_, worst) if slow < worst / 2.0 => {
+            ShareTrial::Control(at, worst) if half(worst) && now - at < Judge::CONTROL => self.trial,
+            ShareTrial::Control(_, worst) if half(worst) => {
                 self.usual = Some((usual + worst) / 2.0);
                 ShareTrial::Restored(now)
             }
@@ -333,7 +334,6 @@
 impl Logic {
     /// How much less loaded an earlier build's pod must be to be chosen over the newest's.
     const NEWER: f64 = 0.6;
-    /// How much a forward across zones weighs, for each point of its price.
     const AWAY: f64 = 12.0;
     /// Hits after which an instance trusts what it has learnt of the time before a trial.
     const LEARN: u32 = 100;
