--- a/crates/adapter/src/setup.rs
+++ b/crates/adapter/src/setup.rs
@@ -123,6 +123,7 @@
             per_group,
             guarded_stages: trial.whole_or("shielded", 0)? as usize,
             one_way: trial.flag("oneWay")?,
+            beside: trial.maybe_text("style")? != Some("replace"),
             caps: trial.numbers("mostShares")?,
         },
         votes: VoteRules {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -125,12 +125,13 @@
     }
 
     /// A build that slows every pod alike gives the test no side to compare, so the share itself is the trial: when
-    /// the earlier build's pods turn slower than ever before it, the share is taken away, and only slowness that
-    /// goes with it and comes back with it speaks against the build. Covers any load that a build puts on what all
-    /// pods share; could harm a good build when two other slowdowns begin and end in its stages.
-    fn shared(&mut self, now: Ns) {
+    /// the earlier pods turn slower than ever before it, the share is taken away, and only slowness that goes with
+    /// it and comes back with it speaks against the build. Covers any load that a build puts on what all pods share;
+    /// could harm a good one when two other slowdowns keep that rhythm, and where the earlier pods cannot carry all.
+    fn shared(&mut self, now: Ns, beside: bool) {
         let (slow, usual) = (self.old_slow, self.usual.unwrap_or(Judge::UNKNOWN));
-        let began = slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
+        let began =
+            beside && slow > Judge::OLD_SLOW.max(usual + Judge::ABOVE) && self.share.new[0].most(now) > 0;
         let half = |worst: f64| slow < (usual + worst) / 2.0;
         self.trial = match self.trial {
             ShareTrial::None if began => ShareTrial::Away(now, slow),
@@ -303,9 +304,8 @@
     }
 }
 
-/// Bounds the hits in flight by how quickly answers come, so that a queue that would make every answer late is
-/// bounced at the door instead. Covers overload, lost pods and slow fleets alike; could harm where many hits are
-/// heavy by nature, so a cut needs a quarter of the answers late, and another one waits for its effect.
+/// Bounds the hits in flight by how quickly answers come: what a queue would make late is bounced at the door. Covers
+/// overload, lost pods and slow fleets alike; could harm where many hits are heavy by nature.
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
@@ -389,7 +389,7 @@
         let now = host.now();
         if now >= self.exposure.weighed + S {
             if self.on_trial() {
-                self.judge.shared(now);
+                self.judge.shared(now, self.exposure.rules.beside);
             } else if self.hits >= Logic::LEARN {
                 let before = self.judge.usual.unwrap_or(0.0) * 0.98;
                 self.judge.usual = Some(before.max(self.judge.old_slow));
--- a/src/port.rs
+++ b/src/port.rs
@@ -105,6 +105,8 @@
     /// Stages below this one take repeatable hits only.
     pub guarded_stages: usize,
     pub one_way: bool,
+    /// The earlier build's pods stay until the release, so that they could carry all hits.
+    pub beside: bool,
     /// The cap of each stage, from 0.
     pub caps: Vec<f64>,
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -170,6 +170,7 @@
             per_group: self.number("per_group", 0.0) > 0.0,
             guarded_stages: self.number("guarded", 0.0) as usize,
             one_way: self.number("one_way", 0.0) > 0.0,
+            beside: true,
             caps: self.text("caps", "0.1,0.5,1").split(',').map(|cap| cap.parse().unwrap()).collect(),
         };
         let (life, step) = (self.span("life", "4s"), self.span("step", "4s"));
