--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,11 +1,11 @@
 //! Every decision of havenplank: where a hit goes, what is tried again, what a new build gets, how to vote.
 //!
-//! A host makes a [`Logic`] with `new`, calls `begin` once, then `hit`, `list`, `list_failed`, `news`, `tally`
-//! and `flagged` as things arrive; effects leave through [`Host`] in `port.rs`, where the interface stands. Each
-//! forward, vote and wake leaves a closure that is handed its result: a hit's state lives there, in no table.
+//! A host makes a [`Logic`] with `new`, calls `begin` once, then `hit`, `list`, `list_failed`, `news`,
+//! `tally` and `flagged` as things arrive; effects leave through [`Host`] in `port.rs`, where the interface
+//! stands. Each forward, vote and wake leaves a closure that is handed its result: there a hit's state lives.
 //!
-//! The ordinary path is Wald's sequential test (docs/design.md): `Judge` sums whether this instance's failures
-//! fall on the build on trial beyond that build's share of its forwards, `Voter` turns the sum into a vote.
+//! The ordinary path is Wald's sequential test (docs/design.md): `Judge` sums whether this instance's
+//! failures fall on the build on trial beyond its share of forwards, `Voter` turns the sum into a vote.
 
 use crate::port::*;
 pub use crate::state::Logic;
@@ -27,8 +27,8 @@
         Share::SPANS.map(|span| Window::new(span, SLICES))
     }
 
-    /// It rises by leaps at a stage's start, when the long look still blames the build for having more forwards
-    /// than it counts: so the higher of a long and a short look, the short one shrunk where it is thin.
+    /// It rises by leaps at a stage's start, when the long look still blames the build for having more
+    /// forwards than it counts: so the higher of a long and a short look, the short one shrunk where thin.
     fn of(&mut self, now: Ns) -> f64 {
         let [long, short] = [0, 1].map(|n| (self.new[n].most(now) as f64, self.all[n].most(now) as f64));
         (long.0 / long.1.max(1.0)).max(short.0 / (short.1 + Share::THIN))
@@ -50,8 +50,8 @@
     const MEMORY_SHARE: f64 = 0.5;
     /// Failures a forward that a sound build makes by itself, at most.
     const OWN_RATE: f64 = 0.002;
-    /// Slow answers of the earlier build that are too many, where a tenth is usual; how far above the usual; and
-    /// the usual taken by an instance that began amid the trial.
+    /// Slow answers of the earlier build that are too many, where a tenth is usual; how far above the usual;
+    /// and the usual taken by an instance that began amid the trial.
     const OLD_SLOW: f64 = 0.18;
     const ABOVE: f64 = 0.08;
     const UNKNOWN: f64 = 0.35;
@@ -69,8 +69,8 @@
         self.sum.max(self.slow_sum)
     }
 
-    /// What speaks against the build outlives its stage, as a low rate of wrong answers never fills the sum within
-    /// one. What speaks for it does not: more traffic may bring out more.
+    /// What speaks against the build outlives its stage, as a low rate of wrong answers never fills the sum
+    /// within one. What speaks for it does not: more traffic may bring out more.
     fn restart(&mut self, build: Build, stage: usize) {
         if build != self.build {
             self.share.new = Share::windows();
@@ -80,9 +80,9 @@
         (self.build, self.stage) = (build, stage);
     }
 
-    /// Once the new build has most of the load its share nears 1 and the test goes blind, so for failures that are
-    /// a pod's own the earlier build keeps half the share from memory, failing at its usual small rate. Covers
-    /// builds that fail late or answer wrongly at a low rate; could harm a build blamed for its callers' mistakes.
+    /// Once the new build has most of the load its share nears 1 and the test goes blind, so for failures
+    /// that are a pod's own the earlier build keeps half the share from memory, failing at its usual small
+    /// rate. Covers builds that fail late or answer wrongly at a low rate; could harm where callers err.
     fn ended(&mut self, now: Ns, build: Build) {
         self.share.all.iter_mut().for_each(|window| window.add(now));
         if build == self.build {
@@ -95,7 +95,7 @@
         }
     }
 
-    /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a broken connection.
+    /// `own`: an error or a wrong answer, which a pod makes by itself, unlike a time-out or a reset.
     fn failed(&mut self, now: Ns, build: Build, own: bool) -> f64 {
         let (most, odds) = if own { (Judge::MEMORY_SHARE, Judge::OWN_ODDS) } else { (1.0, Judge::ODDS) };
         let p0 = self.share.of(now).min(most);
@@ -104,10 +104,10 @@
         step
     }
 
-    /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest tenth
-    /// of answers falls on the build on trial, with a wider alternative as good builds differ a little in speed.
-    /// Covers time-outs set shorter than the target too; could harm a good build kept busier than the earlier, so
-    /// it rests once the new build has most of the load.
+    /// A slow build fails nothing, so the sum above never hears of it: the same test, on whether the slowest
+    /// tenth of answers falls on the build on trial, with a wider alternative as good builds differ a little
+    /// in speed. Covers time-outs set shorter than the target too; could harm a good build kept busier than
+    /// the earlier, so it rests once the new build has most of the load.
     fn slow(&mut self, now: Ns, build: Build) -> f64 {
         let p0 = self.share.of(now);
         let step = if p0 <= Judge::SLOW_SHARE { self.step(p0, build, Judge::SLOW_ODDS) } else { 0.0 };
@@ -124,10 +124,11 @@
         }
     }
 
-    /// A build that slows every pod alike gives the test no side to compare, so the share itself is the trial: when
-    /// the earlier pods turn slower than ever before it, the share is taken away, and only slowness that goes with
-    /// it and comes back with it speaks against the build. Covers any load that a build puts on what all pods share;
-    /// could harm a good one when two other slowdowns keep that rhythm, and where the earlier pods cannot carry all.
+    /// A build that slows every pod alike gives the test no side to compare, so the share itself is the
+    /// trial: when the earlier pods turn slower than ever before it, the share is taken away, and only
+    /// slowness that goes with it and comes back with it speaks against the build. Covers any load that a
+    /// build puts on what all pods share; could harm a good one when two other slowdowns keep that rhythm,
+    /// and where the earlier pods cannot carry all.
     fn shared(&mut self, now: Ns, beside: bool) {
         let (slow, usual) = (self.old_slow, self.usual.unwrap_or(Judge::UNKNOWN));
         let began =
@@ -181,7 +182,7 @@
         }
         let passed = judge.sum < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
-        // As under a clock doubt holds, for a while: votes against a build need time that an early on would take.
+        // As under a clock doubt holds, for a while: an early on would take the time that votes against need.
         let doubt = judge.worst() > Judge::bounds().1 / 2.0 && ran < Voter::DOUBT_HOLDS;
         let on = on_trial && calm && !doubt && (thin || (passed && ran >= Voter::ON_AFTER));
         if on {
@@ -204,8 +205,8 @@
     const AGAIN: f64 = 0.2;
     const MOST_KEYS: usize = 1 << 16;
 
-    /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have used
-    /// up the free ones within the same window.
+    /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have
+    /// used up the free ones within the same window.
     fn room(&mut self, now: Ns, build: Build, group: GroupId, cap: f64, part: f64) -> bool {
         let bucket = self.bucket(group);
         let free = if now - self.started <= self.rules.window { 0.0 } else { self.rules.free };
@@ -213,9 +214,9 @@
         cap > 0.0 && self.sent(build)[bucket].most(now) as f64 + 1.0 <= most
     }
 
-    /// Halved on doubt, doubled while it goes well. Lowered too far for a sum in doubt, the share would starve the
-    /// test of what could settle it; the trial by share wants none at all, since under bounces a small part of the
-    /// hits is a large one of the forwards.
+    /// Halved on doubt, doubled while it goes well. Lowered too far for a sum in doubt, the share would
+    /// starve the test of what could settle it; the trial by share wants none at all, since under bounces a
+    /// small part of the hits is a large one of the forwards.
     fn weigh(&mut self, judge: &Judge) {
         self.part = match judge.worst() > Judge::bounds().1 / 2.0 {
             _ if judge.share_away() => 0.0,
@@ -250,8 +251,8 @@
         now >= pod.ill_until && !mending && !self.silent(now, pod)
     }
 
-    /// Whether a cold pod has room. The guide is what warm pods of its machine answer to this instance: answers,
-    /// not forwards, since those outrun any capacity when the rest of the fleet is lost or full.
+    /// Whether a cold pod has room. The guide is what warm pods of its machine answer to this instance:
+    /// answers, not forwards, since those outrun any capacity when the rest of the fleet is lost or full.
     fn cold_room(&mut self, now: Ns, id: PodId) -> bool {
         let Some(entry) = self.table.get(id).map(|pod| pod.entry) else { return false };
         let warmth = self.warmth(now, &entry);
@@ -304,8 +305,8 @@
     }
 }
 
-/// Bounds the hits in flight by how quickly answers come: what a queue would make late is bounced at the door. Covers
-/// overload, lost pods and slow fleets alike; could harm where many hits are heavy by nature.
+/// Bounds the hits in flight by how quickly answers come: what a queue would make late is bounced at the
+/// door. Covers overload, lost pods and slow fleets alike; could harm where many hits are heavy by nature.
 impl Limit {
     const LEAST: f64 = 4.0;
     const START: f64 = 60.0;
@@ -445,7 +446,7 @@
         }
     }
 
-    /// The cap a build is under, or none where it is not on trial. One not announced yet is in its first stage.
+    /// The cap a build is under, or none where it is not on trial. One not announced is in its first stage.
     fn cap(&self, build: Build) -> Option<f64> {
         let first = self.exposure.rules.caps.first().copied().unwrap_or(0.0);
         // Keys answered by a build not announced could not be held to it.
@@ -534,15 +535,14 @@
         host.forward(hit, pod, time_out, Box::new(then));
     }
 
-    /// Retries are bounded by hits taken, so that a sick fleet is not asked for several times the work; those that
-    /// surely never ran cost it little.
+    /// Retries are bounded by hits taken, lest a sick fleet be asked for more; some never ran and cost little.
     fn budget(&mut self, now: Ns, ran: bool) -> bool {
         let part = if ran { Logic::RETRY_PART } else { 2.0 * Logic::RETRY_PART };
         (self.retried.most(now) as f64) < part * self.taken.most(now) as f64 + 1.0
     }
 
-    /// As long as the answer is worth waiting for. An earlier time-out with a retry does the work twice just when
-    /// pods are slow; hung pods are told by their silence instead.
+    /// As long as the answer is worth waiting for. An earlier time-out with a retry does the work twice just
+    /// when pods are slow; hung pods are told by their silence instead.
     fn patience(&self, now: Ns, trip: &Trip) -> Ns {
         let (group, left) = (self.groups[trip.group], trip.deadline - now);
         left.min(if group.kind == Kind::Mutating { left } else { group.target_latency })
@@ -583,8 +583,8 @@
         self.step(host, trip);
     }
 
-    /// Whether an answer is among the slowest tenth for its path group and machine, learnt outside trials, and how
-    /// it compares to the path group's mean.
+    /// Whether an answer is among the slowest tenth for its path group and machine, learnt outside trials,
+    /// and how it compares to the path group's mean.
     fn pace(&mut self, trip: &Trip, sent: &Sent, outcome: &Outcome) -> (bool, f64) {
         let learn = !self.on_trial() || self.hits < Logic::LEARN;
         let answered = outcome.end == Ended::Delivered;
@@ -605,9 +605,9 @@
         (slow, took / mean.max(1.0))
     }
 
-    /// What an outcome says of its build. A hung pod speaks for its machine while others of the build answer, and a
-    /// young one for its coldness. Lateness tells of the load when a third of all is late, as a refusal for want of
-    /// room does, of warming up in a pod not yet warm, and what waited in one queue is late together: one event.
+    /// What an outcome says of its build. A hung pod speaks for its machine while others of the build answer,
+    /// and a young one for its coldness. Lateness tells of the load when a third of all is late, as a refusal
+    /// for want of room does, of warming up in a pod not yet warm, and one queue is one event.
     fn evidence(&mut self, now: Ns, sent: &Sent, outcome: &Outcome, target: Ns, slow: bool, silent: bool) {
         let (build, timed_out) = (sent.entry.build, outcome.end == Ended::TimeOut);
         let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
--- a/src/port.rs
+++ b/src/port.rs
@@ -1,8 +1,9 @@
 //! The interface of the decision module: what a host tells it and what it asks of a host.
 //!
 //! A host builds a [`Logic`] from the small settings records below, calls its methods (`hit`, `list`,
-//! `list_failed`, `news`, `tally`, `flagged`) and carries out what comes back through [`Host`]. Whatever takes a
-//! [`Then`] is kept by the host and handed its result once, so the state of a hit lives in its closures.
+//! `list_failed`, `news`, `tally`, `flagged`) and carries out what comes back through [`Host`]. Whatever
+//! takes a [`Then`] is kept by the host and handed its result once, so the state of a hit lives in its
+//! closures.
 
 use crate::logic::Logic;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,5 @@
-//! What the decision module keeps in mind: plain state with no decision in it. What it means stands in `logic.rs`.
+//! What the decision module keeps in mind: plain state with no decision in it. What it means stands in
+//! `logic.rs`.
 
 use crate::port::*;
 use oorandom::Rand64;
@@ -158,15 +159,16 @@
     }
 }
 
-/// A build's share of forwards, of those that ended: failures come that late too, and what a draining pod turned
-/// away could not have failed. Else a share that grows by the second would look like the build's bad luck.
+/// A build's share of forwards, of those that ended: failures come that late too, and what a draining pod
+/// turned away could not have failed. Else a share that grows by the second would look like the build's bad
+/// luck.
 pub struct Share {
     pub new: [Window; 2],
     pub all: [Window; 2],
 }
 
-/// Where the trial by share stands: since when the share is away and the worst slowness since; since when that is
-/// gone, with the share still away; since when the share is back.
+/// Where the trial by share stands: since when the share is away and the worst slowness since; since when
+/// that is gone, with the share still away; since when the share is back.
 #[derive(Clone, Copy, PartialEq)]
 pub enum ShareTrial {
     None,
@@ -315,8 +317,8 @@
     pub(crate) taken: Window,
     pub(crate) retried: Window,
     pub(crate) hits: u32,
-    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep, by
-    /// machine since a new build starts on few.
+    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep,
+    /// by machine since a new build starts on few.
     pub(crate) mean: Vec<f64>,
     pub(crate) slowest: Vec<Vec<f64>>,
 }
