--- a/src/logic.rs
+++ b/src/logic.rs
@@ -535,7 +535,7 @@
         host.forward(hit, pod, time_out, Box::new(then));
     }
 
-    /// Retries are bounded by hits taken, lest a sick fleet be asked for more; some never ran and cost little.
+    /// Retries are bounded by hits taken, lest a sick fleet be asked for more; what never ran costs little.
     fn budget(&mut self, now: Ns, ran: bool) -> bool {
         let part = if ran { Logic::RETRY_PART } else { 2.0 * Logic::RETRY_PART };
         (self.retried.most(now) as f64) < part * self.taken.most(now) as f64 + 1.0
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -325,7 +325,8 @@
 
 cases! {
     "answered-in-time", "mutating-never-twice", "tagged-in-its-group", "tagged-in-its-window", "drained-pods",
-    "cold-budget", "exposure-cap", "exposure-restart", "exposure-guarded", "exposure-one-way", "exposure-lowered",
-    "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod", "judge-blame", "judge-shared",
+    "cold-budget", "exposure-cap", "exposure-restart", "exposure-guarded", "exposure-one-way",
+    "exposure-lowered", "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod",
+    "judge-blame", "judge-shared",
     "vote-any", "vote-count", "vote-clock", "vote-renewal", "list-asked", "limit", "panic", "retry-budget",
 }
