--- a/src/logic.rs
+++ b/src/logic.rs
@@ -202,6 +202,7 @@
 impl Exposure {
     const START: f64 = 0.8;
     const DOUBTED: f64 = 0.4;
+    const AGAIN: f64 = 0.2;
     const MOST_KEYS: usize = 1 << 16;
 
     /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have
@@ -220,7 +221,7 @@
         self.part = match judge.worst() > Judge::bounds().1 / 2.0 {
             _ if judge.share_away() => 0.0,
             true => (self.part * 0.5).max(Exposure::DOUBTED),
-            false => (self.part * 2.0).clamp(Exposure::DOUBTED / 2.0, 1.0),
+            false => (self.part * 2.0).clamp(Exposure::AGAIN, 1.0),
         };
     }
 }
@@ -521,9 +522,7 @@
             return self.give_up(host, trip);
         };
         let warm = self.pods.warmth(now, &chosen.entry) >= 1.0;
-        let older = self.pods.table.live().filter(|pod| pod.entry.build <= chosen.entry.build);
-        let (held, peers) = older.fold((0, 0), |(held, peers), pod| (held + pod.in_flight, peers + 1));
-        let even = chosen.in_flight * peers <= held;
+        let even = chosen.in_flight * self.pods.table.live().count() as u32 <= self.limit.out;
         let sent = Sent { pod, entry: chosen.entry, at: now, warm, even };
         let time_out = self.patience(now, &trip);
         self.pods.table.send(now, pod);
@@ -677,7 +676,7 @@
         }
         let on_trial = fit.iter().filter(|fit| fit.cap.is_some()).max_by_key(|fit| fit.build);
         let trial = on_trial.map(|fit| (fit.build, fit.cap.unwrap_or(0.0)));
-        // The part in use is a wish: with no other pods the whole cap may be used.
+        // The part in use is a wish, the cap is the rule: with no other pods the whole of it may be used.
         let part = if fit.iter().all(|fit| fit.cap.is_some()) { 1.0 } else { self.exposure.part };
         let trial = trial.filter(|(build, cap)| self.exposure.room(now, *build, trip.group, *cap, part));
         fit.retain(|fit| fit.cap.is_none() || trial.is_some_and(|(build, _)| fit.build == build));
