--- a/crates/adapter/src/door.rs
+++ b/crates/adapter/src/door.rs
@@ -29,6 +29,7 @@
     now: Ns,
     sidecar: u64,
     names: Names,
+    /// Grows with the pods ever listed to this instance, not with hits; a restart empties it.
     pods: HashMap<String, PodId>,
     pod_names: Vec<String>,
     hit_ids: HashMap<String, HitId>,
