--- a/src/logic.rs
+++ b/src/logic.rs
@@ -146,7 +146,7 @@
             // It did not go with the share, or came back without it: such slowness is usual from now on.
             ShareTrial::Control(at, worst) if half(worst) && now - at < Judge::CONTROL => self.trial,
             ShareTrial::Control(_, worst) if half(worst) => {
-                self.usual = Some((usual + worst) / 2.0);
+                self.usual = Some(usual.max(0.8 * worst));
                 ShareTrial::Restored(now)
             }
             ShareTrial::Away(..) | ShareTrial::Control(..) => {
