--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,7 @@
     /// and the usual taken by an instance that began amid the trial.
     const OLD_SLOW: f64 = 0.18;
     const ABOVE: f64 = 0.08;
-    const UNKNOWN: f64 = 0.35;
+    const UNKNOWN: f64 = 0.5;
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
     const CONTROL: Ns = 3 * S;
@@ -146,7 +146,7 @@
             // It did not go with the share, or came back without it: such slowness is usual from now on.
             ShareTrial::Control(at, worst) if half(worst) && now - at < Judge::CONTROL => self.trial,
             ShareTrial::Control(_, worst) if half(worst) => {
-                self.usual = Some(usual.max(0.8 * worst));
+                self.usual = Some((usual + worst) / 2.0);
                 ShareTrial::Restored(now)
             }
             ShareTrial::Away(..) | ShareTrial::Control(..) => {
