--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,7 +54,7 @@
     /// and the usual taken by an instance that began amid the trial.
     const OLD_SLOW: f64 = 0.18;
     const ABOVE: f64 = 0.08;
-    const UNKNOWN: f64 = 0.5;
+    const UNKNOWN: f64 = 0.35;
     const OLD_LEARN: f64 = 0.02;
     const RELIEF: Ns = 8 * S;
     const CONTROL: Ns = 3 * S;
