--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,15 +69,18 @@
         self.sum.max(self.slow_sum)
     }
 
+    fn doubt(&self) -> bool {
+        self.worst() > Judge::bounds().1 / 2.0
+    }
+
     /// What speaks against the build outlives its stage, as a low rate of wrong answers never fills the sum
     /// within one. What speaks for it does not: more traffic may bring out more.
-    fn restart(&mut self, build: Build, stage: usize) {
+    fn restart(&mut self, build: Build) {
         if build != self.build {
             self.share.new = Share::windows();
             (self.trial, self.sum) = (ShareTrial::None, 0.0);
         }
-        (self.sum, self.slow_sum, self.outcomes) = (self.sum.max(0.0), 0.0, 0);
-        (self.build, self.stage) = (build, stage);
+        (self.build, self.sum, self.slow_sum, self.outcomes) = (build, self.sum.max(0.0), 0.0, 0);
     }
 
     /// Once the new build has most of the load its share nears 1 and the test goes blind, so for failures
@@ -176,14 +179,13 @@
         }
         if on_trial && self.rules.control == Control::Clock {
             // One step a stage at most, however often the doubt comes back.
-            let doubt = judge.worst() > Judge::bounds().1 / 2.0;
-            let since = *self.held.get_or_insert(if doubt { now } else { return Voice::None });
-            return if doubt && now - since < self.rules.step { Voice::Hold } else { Voice::None };
+            let since = *self.held.get_or_insert(if judge.doubt() { now } else { return Voice::None });
+            return if judge.doubt() && now - since < self.rules.step { Voice::Hold } else { Voice::None };
         }
         let passed = judge.sum < Judge::bounds().0 || judge.outcomes >= Voter::ENOUGH;
         let thin = self.rules.control == Control::Count && ran >= Voter::ON_AFTER_THIN;
         // As under a clock doubt holds, for a while: an early on would take the time that votes against need.
-        let doubt = judge.worst() > Judge::bounds().1 / 2.0 && ran < Voter::DOUBT_HOLDS;
+        let doubt = judge.doubt() && ran < Voter::DOUBT_HOLDS;
         let on = on_trial && calm && !doubt && (thin || (passed && ran >= Voter::ON_AFTER));
         if on {
             Voice::On
@@ -211,14 +213,14 @@
         let bucket = self.bucket(group);
         let free = if now - self.started <= self.rules.window { 0.0 } else { self.rules.free };
         let most = part * (free + cap * self.taken[bucket].least(now) as f64);
-        cap > 0.0 && self.sent(build)[bucket].most(now) as f64 + 1.0 <= most
+        self.sent(build)[bucket].most(now) as f64 + 1.0 <= most
     }
 
     /// Halved on doubt, doubled while it goes well. Lowered too far for a sum in doubt, the share would
     /// starve the test of what could settle it; the trial by share wants none at all, since under bounces a
     /// small part of the hits is a large one of the forwards.
     fn weigh(&mut self, judge: &Judge) {
-        self.part = match judge.worst() > Judge::bounds().1 / 2.0 {
+        self.part = match judge.doubt() {
             _ if judge.share_away() => 0.0,
             true => (self.part * 0.5).max(Exposure::DOUBTED),
             false => (self.part * 2.0).clamp(Exposure::AGAIN, 1.0),
@@ -422,7 +424,7 @@
     pub fn news(&mut self, host: &mut dyn Host, stage: Stage) {
         let old = self.stage.map(|(old, _)| (old.build, old.stage));
         if old != Some((stage.build, stage.stage)) {
-            self.judge.restart(stage.build, stage.stage);
+            self.judge.restart(stage.build);
             self.voter.held = None;
             self.exposure.part = Exposure::START;
             self.pods.table.slots.iter_mut().flatten().for_each(|pod| pod.blame = 0.0);
@@ -473,14 +475,13 @@
         let voice = self.voter.wanted(now, &self.judge, stage.phase, ran, calm);
         let want = (stage.build, stage.stage, voice);
         let stands = self.voter.standing;
-        let held = stands.is_some_and(|(.., voice)| voice == Voice::Hold);
-        let idle = voice == Voice::None && !held;
+        let idle = voice == Voice::None && stands.is_none_or(|(.., voice)| voice != Voice::Hold);
         let early = now < self.voter.again_at && (stands.is_none() || stands == Some(want));
         if self.voter.calling || idle || early {
             return;
         }
         self.voter.calling = true;
-        let sums = (self.judge.sum, self.judge.slow_sum);
+        let sums = self.sums();
         host.log(&format!("vote {voice:?} build {} stage {} sums {sums:.2?}", stage.build, stage.stage));
         let then = move |logic: &mut Logic, host: &mut dyn Host, news: StageNews| {
             logic.voter.calling = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,7 +62,7 @@
     /// Its answer times against the mean of each path group, and when that was last learnt.
     pub slow: f64,
     pub slow_at: Ns,
-    /// When it was last late, and what its slow answers put on the sum of this stage.
+    /// When it was last late, and what it put on the sums in this stage.
     pub late_at: Ns,
     pub blame: f64,
 }
@@ -180,7 +180,6 @@
 /// Wald's test on who the failures came from, for one build and stage.
 pub struct Judge {
     pub build: Build,
-    pub stage: usize,
     pub share: Share,
     pub outcomes: u32,
     pub sum: f64,
@@ -197,9 +196,9 @@
     }
 
     pub fn new(share: Share) -> Judge {
-        let (build, stage, outcomes, sum, slow_sum) = (0, 0, 0, 0.0, 0.0);
+        let (build, outcomes, sum, slow_sum) = (0, 0, 0.0, 0.0);
         let (old_slow, usual, trial) = (0.0, None, ShareTrial::None);
-        Judge { build, stage, share, outcomes, sum, slow_sum, old_slow, usual, trial }
+        Judge { build, share, outcomes, sum, slow_sum, old_slow, usual, trial }
     }
 }
 
