--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,236 @@
+//! Reads the fields of one record of the script and keeps every mistake instead of stopping at the first.
+
+use havenplank::port::Ns;
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// One mistake: where it stands, what was found there and what was expected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    pub file: String,
+    /// Counted from 1; 0 where the mistake has no line, as with a record that is missing.
+    pub line: usize,
+    /// `record.field`, or the record alone.
+    pub field: String,
+    pub found: String,
+    pub expected: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Problem { file, line, field, found, expected } = self;
+        write!(f, "{file}:{line}: {field}: {found}; expected {expected}")
+    }
+}
+
+/// All mistakes of a script, in the order of its lines.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+pub struct Problems(pub Vec<Problem>);
+
+/// A call of a record function in the script, as it stands there.
+pub(crate) struct Row {
+    pub kind: &'static str,
+    pub file: String,
+    pub line: usize,
+    pub fields: Map<String, Value>,
+}
+
+/// Hands out the fields of a row. A field that is missing or wrong yields a stand-in value and a problem, so
+/// that the rest is still read; `finish` complains of fields nobody asked for.
+pub(crate) struct Reader<'a> {
+    row: &'a Row,
+    asked: BTreeSet<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(row: &'a Row, problems: &'a mut Vec<Problem>) -> Reader<'a> {
+        Reader { row, asked: BTreeSet::new(), problems }
+    }
+
+    pub fn complain(&mut self, field: &str, found: impl Into<String>, expected: impl Into<String>) {
+        self.problems.push(Problem {
+            file: self.row.file.clone(),
+            line: self.row.line,
+            field: format!("{}.{field}", self.row.kind),
+            found: found.into(),
+            expected: expected.into(),
+        });
+    }
+
+    pub fn has(&self, field: &str) -> bool {
+        self.row.fields.get(field).is_some_and(|value| !value.is_null())
+    }
+
+    fn value(&mut self, field: &'static str) -> Option<&'a Value> {
+        self.asked.insert(field);
+        self.row.fields.get(field).filter(|value| !value.is_null())
+    }
+
+    /// One field by a parser of its own; `wanted` says what it takes.
+    fn take<T>(
+        &mut self,
+        field: &'static str,
+        wanted: &str,
+        parse: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let Some(value) = self.value(field) else {
+            self.complain(field, "missing", wanted);
+            return None;
+        };
+        let parsed = parse(value);
+        if parsed.is_none() {
+            let mut found = value.to_string();
+            if found.len() > 60 {
+                let cut = (0..=57).rev().find(|at| found.is_char_boundary(*at)).unwrap_or(0);
+                found.truncate(cut);
+                found.push_str("...");
+            }
+            self.complain(field, format!("found {found}"), wanted);
+        }
+        parsed
+    }
+
+    pub fn text(&mut self, field: &'static str) -> String {
+        let full = |value: &Value| value.as_str().filter(|text| !text.is_empty()).map(str::to_string);
+        self.take(field, "a text that is not empty", full).unwrap_or_default()
+    }
+
+    pub fn maybe_text(&mut self, field: &'static str) -> Option<String> {
+        self.asked.insert(field);
+        self.has(field).then(|| self.text(field))
+    }
+
+    pub fn whole(&mut self, field: &'static str, range: RangeInclusive<u64>) -> u64 {
+        let wanted = format!("a whole number from {} to {}", range.start(), range.end());
+        let within = |value: &Value| value.as_u64().filter(|n| range.contains(n));
+        self.take(field, &wanted, within).unwrap_or(*range.start())
+    }
+
+    pub fn whole_or(&mut self, field: &'static str, range: RangeInclusive<u64>, absent: u64) -> u64 {
+        self.asked.insert(field);
+        if self.has(field) {
+            self.whole(field, range)
+        } else {
+            absent
+        }
+    }
+
+    pub fn number(&mut self, field: &'static str, range: RangeInclusive<f64>) -> f64 {
+        let wanted = format!("a number from {} to {}", range.start(), range.end());
+        let within = |value: &Value| value.as_f64().filter(|n| range.contains(n));
+        self.take(field, &wanted, within).unwrap_or(*range.start())
+    }
+
+    pub fn number_or(&mut self, field: &'static str, range: RangeInclusive<f64>, absent: f64) -> f64 {
+        self.asked.insert(field);
+        if self.has(field) {
+            self.number(field, range)
+        } else {
+            absent
+        }
+    }
+
+    pub fn flag_or(&mut self, field: &'static str, absent: bool) -> bool {
+        self.asked.insert(field);
+        if !self.has(field) {
+            return absent;
+        }
+        self.take(field, "True or False", Value::as_bool).unwrap_or(absent)
+    }
+
+    /// A span such as "250ms" or "1m 30s", in whole nanoseconds; one day at most, as no wait here is longer.
+    pub fn span(&mut self, field: &'static str) -> Ns {
+        self.span_from(field, 0)
+    }
+
+    /// The same, but not 0; what is missing or wrong reads as 0 all the same.
+    pub fn span_above_0(&mut self, field: &'static str) -> Ns {
+        self.span_from(field, 1)
+    }
+
+    fn span_from(&mut self, field: &'static str, least: Ns) -> Ns {
+        const DAY: Ns = 86_400_000_000_000;
+        let parse = |value: &Value| {
+            let span = humantime::parse_duration(value.as_str()?).ok()?;
+            Ns::try_from(span.as_nanos()).ok().filter(|ns| (least..=DAY).contains(ns))
+        };
+        let above = if least > 0 { " above 0" } else { "" };
+        let wanted = format!("a span{above} of a day at most, such as \"250ms\" or \"1m 30s\"");
+        self.take(field, &wanted, parse).unwrap_or(0)
+    }
+
+    pub fn span_or(&mut self, field: &'static str, absent: Ns) -> Ns {
+        self.asked.insert(field);
+        if self.has(field) {
+            self.span(field)
+        } else {
+            absent
+        }
+    }
+
+    /// A size such as "64KiB" or a whole number of bytes.
+    pub fn size_or(&mut self, field: &'static str, range: RangeInclusive<u64>, absent: u64) -> u64 {
+        self.asked.insert(field);
+        if !self.has(field) {
+            return absent;
+        }
+        let wanted = format!("a size such as \"64KiB\", from {} to {} bytes", range.start(), range.end());
+        let parse = |value: &Value| {
+            let told = value.as_str().and_then(|text| text.parse::<bytesize::ByteSize>().ok());
+            value.as_u64().or(told.map(|size| size.as_u64())).filter(|n| range.contains(n))
+        };
+        self.take(field, &wanted, parse).unwrap_or(absent)
+    }
+
+    pub fn choice<T: Copy>(&mut self, field: &'static str, choices: &[(&str, T)]) -> Option<T> {
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        let one = |value: &Value| {
+            let name = value.as_str()?;
+            choices.iter().find(|(known, _)| *known == name).map(|(_, choice)| *choice)
+        };
+        self.take(field, &format!("one of {}", names.join(", ")), one)
+    }
+
+    pub fn texts(&mut self, field: &'static str) -> Vec<String> {
+        let all = |value: &Value| {
+            let full = |text: &Value| text.as_str().filter(|text| !text.is_empty()).map(str::to_string);
+            value.as_array()?.iter().map(full).collect::<Option<Vec<_>>>().filter(|all| !all.is_empty())
+        };
+        self.take(field, "a list of texts, one at least", all).unwrap_or_default()
+    }
+
+    pub fn texts_or_none(&mut self, field: &'static str) -> Vec<String> {
+        self.asked.insert(field);
+        if self.has(field) {
+            self.texts(field)
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub fn shares(&mut self, field: &'static str) -> Vec<f64> {
+        let all = |value: &Value| {
+            let share = |n: &Value| n.as_f64().filter(|n| (0.0..=1.0).contains(n));
+            value.as_array()?.iter().map(share).collect::<Option<Vec<_>>>().filter(|all| !all.is_empty())
+        };
+        self.take(field, "a list of numbers from 0 to 1, one at least", all).unwrap_or_else(|| vec![0.0])
+    }
+
+    /// A field by the type's own parser, such as a socket address or a header name.
+    pub fn parsed<T: std::str::FromStr>(&mut self, field: &'static str, wanted: &str) -> Option<T> {
+        self.take(field, wanted, |value| value.as_str()?.parse().ok())
+    }
+
+    pub fn finish(mut self) {
+        let known = self.asked.iter().copied().collect::<Vec<_>>().join(", ");
+        for field in self.row.fields.keys() {
+            if !self.asked.contains(field.as_str()) {
+                self.complain(field, "no such field", format!("one of {known}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/records.rs
@@ -0,0 +1,355 @@
+//! The records that a settings script yields; each part of the program takes the few it needs.
+
+use crate::reader::{Problem, Reader, Row};
+use havenplank::port::*;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const MS: Ns = 1_000_000;
+const S: Ns = 1_000 * MS;
+const KIB: u64 = 1024;
+
+/// Everything a sidecar is told before it starts.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub name: String,
+    pub place: Place,
+    pub zones: Vec<String>,
+    pub machines: Vec<String>,
+    pub groups: Vec<Group>,
+    pub headers: Headers,
+    pub customers: Vec<String>,
+    pub forwards: ForwardRules,
+    pub door: Door,
+    pub pods: PodRules,
+    pub links: Links,
+    pub exposure: ExposureRules,
+    pub votes: VoteRules,
+    pub list: ListRules,
+    pub nodes: Feed,
+    /// Where the last whole list is kept for a start without the node list's service.
+    pub kept_list: Option<PathBuf>,
+    pub desk: Feed,
+}
+
+/// A path group and the hits that belong to it: the first of the script that fits takes a hit.
+#[derive(Clone, Debug)]
+pub struct Group {
+    pub name: String,
+    /// Upper case; empty for any.
+    pub methods: Vec<String>,
+    /// Whole paths, or the start of one where the last character is `*`.
+    pub paths: Vec<String>,
+    pub rules: PathGroup,
+}
+
+impl Group {
+    pub fn fits(&self, method: &str, path: &str) -> bool {
+        let fits = |pattern: &String| match pattern.strip_suffix('*') {
+            Some(start) => path.starts_with(start),
+            None => path == pattern,
+        };
+        (self.methods.is_empty() || self.methods.iter().any(|m| m == method)) && self.paths.iter().any(fits)
+    }
+}
+
+/// Names of the headers that a hit may carry, in lower case.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Time the client still waits, in the form of `grpc-timeout`: up to 8 digits and H, M, S, m, u or n.
+    pub timeout: String,
+    pub key: String,
+    pub customer: String,
+    /// What the hit may cost, in whole microseconds.
+    pub cost_hint: String,
+}
+
+/// What a client may ask of the sidecar's own listeners.
+#[derive(Clone, Debug)]
+pub struct Door {
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub head_bytes: usize,
+    pub head_time: Ns,
+    pub body_bytes: usize,
+    pub body_time: Ns,
+    /// Connections of clients held at once; a further one waits to be accepted.
+    pub connections: usize,
+    /// Hits held at once; a further one is bounced before it is taken.
+    pub hits: usize,
+    /// How long a final answer may take to reach its client: taken off the time that a hit has.
+    pub answer_margin: Ns,
+    /// An answer up to this size is read whole before it counts as delivered; a longer one is passed on as
+    /// it comes.
+    pub answer_bytes: usize,
+}
+
+/// Connections to pods.
+#[derive(Clone, Debug)]
+pub struct Links {
+    pub connect_time: Ns,
+    /// Open to one pod at once; a forward beyond waits for one, as long as a connect may take.
+    pub per_pod: usize,
+    pub idle: Ns,
+    /// The status and header by which a pod proves that a forward never ran there.
+    pub unseen_status: u16,
+    pub unseen_header: String,
+    /// Whether pods tell their load by `endpoint-load-metrics`.
+    pub load: bool,
+    pub probe_path: String,
+}
+
+/// Where a line protocol is spoken and how long its lines may be.
+#[derive(Clone, Debug)]
+pub struct Feed {
+    pub address: SocketAddr,
+    pub line_bytes: usize,
+}
+
+fn address(reader: &mut Reader, field: &'static str) -> SocketAddr {
+    let parsed = reader.parsed(field, "an address with a port, such as \"127.0.0.1:7000\"");
+    parsed.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn header(reader: &mut Reader, field: &'static str, absent: &str) -> String {
+    let Some(name) = reader.maybe_text(field) else { return absent.to_string() };
+    let token = |c: char| c.is_ascii_alphanumeric() || "!#$%&'*+-.^_`|~".contains(c);
+    if !name.chars().all(token) {
+        reader.complain(field, format!("found {name:?}"), "a header name");
+    }
+    name.to_ascii_lowercase()
+}
+
+fn feed(reader: &mut Reader) -> Feed {
+    let address = address(reader, "address");
+    Feed { address, line_bytes: reader.size_or("line_bytes", 128..=1 << 20, 4 * KIB) as usize }
+}
+
+fn group(r: &mut Reader) -> Group {
+    let name = r.text("name");
+    let methods = r.texts_or_none("methods").iter().map(|m| m.to_ascii_uppercase()).collect();
+    let paths = r.texts("paths");
+    for path in paths.iter().filter(|path| !path.starts_with('/')) {
+        r.complain("paths", format!("found {path:?}"), "paths that start with /");
+    }
+    let kinds = [("repeatable", Kind::Repeatable), ("tagged", Kind::Tagged), ("mutating", Kind::Mutating)];
+    let kind = r.choice("kind", &kinds).unwrap_or(Kind::Mutating);
+    let scopes = [("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)];
+    let scope = if r.has("scope") { r.choice("scope", &scopes) } else { r.maybe_text("scope").and(None) };
+    let repeat_window =
+        if kind == Kind::Tagged { r.span("repeat_window") } else { r.span_or("repeat_window", 0) };
+    let (target_latency, client_timeout) =
+        (r.span_above_0("target_latency"), r.span_above_0("client_timeout"));
+    if target_latency > client_timeout && client_timeout > 0 {
+        r.complain("target_latency", "longer than client_timeout", "a span that clients still wait for");
+    }
+    let rules = PathGroup {
+        kind,
+        scope: scope.unwrap_or(Scope::All),
+        repeat_window,
+        target_latency: target_latency.max(1),
+        client_timeout,
+        benefit: r.number_or("benefit", 0.0..=1e9, 1.0),
+        late_benefit: r.number_or("late_benefit", 0.0..=1.0, 0.0),
+        stream: r.flag_or("stream", false),
+    };
+    Group { name, methods, paths, rules }
+}
+
+fn limits(r: &mut Reader) -> (ForwardRules, Door) {
+    let forwards = ForwardRules {
+        max_forwards: r.whole_or("forwards", 1..=16, 4) as u32,
+        copies: r.flag_or("copies", false),
+        may_cancel: r.flag_or("cancel", true),
+        max_come_back: r.span_or("come_back", S),
+        cross_zone_price: r.number_or("cross_zone_price", 0.0..=1.0, 0.0),
+    };
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let door = Door {
+        listen: nowhere,
+        admin: nowhere,
+        head_bytes: r.size_or("head_bytes", 8 * KIB..=KIB * KIB, 16 * KIB) as usize,
+        head_time: r.span_or("head_time", 5 * S),
+        body_bytes: r.size_or("body_bytes", 0..=64 * KIB * KIB, 256 * KIB) as usize,
+        body_time: r.span_or("body_time", 5 * S),
+        connections: r.whole_or("connections", 1..=1_000_000, 16_384) as usize,
+        hits: r.whole_or("hits", 1..=1_000_000, 16_384) as usize,
+        answer_margin: r.span_or("answer_margin", 20 * MS),
+        answer_bytes: r.size_or("answer_bytes", 0..=64 * KIB * KIB, 64 * KIB) as usize,
+    };
+    (forwards, door)
+}
+
+fn pods(r: &mut Reader) -> (PodRules, Links) {
+    let rules = PodRules {
+        drain_grace: r.span("drain_grace"),
+        cold_share: r.number("cold_share", 0.001..=1.0),
+        warm_up: r.span("warm_up"),
+        fall_multiple: r.number("fall_multiple", 1.0..=1000.0),
+        fall_window: r.span("fall_window"),
+        may_probe: r.flag_or("probes", false),
+    };
+    let links = Links {
+        connect_time: r.span_or("connect_time", 250 * MS),
+        per_pod: r.whole_or("connections", 1..=65_536, 64) as usize,
+        idle: r.span_or("idle", 30 * S),
+        unseen_status: r.whole_or("unseen_status", 400..=599, 503) as u16,
+        unseen_header: header(r, "unseen_header", "x-never-ran"),
+        load: r.flag_or("load_reports", false),
+        probe_path: r.maybe_text("probe_path").unwrap_or_else(|| "/".to_string()),
+    };
+    (rules, links)
+}
+
+fn exposure(r: &mut Reader, groups: usize) -> ExposureRules {
+    let caps = r.shares("caps");
+    let window = r.span_above_0("window");
+    ExposureRules {
+        window,
+        free: r.number_or("free", 0.0..=1e6, 0.0),
+        per_group: r.flag_or("per_group", false) && groups > 0,
+        guarded_stages: r.whole_or("guarded_stages", 0..=caps.len() as u64, 0) as usize,
+        one_way: r.flag_or("one_way", false),
+        beside: r.flag_or("beside", true),
+        caps,
+    }
+}
+
+fn votes(r: &mut Reader, instances: usize) -> VoteRules {
+    let controls = [("any", Control::Any), ("count", Control::Count), ("clock", Control::Clock)];
+    let control = r.choice("control", &controls).unwrap_or(Control::Any);
+    let back_needs = r.whole_or("back_needs", 1..=1_000_000, 1) as usize;
+    if back_needs > instances.max(1) {
+        r.complain(
+            "back_needs",
+            format!("found {back_needs}"),
+            format!("{instances} at most, the instances"),
+        );
+    }
+    VoteRules {
+        control,
+        back_needs,
+        life: r.span("life"),
+        call_time_out: r.span_or("call_time_out", S),
+        calls_per_s: r.number_or("calls_per_s", 0.0..=1e6, 0.0),
+        step: if control == Control::Clock { r.span("step") } else { r.span_or("step", 0) },
+    }
+}
+
+fn list(r: &mut Reader) -> ListRules {
+    let must_ask = r.flag_or("must_ask", false);
+    ListRules {
+        must_ask,
+        ask_within: if must_ask { r.span("ask_within") } else { r.span_or("ask_within", 0) },
+    }
+}
+
+/// Turns the rows of a script into a site. `None` only where there are problems.
+pub(crate) fn site(file: &str, rows: &[Row], problems: &mut Vec<Problem>) -> Option<Site> {
+    const ONCE: [&str; 8] = ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk"];
+    const NEEDED: [&str; 6] = ["sidecar", "pods", "exposure", "votes", "nodes", "desk"];
+    for kind in ONCE {
+        for row in rows.iter().filter(|row| row.kind == kind).skip(1) {
+            let (found, expected) = ("a second one".to_string(), "it once".to_string());
+            let (file, field) = (row.file.clone(), kind.to_string());
+            problems.push(Problem { file, line: row.line, field, found, expected });
+        }
+    }
+    let missing = |kind: &str, problems: &mut Vec<Problem>| {
+        let (found, expected) = ("missing".to_string(), format!("a call of {kind}(...)"));
+        problems.push(Problem { file: file.to_string(), line: 0, field: kind.to_string(), found, expected });
+    };
+    for kind in NEEDED.iter().chain(&["path_group"]) {
+        if !rows.iter().any(|row| row.kind == *kind) {
+            missing(kind, problems);
+        }
+    }
+    let empty = |kind| Row { kind, file: file.to_string(), line: 0, fields: Default::default() };
+    let mut read = |kind: &'static str, with: &mut dyn FnMut(&mut Reader)| {
+        let blank = empty(kind);
+        let row = rows.iter().find(|row| row.kind == kind);
+        let mut unheard = Vec::new();
+        // One that is missing was told once already, not once a field.
+        let to = if row.is_some() || !NEEDED.contains(&kind) { &mut *problems } else { &mut unheard };
+        let mut reader = Reader::new(row.unwrap_or(&blank), to);
+        with(&mut reader);
+        reader.finish();
+    };
+
+    let (mut name, mut place) = (String::new(), Place { rank: 0, instances: 1, zone: 0 });
+    let (mut zones, mut machines, mut customers) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut listen, mut admin) = (None, None);
+    read("sidecar", &mut |r| {
+        name = r.text("name");
+        if !name.chars().all(|c| c.is_ascii_alphanumeric() || "-._".contains(c)) {
+            r.complain("name", format!("found {name:?}"), "letters, digits, -, . and _");
+        }
+        place.instances = r.whole("instances", 1..=1_000_000) as usize;
+        place.rank = r.whole_or("rank", 0..=999_999, 0) as usize;
+        zones = r.texts("zones");
+        machines = r.texts_or_none("machines");
+        customers = r.texts_or_none("customers");
+        let zone = r.text("zone");
+        match zones.iter().position(|known| *known == zone) {
+            Some(at) => place.zone = at,
+            None => r.complain("zone", format!("found {zone:?}"), "one of zones"),
+        }
+        (listen, admin) = (Some(address(r, "listen")), Some(address(r, "admin")));
+    });
+    let mut headers = None;
+    read("headers", &mut |r| {
+        headers = Some(Headers {
+            timeout: header(r, "timeout", "grpc-timeout"),
+            key: header(r, "key", "x-key"),
+            customer: header(r, "customer", "x-customer"),
+            cost_hint: header(r, "cost_hint", "x-cost-hint"),
+        });
+    });
+    let (mut limit, mut pod, mut nodes, mut desk) = (None, None, None, None);
+    let (mut exposed, mut voting, mut listed, mut kept_list) = (None, None, None, None);
+    read("limits", &mut |r| limit = Some(limits(r)));
+    read("pods", &mut |r| pod = Some(pods(r)));
+    let count = rows.iter().filter(|row| row.kind == "path_group").count();
+    read("exposure", &mut |r| exposed = Some(exposure(r, count)));
+    let instances = place.instances;
+    read("votes", &mut |r| voting = Some(votes(r, instances)));
+    read("nodes", &mut |r| {
+        (nodes, listed) = (Some(feed(r)), Some(list(r)));
+        kept_list = r.maybe_text("keep").map(PathBuf::from);
+    });
+    read("desk", &mut |r| desk = Some(feed(r)));
+    let mut groups: Vec<Group> = Vec::new();
+    for row in rows.iter().filter(|row| row.kind == "path_group") {
+        let mut reader = Reader::new(row, problems);
+        let next = group(&mut reader);
+        if groups.iter().any(|known| known.name == next.name) {
+            reader.complain("name", format!("found {:?} again", next.name), "a name of its own");
+        }
+        groups.push(next);
+        reader.finish();
+    }
+    let (forwards, mut door) = limit?;
+    (door.listen, door.admin) = (listen?, admin?);
+    let (pods, links) = pod?;
+    let (headers, exposure, votes, list) = (headers?, exposed?, voting?, listed?);
+    let (nodes, desk) = (nodes?, desk?);
+    Some(Site {
+        name,
+        place,
+        zones,
+        machines,
+        groups,
+        headers,
+        customers,
+        forwards,
+        door,
+        pods,
+        links,
+        exposure,
+        votes,
+        list,
+        nodes,
+        kept_list,
+        desk,
+    })
+}
--- /dev/null
+++ b/crates/settings/src/script.rs
@@ -0,0 +1,213 @@
+//! Runs a settings script within bounds and collects the records that it calls for.
+
+use crate::reader::{Problem, Problems, Row};
+use crate::records::{self, Site};
+use serde_json::Value as Json;
+use starlark::codemap::FileSpanRef;
+use starlark::collections::SmallMap;
+use starlark::environment::{FrozenModule, Globals, GlobalsBuilder, LibraryExtension, Module};
+use starlark::eval::{BeforeStmtFunc, BeforeStmtFuncDyn, Evaluator, FileLoader};
+use starlark::starlark_module;
+use starlark::syntax::{AstModule, Dialect};
+use starlark::values::{none::NoneType, Value};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::{Component, Path, PathBuf};
+
+/// Function calls and turns of loops that a script may take: under a second, where a real one needs hundreds.
+const TICKS: u64 = 200_000;
+const HEAP: usize = 64 << 20;
+const FILE_BYTES: u64 = 1 << 20;
+const LOADS: usize = 32;
+const RECORDS: usize = 4_096;
+
+/// Values handed to the script from outside, which it reads with `given(name, otherwise)`.
+pub type Given = BTreeMap<String, String>;
+
+/// What one run has collected so far, and what was handed to it.
+struct Sheet {
+    rows: Vec<Row>,
+    given: Given,
+}
+
+thread_local! {
+    /// The sheet of the run on this thread: the evaluator's own place for it would ask for `unsafe` code.
+    static SHEET: RefCell<Option<Sheet>> = const { RefCell::new(None) };
+}
+
+fn with_sheet<T>(work: impl FnOnce(&mut Sheet) -> anyhow::Result<T>) -> anyhow::Result<T> {
+    SHEET.with_borrow_mut(|sheet| match sheet {
+        Some(sheet) => work(sheet),
+        None => Err(anyhow::anyhow!("called outside a settings script")),
+    })
+}
+
+fn add<'v>(
+    kind: &'static str,
+    fields: SmallMap<String, Value<'v>>,
+    eval: &Evaluator<'v, '_, '_>,
+) -> anyhow::Result<NoneType> {
+    let at = eval.call_stack_top_location();
+    let (file, line) = at
+        .map_or((String::new(), 0), |span| (span.filename().to_string(), span.resolve_span().begin.line + 1));
+    let read = |(name, value): (String, Value<'v>)| {
+        let json = value.to_json_value();
+        (name, json.unwrap_or_else(|_| Json::from(format!("<{}>", value.get_type()))))
+    };
+    let fields = fields.into_iter().map(read).collect();
+    with_sheet(|sheet| {
+        anyhow::ensure!(sheet.rows.len() < RECORDS, "more than {RECORDS} records");
+        sheet.rows.push(Row { kind, file, line, fields });
+        Ok(NoneType)
+    })
+}
+
+macro_rules! record_functions {
+    ($($name:ident),*) => {
+        #[starlark_module]
+        fn record_functions(builder: &mut GlobalsBuilder) {
+            $(fn $name<'v>(
+                #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
+                eval: &mut Evaluator<'v, '_, '_>,
+            ) -> anyhow::Result<NoneType> {
+                add(stringify!($name), fields, eval)
+            })*
+
+            /// What was handed in from outside under this name, else the second argument.
+            fn given(
+                #[starlark(require = pos)] name: &str,
+                #[starlark(require = pos)] otherwise: &str,
+            ) -> anyhow::Result<String> {
+                with_sheet(|sheet| Ok(sheet.given.get(name).cloned().unwrap_or_else(|| otherwise.to_string())))
+            }
+        }
+    };
+}
+
+record_functions!(sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk);
+
+/// Reads files beside the script, each once.
+struct Beside<'a> {
+    folder: PathBuf,
+    globals: &'a Globals,
+    done: RefCell<BTreeMap<String, FrozenModule>>,
+    open: RefCell<Vec<String>>,
+}
+
+impl FileLoader for Beside<'_> {
+    fn load(&self, path: &str) -> starlark::Result<FrozenModule> {
+        let refuse =
+            |why: String| Err(starlark::Error::new_other(anyhow::anyhow!("load of {path:?}: {why}")));
+        if let Some(module) = self.done.borrow().get(path) {
+            return Ok(module.clone());
+        }
+        let plain = Path::new(path).components().all(|part| matches!(part, Component::Normal(_)));
+        if !plain {
+            return refuse("expected a file beside the script, with no .. and no leading /".to_string());
+        }
+        if self.open.borrow().iter().any(|name| name == path) {
+            return refuse("it loads itself, by way of others".to_string());
+        }
+        if self.open.borrow().len() + self.done.borrow().len() >= LOADS {
+            return refuse(format!("more than {LOADS} files"));
+        }
+        let file = self.folder.join(path);
+        let text = match read(&file) {
+            Ok(text) => text,
+            Err(why) => return refuse(why),
+        };
+        self.open.borrow_mut().push(path.to_string());
+        let module = run(&file.display().to_string(), text, self.globals, self);
+        self.open.borrow_mut().pop();
+        let module = module?;
+        self.done.borrow_mut().insert(path.to_string(), module.clone());
+        Ok(module)
+    }
+}
+
+/// The evaluator looks at its memory once in a thousand steps; by then a text that doubles with each would
+/// have taken all there is.
+struct Frugal;
+
+impl<'e> BeforeStmtFuncDyn<'e> for Frugal {
+    fn call<'v>(
+        &mut self,
+        _at: FileSpanRef,
+        _continued: bool,
+        eval: &mut Evaluator<'v, '_, 'e>,
+    ) -> starlark::Result<()> {
+        match eval.heap().allocated_bytes() {
+            0..=HEAP => Ok(()),
+            bytes => {
+                Err(starlark::Error::new_other(anyhow::anyhow!("{bytes} bytes of values, {HEAP} at most")))
+            }
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<String, String> {
+    let size = std::fs::metadata(file).map_err(|e| format!("cannot be read ({e})"))?.len();
+    if size > FILE_BYTES {
+        return Err(format!("{size} bytes, expected {FILE_BYTES} at most"));
+    }
+    std::fs::read_to_string(file).map_err(|e| format!("cannot be read ({e})"))
+}
+
+fn run(name: &str, text: String, globals: &Globals, loader: &Beside) -> starlark::Result<FrozenModule> {
+    let dialect = Dialect { enable_top_level_stmt: true, enable_f_strings: true, ..Dialect::Standard };
+    let ast = AstModule::parse(name, text, &dialect)?;
+    Module::with_temp_heap(|module| {
+        {
+            let mut eval = Evaluator::new(&module);
+            let bounded = eval.set_max_tick_count(TICKS).and_then(|()| eval.set_max_heap_size(HEAP));
+            bounded.and_then(|()| eval.set_max_callstack_size(64)).map_err(starlark::Error::new_other)?;
+            eval.set_loader(loader);
+            eval.before_stmt_for_dap(BeforeStmtFunc::from_dyn(Box::new(Frugal)));
+            eval.eval_module(ast, globals)?;
+        }
+        module.freeze().map_err(|e| starlark::Error::new_other(anyhow::anyhow!("{e:?}")))
+    })
+}
+
+/// Runs the script in `file` and checks what it calls for.
+///
+/// # Errors
+/// Every mistake found, in order. A script that does not run to its end (syntax, a name not known, past a
+/// bound of steps or memory) yields that one with its place, and no others.
+pub fn load(file: &Path, given: &Given) -> Result<Site, Problems> {
+    let shown = file.display().to_string();
+    let problem = |line: usize, field: &str, found: String, expected: &str| {
+        let (file, field, expected) = (shown.clone(), field.to_string(), expected.to_string());
+        Problem { file, line, field, found, expected }
+    };
+    let text = read(file).map_err(|why| Problems(vec![problem(0, "script", why, "a readable file")]))?;
+    let more = [LibraryExtension::Print, LibraryExtension::StructType];
+    let globals = GlobalsBuilder::extended_by(&more).with(record_functions).build();
+    let folder = file.parent().unwrap_or(Path::new("")).to_path_buf();
+    let (done, open) = (RefCell::default(), RefCell::default());
+    let beside = Beside { folder, globals: &globals, done, open };
+    SHEET.set(Some(Sheet { rows: Vec::new(), given: given.clone() }));
+    // A value past what the interpreter can hold at all makes it panic.
+    let ran = catch_unwind(AssertUnwindSafe(|| run(&shown, text, &globals, &beside)));
+    let rows = SHEET.take().map_or_else(Vec::new, |sheet| sheet.rows);
+    let Ok(ran) = ran else {
+        let found = "a value too large for the interpreter".to_string();
+        return Err(Problems(vec![problem(0, "script", found, "a script that runs")]));
+    };
+    if let Err(error) = ran {
+        let line = error.span().map_or(0, |span| span.resolve_span().begin.line + 1);
+        let mut found = problem(line, "script", error.without_diagnostic().to_string(), "a script that runs");
+        if let Some(span) = error.span() {
+            found.file = span.filename().to_string();
+        }
+        return Err(Problems(vec![found]));
+    }
+    let mut problems = Vec::new();
+    let site = records::site(&shown, &rows, &mut problems);
+    problems.sort_by_key(|problem| problem.line);
+    match site {
+        Some(site) if problems.is_empty() => Ok(site),
+        _ => Err(Problems(problems)),
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/script.rs
@@ -0,0 +1,119 @@
+//! Settings scripts, good and bad, and what is said of them.
+
+use havenplank::port::{Kind, Scope};
+use havenplank_settings::{load, Given, Problems, Site};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const WHOLE: &str = r#"
+sidecar(name = given("name", "s"), instances = 3, zones = ["a", "b"], zone = "b", listen = "127.0.0.1:0",
+        admin = "127.0.0.1:0")
+pods(drain_grace = "500ms", cold_share = 0.3, warm_up = "4800ms", fall_multiple = 3, fall_window = "2s")
+exposure(window = "6s", free = 3, caps = [0.1, 1])
+votes(control = "any", life = "6s")
+nodes(address = "127.0.0.1:1")
+desk(address = "127.0.0.1:2", line_bytes = "1KiB")
+"#;
+const GROUP: &str = r#"
+path_group(name = "query", paths = ["/query*"], kind = "repeatable", target_latency = "800ms", client_timeout = "2s")
+"#;
+
+fn run(files: &[(&str, &str)], given: &[(&str, &str)]) -> Result<Site, Problems> {
+    let folder = tempfile::tempdir().expect("a folder");
+    for (name, text) in files {
+        std::fs::write(folder.path().join(name), text).expect("a file");
+    }
+    let given: Given = given.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+    load(&folder.path().join(files[0].0), &given)
+}
+
+fn said(text: &str) -> Vec<(usize, String, String)> {
+    let problems = run(&[("site.star", text)], &[]).expect_err("it is wrong").0;
+    problems.into_iter().map(|p| (p.line, p.field, format!("{}; {}", p.found, p.expected))).collect()
+}
+
+#[test]
+fn a_whole_script_with_loops_functions_and_a_file_beside_it() {
+    let more = r#"
+def tagged(name, window):
+    path_group(name = name, methods = ["post"], paths = ["/" + name], kind = "tagged", scope = "zone",
+               target_latency = "1s", client_timeout = "3s", repeat_window = window)
+"#;
+    let text = format!(
+        "load('more.star', 'tagged')\n{WHOLE}{GROUP}\nfor n in range(3):\n    tagged('t%d' % n, '%ds' % (n + 1))\n"
+    );
+    let site = run(&[("site.star", &text), ("more.star", more)], &[("name", "s-7")]).expect("it is right");
+    assert_eq!((site.name.as_str(), site.place.instances, site.place.zone), ("s-7", 3, 1));
+    let names: Vec<&str> = site.groups.iter().map(|group| group.name.as_str()).collect();
+    assert_eq!(names, ["query", "t0", "t1", "t2"]);
+    let last = &site.groups[3];
+    assert_eq!((last.rules.kind, last.rules.scope), (Kind::Tagged, Scope::Zone));
+    assert_eq!((last.rules.repeat_window, last.rules.client_timeout), (3_000_000_000, 3_000_000_000));
+    assert!(last.fits("POST", "/t2") && !last.fits("GET", "/t2") && !last.fits("POST", "/t2/x"));
+    assert!(site.groups[0].fits("DELETE", "/query/deep"));
+    assert_eq!(site.desk.line_bytes, 1024);
+}
+
+#[test]
+fn every_mistake_at_once_with_its_place() {
+    let text = format!(
+        "{WHOLE}{GROUP}path_group(name = 'query', paths = ['q'], kind = 'safe',\n  target_latency = '9s', \
+         client_timeout = '2 sheep', benfit = 1)\nlimits(forwards = 0, body_bytes = 'much')\n"
+    );
+    let found = said(&text);
+    let fields: Vec<(usize, &str)> = found.iter().map(|(line, field, _)| (*line, field.as_str())).collect();
+    for wanted in [
+        (11, "path_group.name"),
+        (11, "path_group.paths"),
+        (11, "path_group.kind"),
+        (11, "path_group.client_timeout"),
+        (11, "path_group.benfit"),
+        (13, "limits.forwards"),
+        (13, "limits.body_bytes"),
+    ] {
+        assert!(fields.contains(&wanted), "{wanted:?} not among {found:?}");
+    }
+    assert!(
+        found.iter().any(|(_, _, text)| text.contains("one of repeatable, tagged, mutating")),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn what_is_missing_is_told_once() {
+    let found = said("votes(control = 'clock', life = '6s')\n");
+    let fields: Vec<&str> = found.iter().map(|(_, field, _)| field.as_str()).collect();
+    assert_eq!(fields, ["sidecar", "pods", "exposure", "nodes", "desk", "path_group", "votes.step"]);
+}
+
+#[test]
+fn a_script_that_does_not_run_tells_its_line() {
+    let found = said("x = 1\nsidecar(name = nobody)\n");
+    assert_eq!((found.len(), found[0].0), (1, 2), "{found:?}");
+    let found = said("x = 1\ny = (\n");
+    assert_eq!(found.len(), 1, "{found:?}");
+    let found = said("load('../secret.star', 'x')\n");
+    assert!(found[0].2.contains("beside the script"), "{found:?}");
+}
+
+#[test]
+fn loops_recursion_and_huge_values_end_with_an_error() {
+    let began = Instant::now();
+    for text in [
+        "def f():\n    for i in range(1000000000):\n        pass\nf()\n",
+        "def f(n):\n    return f(n + 1)\nf(0)\n",
+        "def f():\n    s = 'x'\n    for i in range(60):\n        s = s + s\nf()\n",
+        "x = [i for i in range(1000000000)]\n",
+        "load('site.star', 'x')\n",
+    ] {
+        assert_eq!(said(text).len(), 1, "{text}");
+    }
+    assert!(began.elapsed() < Duration::from_secs(60), "bounded, not hanging: {:?}", began.elapsed());
+}
+
+#[test]
+fn the_example_is_right() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/site.star");
+    let site = load(&root, &Given::new()).unwrap_or_else(|problems| panic!("{problems}"));
+    assert_eq!(site.groups.len(), 3);
+}
