--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,164 @@
+//! The one program, `havenplank`. Exit status: 0 done, 1 failed, 2 a rule is broken, 64 bad usage or settings.
+
+mod day;
+mod serve;
+
+use anyhow::{bail, Context};
+use clap::{Parser, Subcommand, ValueEnum};
+use havenplank_settings::{Given, Site};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+const FAILED: u8 = 1;
+pub const BROKEN: u8 = 2;
+const USAGE: u8 = 64;
+
+#[derive(Parser)]
+#[command(name = "havenplank", version, about = "A hit router and release judge")]
+struct Args {
+    /// How log lines look, on standard error.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text, global = true)]
+    log_format: LogFormat,
+    /// Least level that is logged: error, warn, info, debug or trace, for single modules as well.
+    #[arg(long, value_name = "LEVEL", global = true)]
+    log: Option<String>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a sidecar until it is told to stop by SIGTERM or SIGINT.
+    Serve {
+        settings: PathBuf,
+        /// A value that the script reads with given(NAME, otherwise); may be repeated.
+        #[arg(long, value_name = "NAME=VALUE")]
+        given: Vec<String>,
+        /// Where the decisions' chance starts; drawn where it is left out.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Check a settings script and print every mistake in it.
+    Check {
+        settings: PathBuf,
+        #[arg(long, value_name = "NAME=VALUE")]
+        given: Vec<String>,
+    },
+    /// Play a day: stand-ins here, sidecars as child processes, the rules checked from what crossed the sockets.
+    Day {
+        day: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write the outcome as JSON, too.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Keep the ledger and the sidecars' logs in this folder.
+        #[arg(long, value_name = "DIR")]
+        ledger: Option<PathBuf>,
+        /// Play with so many sidecars in place of the day's own number.
+        #[arg(long)]
+        sidecars: Option<usize>,
+        #[arg(long)]
+        pods: Option<usize>,
+        /// Hits a second.
+        #[arg(long)]
+        rate: Option<f64>,
+    },
+    /// Check a kept ledger again.
+    Rules {
+        ledger: PathBuf,
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let args = match Args::try_parse() {
+        Ok(args) => args,
+        Err(error) => {
+            let _ = error.print();
+            // Help and version are no mistakes.
+            return if error.use_stderr() { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
+        }
+    };
+    let usual = if matches!(args.command, Command::Serve { .. }) { "info" } else { "warn" };
+    let filter = tracing_subscriber::EnvFilter::try_new(args.log.as_deref().unwrap_or(usual));
+    let filter = match filter {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("havenplank: --log: {error}; expected a level such as info or debug");
+            return ExitCode::from(USAGE);
+        }
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match args.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+    match run(args.command) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("havenplank: {error:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run(command: Command) -> anyhow::Result<u8> {
+    match command {
+        Command::Serve { settings, given, seed } => match settings_of(&settings, &given)? {
+            Some(site) => serve::serve(site, seed),
+            None => Ok(USAGE),
+        },
+        Command::Check { settings, given } => match settings_of(&settings, &given)? {
+            Some(site) => {
+                println!("{}: {} path groups, no mistakes", settings.display(), site.groups.len());
+                Ok(0)
+            }
+            None => Ok(USAGE),
+        },
+        Command::Day { day, seed, json, ledger, sidecars, pods, rate } => {
+            let Some(mut script) = day::read(&day)? else { return Ok(USAGE) };
+            script.sidecars = sidecars.unwrap_or(script.sidecars).max(1);
+            script.pods = pods.unwrap_or(script.pods).max(1);
+            script.rate = rate.unwrap_or(script.rate);
+            let settings = day.parent().unwrap_or(Path::new("")).join(&script.settings);
+            let given: Vec<String> = havenplank_stand::day::given(&script)
+                .iter()
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect();
+            let Some(site) = settings_of(&settings, &given)? else { return Ok(USAGE) };
+            day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref())
+        }
+        Command::Rules { ledger, json } => day::rules(&ledger, json.as_deref()),
+    }
+}
+
+/// The checked settings; `None` after its mistakes were printed.
+fn settings_of(file: &Path, given: &[String]) -> anyhow::Result<Option<Site>> {
+    let mut values = Given::new();
+    for pair in given {
+        let Some((name, value)) = pair.split_once('=') else {
+            bail!("--given {pair:?}: expected NAME=VALUE");
+        };
+        values.insert(name.to_string(), value.to_string());
+    }
+    match havenplank_settings::load(file, &values) {
+        Ok(site) => Ok(Some(site)),
+        Err(problems) => {
+            eprintln!("{problems}");
+            Ok(None)
+        }
+    }
+}
+
+/// Writes a value as JSON to a file.
+pub fn write_json(file: &Path, value: &serde_json::Value) -> anyhow::Result<()> {
+    std::fs::write(file, format!("{value:#}\n")).with_context(|| format!("{}", file.display()))
+}
--- /dev/null
+++ b/crates/sidecar/src/admin.rs
@@ -0,0 +1,65 @@
+//! The operators' listener: a look at the state, and wrong answers reported.
+
+use crate::daemon::Shell;
+use crate::proxy::{plain, Body};
+use havenplank::port::Ns;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{json, Value};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+const BODY: usize = 4096;
+const BODY_TIME: Duration = Duration::from_secs(2);
+
+/// `GET /state`, and `POST /flagged` with `{"pod": ..., "path_group": ..., "ago_ms": ...}`.
+pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let (method, path) = (request.method().clone(), request.uri().path().to_string());
+    Ok(match (method, path.as_str()) {
+        (Method::GET, "/state") => state(&shell),
+        (Method::POST, "/flagged") => match flagged(&shell, request).await {
+            Ok(()) => plain(StatusCode::NO_CONTENT, ""),
+            Err(why) => {
+                tracing::info!(why, "flagged refused");
+                plain(StatusCode::BAD_REQUEST, why)
+            }
+        },
+        _ => plain(StatusCode::NOT_FOUND, "expected GET /state or POST /flagged\n"),
+    })
+}
+
+fn state(shell: &Shell) -> Response<Body> {
+    let glance = shell.glance();
+    let stage = glance.stage.map(|stage| {
+        json!({"build": stage.build, "stage": stage.stage, "phase": format!("{:?}", stage.phase), "cap": stage.cap})
+    });
+    let (failures, slow, by_share) = glance.sums;
+    let state = json!({
+        "name": shell.site.name,
+        "hits_in_flight": glance.hits,
+        "pods_running": glance.pods,
+        "stage": stage,
+        "sums": {"failures": failures, "slow": slow, "by_share": by_share},
+    });
+    let mut response = Response::new(Body::Whole(Full::new(format!("{state}\n").into())));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn flagged(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<(), &'static str> {
+    let body = timeout(BODY_TIME, Limited::new(request.into_body(), BODY).collect()).await;
+    let body = body.map_err(|_| "the body took too long\n")?.map_err(|_| "expected 4096 bytes at most\n")?;
+    let told: Value = serde_json::from_slice(&body.to_bytes()).map_err(|_| "expected a JSON object\n")?;
+    let pod = told["pod"].as_str().ok_or("pod: expected a text\n")?;
+    let group = told["path_group"].as_str().ok_or("path_group: expected a text\n")?;
+    let ago = told["ago_ms"].as_u64().ok_or("ago_ms: expected a whole number\n")?;
+    let ago: Ns = ago.checked_mul(1_000_000).ok_or("ago_ms: too long ago\n")?;
+    match shell.flagged(pod, group, ago) {
+        true => Ok(()),
+        false => Err("pod or path_group: not known\n"),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/daemon.rs
@@ -0,0 +1,542 @@
+//! The shell of a sidecar: sockets, feeds and time around one engine, on one thread.
+
+use crate::admin;
+use crate::engine::{Asked, Effect, Engine, Glance, EPOCH};
+use crate::links::Links;
+use crate::proxy::{self, Ask, Body};
+use havenplank::port::*;
+use havenplank_feeds::follow::{follow, Link};
+use havenplank_feeds::nodes::Listed;
+use havenplank_feeds::{desk, nodes, FeedError};
+use havenplank_settings::Site;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
+use tokio::task::{spawn_local, AbortHandle, JoinSet, LocalSet};
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// Lines that wait to be sent on a feed; one more counts as not sent.
+const ASKS: usize = 64;
+/// Connections of operators at once.
+const ADMINS: usize = 64;
+/// How long a stop waits, past the longest client time-out, for connections to close.
+const STOP_MARGIN: Duration = Duration::from_secs(1);
+
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    #[error("listen on {address}: {error}; expected a free address of this machine")]
+    Listen { address: SocketAddr, error: std::io::Error },
+    #[error("{0:?}: not a name that a Via header can carry")]
+    Name(String),
+}
+
+/// Where a running sidecar listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// Runs a sidecar on the present thread until `stop` is done; then takes no more hits, gives each that it
+/// holds its one final answer, and returns. `ready` is called once it listens. Needs a tokio runtime with
+/// time and I/O; shares nothing with others in the process.
+///
+/// # Errors
+/// An address that cannot be listened on. Feeds that are out of reach are no error: they are tried on.
+pub async fn serve(
+    site: Site,
+    seed: u64,
+    ready: impl FnOnce(Addresses),
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    LocalSet::new().run_until(run(site, seed, ready, stop)).await
+}
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let bound = async {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    };
+    bound.await.map_err(|error| StartError::Listen { address, error })
+}
+
+async fn run(
+    site: Site,
+    seed: u64,
+    ready: impl FnOnce(Addresses),
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let (hits, at) = listen(site.door.listen).await?;
+    let (admins, admin) = listen(site.door.admin).await?;
+    let via = HeaderValue::from_str(&format!("1.1 {}", site.name));
+    let via = via.map_err(|_| StartError::Name(site.name.clone()))?;
+    let (nodes_asks, nodes_asked) = mpsc::channel(ASKS);
+    let (desk_asks, desk_asked) = mpsc::channel(ASKS);
+    let (stopping, stopped) = watch::channel(false);
+    let timeout_header = HeaderName::try_from(&site.headers.timeout);
+    let shell = Rc::new(Shell {
+        began: Instant::now(),
+        engine: RefCell::new(Engine::new(EPOCH, seed, &site)),
+        links: Links::new(&site.links),
+        waiting: RefCell::default(),
+        armed: Cell::new(0),
+        rearm: Notify::new(),
+        keep: Notify::new(),
+        nodes_asks,
+        desk_asks,
+        desk_up: Cell::new(false),
+        stopping: Cell::new(false),
+        via,
+        timeout_header: timeout_header.unwrap_or(HeaderName::from_static("grpc-timeout")),
+        site,
+    });
+    let site = &shell.site;
+    if let Some(path) = &site.kept_list {
+        start_from_kept(&shell, path);
+    }
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(tick(shell.clone()));
+    tasks.spawn_local(sweep_links(shell.clone()));
+    tasks.spawn_local(keep_list(shell.clone()));
+    let (nodes_at, desk_at, name) = (site.nodes.clone(), site.desk.clone(), site.name.clone());
+    let (mut link, feed_name) = (NodesLink(shell.clone()), name.clone());
+    tasks.spawn_local(async move {
+        let feed = (nodes::FEED, nodes_at.address, nodes_at.line_bytes);
+        follow::<nodes::Telling>(feed, &feed_name, seed ^ 1, nodes_asked, &mut link).await;
+    });
+    let (mut link, feed_name) = (DeskLink(shell.clone()), name);
+    tasks.spawn_local(async move {
+        let feed = (desk::FEED, desk_at.address, desk_at.line_bytes);
+        follow::<desk::Telling>(feed, &feed_name, seed ^ 2, desk_asked, &mut link).await;
+    });
+    shell.call(|engine, now| engine.begin(now));
+    let connections = site.door.connections;
+    let door = spawn_local(accept(shell.clone(), hits, connections, stopped, true));
+    // Operators may look on until the end.
+    let (_open, never) = watch::channel(false);
+    tasks.spawn_local(accept(shell.clone(), admins, ADMINS, never, false));
+    ready(Addresses { listen: at, admin });
+    stop.await;
+    shell.stopping.set(true);
+    let _ = stopping.send(true);
+    let longest = shell.site.groups.iter().map(|group| group.rules.client_timeout).max().unwrap_or(0);
+    let held = shell.glance().hits;
+    tracing::info!(hits_in_flight = held, "stopping");
+    // Each connection ends with the answer it owes, and none can owe one longer than this.
+    let closed = timeout(Duration::from_nanos(longest) + STOP_MARGIN, door).await;
+    let left = shell.waiting.borrow().len();
+    tracing::info!(all_closed = closed.is_ok(), hits_in_flight = left, "stopped");
+    Ok(())
+}
+
+/// Accepts connections until told to stop, and returns once all have closed.
+async fn accept(
+    shell: Rc<Shell>,
+    listener: TcpListener,
+    most: usize,
+    stopped: watch::Receiver<bool>,
+    hits: bool,
+) {
+    let places = Arc::new(Semaphore::new(most));
+    let (mut open, mut told) = (JoinSet::new(), stopped.clone());
+    loop {
+        let next = async {
+            let place = places.clone().acquire_owned().await;
+            (place, listener.accept().await)
+        };
+        tokio::select! {
+            _ = told.wait_for(|stopped| *stopped) => break,
+            (place, accepted) = next => match accepted {
+                Ok((stream, _)) => {
+                    let (shell, stopped) = (shell.clone(), stopped.clone());
+                    open.spawn_local(async move {
+                        match hits {
+                            true => connection(&shell, stream, stopped, proxy::serve).await,
+                            false => connection(&shell, stream, stopped, admin::serve).await,
+                        }
+                        drop(place);
+                    });
+                }
+                // No descriptors left, most likely: what is open must close first, so wait a little.
+                Err(error) => {
+                    tracing::warn!(%error, "accept failed");
+                    sleep(Duration::from_millis(50)).await;
+                }
+            },
+            Some(_) = open.join_next() => {}
+        }
+    }
+    drop(listener);
+    while open.join_next().await.is_some() {}
+}
+
+async fn connection<F, Fut>(
+    shell: &Rc<Shell>,
+    stream: TcpStream,
+    mut stopped: watch::Receiver<bool>,
+    serve: F,
+) where
+    F: Fn(Rc<Shell>, Request<hyper::body::Incoming>) -> Fut,
+    Fut: Future<Output = Result<Response<Body>, Infallible>>,
+{
+    let _ = stream.set_nodelay(true);
+    let door = &shell.site.door;
+    let service = service_fn(|request| serve(shell.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_nanos(door.head_time))
+        .max_buf_size(door.head_bytes)
+        // A client that sends no more may still read: its hit gets its answer.
+        .half_close(true)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        _ = stopped.wait_for(|stopped| *stopped) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "connection ended");
+    }
+}
+
+/// Takes in the list kept by an earlier life. Its pods' ages go on from when the file was written.
+fn start_from_kept(shell: &Rc<Shell>, path: &Path) {
+    let read = || -> Result<Vec<Listed>, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+        let mut pods = nodes::read_kept(&text)?;
+        let written = std::fs::metadata(path).and_then(|meta| meta.modified());
+        let age = written.ok().and_then(|at| SystemTime::now().duration_since(at).ok()).unwrap_or_default();
+        for pod in pods.iter_mut().filter(|pod| pod.age > 0) {
+            pod.age = pod.age.saturating_add(age.as_nanos() as Ns);
+        }
+        Ok(pods)
+    };
+    match read() {
+        Ok(pods) => {
+            tracing::info!(pods = pods.len(), "list kept by an earlier life taken in");
+            shell.call(|engine, now| engine.list(now, true, pods));
+        }
+        Err(why) => tracing::warn!(file = %path.display(), why, "no kept list"),
+    }
+}
+
+async fn tick(shell: Rc<Shell>) {
+    loop {
+        let next = shell.engine.borrow().next_wake();
+        shell.armed.set(next.unwrap_or(Ns::MAX));
+        let at = next.map(|at| shell.began + Duration::from_nanos(at.saturating_sub(EPOCH)));
+        tokio::select! {
+            () = sleep_until(at.unwrap_or(Instant::now() + Duration::from_secs(3600)).into()) => {
+                shell.call(|engine, now| engine.wake(now));
+            }
+            () = shell.rearm.notified() => {}
+        }
+    }
+}
+
+async fn sweep_links(shell: Rc<Shell>) {
+    let period = Duration::from_nanos(shell.site.links.idle / 2).max(Duration::from_millis(100));
+    loop {
+        sleep(period).await;
+        let listed: HashSet<SocketAddr> =
+            shell.engine.borrow().listed().into_iter().map(|pod| pod.address).collect();
+        shell.links.sweep(&listed);
+    }
+}
+
+/// Writes the list beside its file and moves it there, so that a kill leaves the old one or the new one.
+async fn keep_list(shell: Rc<Shell>) {
+    let Some(path) = shell.site.kept_list.clone() else { return };
+    loop {
+        shell.keep.notified().await;
+        let text = nodes::keep(&shell.engine.borrow().listed());
+        let path = path.clone();
+        let written = tokio::task::spawn_blocking(move || {
+            let mut beside = path.clone().into_os_string();
+            beside.push(".new");
+            std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, &path))
+        });
+        if let Ok(Err(error)) = written.await {
+            tracing::warn!(%error, "the list could not be kept");
+        }
+    }
+}
+
+struct Waiting {
+    ask: Rc<Ask>,
+    answer: oneshot::Sender<Response<Body>>,
+    forwards: Vec<AbortHandle>,
+}
+
+/// What all tasks of one sidecar share. The engine is borrowed for one call at a time and never across an
+/// await.
+pub struct Shell {
+    pub site: Site,
+    pub links: Links,
+    pub via: HeaderValue,
+    pub timeout_header: HeaderName,
+    began: Instant,
+    engine: RefCell<Engine>,
+    /// Hits that wait for their final answer; the door's limit bounds it.
+    waiting: RefCell<HashMap<HitId, Waiting>>,
+    /// What the ticker sleeps to, and how it is told of something earlier.
+    armed: Cell<Ns>,
+    rearm: Notify,
+    keep: Notify,
+    nodes_asks: mpsc::Sender<String>,
+    desk_asks: mpsc::Sender<String>,
+    desk_up: Cell<bool>,
+    stopping: Cell<bool>,
+}
+
+impl Shell {
+    fn now(&self) -> Ns {
+        EPOCH + self.began.elapsed().as_nanos() as Ns
+    }
+
+    /// One call into the engine, then all that it left to do.
+    fn call<T>(self: &Rc<Self>, work: impl FnOnce(&mut Engine, Ns) -> T) -> T {
+        let done = work(&mut self.engine.borrow_mut(), self.now());
+        self.carry_out();
+        done
+    }
+
+    fn carry_out(self: &Rc<Self>) {
+        loop {
+            let effect = self.engine.borrow_mut().effect();
+            let Some(effect) = effect else { break };
+            self.act(effect);
+        }
+        let next = self.engine.borrow().next_wake().unwrap_or(Ns::MAX);
+        if next < self.armed.replace(next) {
+            self.rearm.notify_one();
+        }
+    }
+
+    fn act(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Forward { hit, nth, pod, time_out } => {
+                let mut waiting = self.waiting.borrow_mut();
+                if let Some(waits) = waiting.get_mut(&hit) {
+                    let forward = proxy::forward(self.clone(), waits.ask.clone(), (hit, nth), pod, time_out);
+                    waits.forwards.push(spawn_local(forward).abort_handle());
+                }
+            }
+            Effect::Cancel { hit, nth } => {
+                let waiting = self.waiting.borrow();
+                let task = waiting.get(&hit).and_then(|waits| waits.forwards.get(nth as usize)).cloned();
+                drop(waiting);
+                if let Some(task) = task.filter(|task| !task.is_finished()) {
+                    task.abort();
+                    self.ended((hit, nth), Ended::Cancelled, 0, None, None);
+                }
+            }
+            Effect::Bounce { hit, come_back } => self.answer(hit, proxy::bounced(come_back)),
+            Effect::Error { hit, late } => self.answer(hit, proxy::errored(late)),
+            Effect::Vote { vote, build, stage, voice } => {
+                tracing::info!(vote, build, stage, ?voice, "vote");
+                self.vote(vote, desk::ask_vote(vote, build, stage, voice));
+            }
+            Effect::Probe { probe, pod } => {
+                let shell = self.clone();
+                spawn_local(async move {
+                    let end = proxy::probe(&shell, pod).await;
+                    shell.call(|engine, now| engine.probed(now, probe, end));
+                });
+            }
+            Effect::AskList => self.ask_nodes(nodes::ask_whole()),
+            Effect::WatchList(on) => self.ask_nodes(nodes::ask_watch(on)),
+            Effect::Log(line) => tracing::info!(decision = line, "decided"),
+        }
+    }
+
+    fn ask_nodes(self: &Rc<Self>, line: String) {
+        if self.nodes_asks.try_send(line).is_err() {
+            // In a task of its own, as the engine may be in the middle of what asked for it.
+            let shell = self.clone();
+            spawn_local(async move { shell.call(|engine, now| engine.list_failed(now)) });
+        }
+    }
+
+    /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
+    fn vote(self: &Rc<Self>, vote: u64, line: String) {
+        let sent = self.desk_up.get() && self.desk_asks.try_send(line).is_ok();
+        let (shell, wait) = (self.clone(), Duration::from_nanos(self.site.votes.call_time_out));
+        spawn_local(async move {
+            if sent {
+                sleep(wait).await;
+            }
+            let heard = if sent { Heard::Unknown } else { Heard::Refused };
+            shell.call(|engine, now| engine.voted(now, vote, StageNews { heard, stage: None }));
+        });
+    }
+
+    /// Whether the door holds as many hits as it may, or stops.
+    pub fn is_full(&self) -> bool {
+        self.stopping.get() || self.waiting.borrow().len() >= self.site.door.hits
+    }
+
+    pub fn take(self: &Rc<Self>, asked: Asked, ask: Ask, answer: oneshot::Sender<Response<Body>>) -> HitId {
+        let hit = self.engine.borrow_mut().hit(self.now(), asked);
+        let waits = Waiting { ask: Rc::new(ask), answer, forwards: Vec::new() };
+        self.waiting.borrow_mut().insert(hit, waits);
+        self.carry_out();
+        hit
+    }
+
+    /// The client's side of a hit is over, by its answer or without.
+    pub fn left(self: &Rc<Self>, hit: HitId) {
+        if self.waiting.borrow_mut().remove(&hit).is_some() {
+            self.call(|engine, now| engine.left(now, hit));
+        }
+    }
+
+    fn answer(&self, hit: HitId, response: Response<Body>) {
+        if let Some(waits) = self.waiting.borrow_mut().remove(&hit) {
+            // Where the client has left meanwhile nobody is there to be answered.
+            let _ = waits.answer.send(response);
+        }
+    }
+
+    pub fn may_go(self: &Rc<Self>, hit: HitId, nth: u32) -> bool {
+        let may = self.engine.borrow_mut().may_go(self.now(), hit, nth);
+        if !may {
+            tracing::debug!(hit, nth, "forward not sent: its pod or build closed while it waited");
+        }
+        may
+    }
+
+    pub fn ended(
+        self: &Rc<Self>,
+        (hit, nth): (HitId, u32),
+        end: Ended,
+        took: Ns,
+        load: Option<Load>,
+        response: Option<Response<Body>>,
+    ) {
+        let passed = self.engine.borrow_mut().ended(self.now(), hit, nth, end, took, load);
+        tracing::debug!(hit, nth, ?end, took_us = took / 1_000, "forward ended");
+        if passed {
+            self.answer(hit, response.unwrap_or_else(|| proxy::errored(false)));
+        }
+        self.carry_out();
+    }
+
+    pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
+        self.engine.borrow().address(pod)
+    }
+
+    pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
+        HeaderValue::from_str(self.engine.borrow().pod_name(pod)?).ok()
+    }
+
+    pub fn glance(&self) -> Glance {
+        self.engine.borrow().glance()
+    }
+
+    pub fn flagged(self: &Rc<Self>, pod: &str, group: &str, ago: Ns) -> bool {
+        self.call(|engine, now| engine.flagged(now, pod, group, ago))
+    }
+}
+
+struct NodesLink(Rc<Shell>);
+
+impl Link<nodes::Call> for NodesLink {
+    fn up(&mut self) {
+        tracing::info!("node list connected");
+    }
+
+    fn said(&mut self, call: nodes::Call) {
+        call(&mut NodesHeard(&self.0));
+    }
+
+    /// The last list stays in force.
+    fn down(&mut self, why: &FeedError) {
+        tracing::warn!(%why, "node list lost");
+        self.0.call(|engine, now| engine.list_failed(now));
+    }
+
+    fn unsent(&mut self, _line: String) {
+        self.0.call(|engine, now| engine.list_failed(now));
+    }
+}
+
+struct NodesHeard<'a>(&'a Rc<Shell>);
+
+impl nodes::Hears for NodesHeard<'_> {
+    fn list(&mut self, whole: bool, pods: Vec<Listed>) {
+        tracing::debug!(whole, pods = pods.len(), "node list");
+        self.0.call(|engine, now| engine.list(now, whole, pods));
+        self.0.keep.notify_one();
+    }
+
+    fn failed(&mut self, why: &str) {
+        tracing::warn!(why, "node list failed");
+        self.0.call(|engine, now| engine.list_failed(now));
+    }
+}
+
+struct DeskLink(Rc<Shell>);
+
+impl Link<desk::Call> for DeskLink {
+    fn up(&mut self) {
+        tracing::info!("release desk connected");
+        self.0.desk_up.set(true);
+    }
+
+    fn said(&mut self, call: desk::Call) {
+        call(&mut DeskHeard(&self.0));
+    }
+
+    /// The last stage stays in force; votes that are out have their time to be answered.
+    fn down(&mut self, why: &FeedError) {
+        tracing::warn!(%why, "release desk lost");
+        self.0.desk_up.set(false);
+    }
+
+    fn unsent(&mut self, _line: String) {}
+}
+
+struct DeskHeard<'a>(&'a Rc<Shell>);
+
+impl desk::Hears for DeskHeard<'_> {
+    fn stage(&mut self, stage: Stage) {
+        let Stage { build, stage: number, phase, cap, .. } = stage;
+        tracing::info!(build, stage = number, ?phase, cap, "stage");
+        self.0.call(|engine, now| engine.news(now, stage));
+    }
+
+    fn voted(&mut self, vote: u64, news: StageNews) {
+        tracing::info!(vote, heard = ?news.heard, "vote answered");
+        self.0.call(|engine, now| engine.voted(now, vote, news));
+    }
+
+    fn tally(&mut self, build: Build, group: String, counts: (u64, u64), mean: Ns, age: Ns) {
+        if !self.0.call(|engine, now| engine.tally(now, build, &group, counts, mean, age)) {
+            tracing::info!(group, "tally of an unknown path group passed over");
+        }
+    }
+
+    fn flagged(&mut self, pod: String, group: String, ago: Ns) {
+        if !self.0.flagged(&pod, &group, ago) {
+            tracing::info!(pod, group, "flagged answer of an unknown pod or path group passed over");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/engine.rs
@@ -0,0 +1,405 @@
+//! One decision module and what it asks of the world, with time handed in and effects left in a queue.
+
+use crate::roll::Roll;
+use havenplank::logic::Logic;
+use havenplank::port::*;
+use havenplank_feeds::nodes::Listed;
+use havenplank_settings::Site;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// The least time that an engine may be told as now: ages of pods and stages are taken off it, and what
+/// would lie before 0 counts as long ago.
+pub const EPOCH: Ns = 1 << 50;
+
+/// Something to carry out, in the order left.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// The `nth` forward of a hit, counted from 0; its end goes to [`Engine::ended`], once.
+    Forward {
+        hit: HitId,
+        nth: u32,
+        pod: PodId,
+        time_out: Ns,
+    },
+    Cancel {
+        hit: HitId,
+        nth: u32,
+    },
+    /// The final answer: retry is harmless, and when to come back, 0 for no advice.
+    Bounce {
+        hit: HitId,
+        come_back: Ns,
+    },
+    /// The final answer: promises nothing. `late` where the hit's time ran out.
+    Error {
+        hit: HitId,
+        late: bool,
+    },
+    /// Its answer goes to [`Engine::voted`].
+    Vote {
+        vote: u64,
+        build: Build,
+        stage: usize,
+        voice: Voice,
+    },
+    /// Its end goes to [`Engine::probed`].
+    Probe {
+        probe: u64,
+        pod: PodId,
+    },
+    AskList,
+    WatchList(bool),
+    Log(String),
+}
+
+/// A hit as the door read it: all that the decisions see of it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub group: GroupId,
+    pub customer: Option<usize>,
+    pub key: u64,
+    pub left: Ns,
+    pub cost_hint: Option<Ns>,
+    pub repeat: bool,
+}
+
+struct Out {
+    pod: PodId,
+    /// The pod as it was listed when it was chosen, to tell whether it still is that one.
+    chosen: Option<PodEntry>,
+    at: Ns,
+    then: Then<Outcome>,
+}
+
+struct Held {
+    group: GroupId,
+    key: u64,
+    deadline: Ns,
+    open: bool,
+    forwards: Vec<Option<Out>>,
+}
+
+/// The module's host.
+struct Desk {
+    now: Ns,
+    roll: Roll,
+    entries: Vec<Option<PodEntry>>,
+    /// Emptied of a hit once it is answered and its last forward has ended: bounded by the hits in flight,
+    /// which the shell bounds.
+    hits: HashMap<HitId, Held>,
+    next_hit: HitId,
+    wakes: BinaryHeap<Reverse<(Ns, u64)>>,
+    waking: HashMap<u64, Then<()>>,
+    next_wake: u64,
+    /// One at a time is all that the module asks for.
+    votes: HashMap<u64, Then<StageNews>>,
+    probes: HashMap<u64, Then<ProbeEnd>>,
+    next_call: u64,
+    effects: VecDeque<Effect>,
+}
+
+impl Desk {
+    fn close(&mut self, hit: HitId) {
+        if let Some(held) = self.hits.get_mut(&hit) {
+            held.open = false;
+        }
+        self.sweep(hit);
+    }
+
+    fn sweep(&mut self, hit: HitId) {
+        if self.hits.get(&hit).is_some_and(|held| !held.open && held.forwards.iter().all(Option::is_none)) {
+            self.hits.remove(&hit);
+        }
+    }
+
+    fn call(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+}
+
+impl Host for Desk {
+    fn now(&self) -> Ns {
+        self.now
+    }
+
+    fn open(&self, hit: HitId) -> bool {
+        self.hits.get(&hit).is_some_and(|held| held.open)
+    }
+
+    fn forward(&mut self, hit: HitId, pod: PodId, time_out: Ns, then: Then<Outcome>) {
+        let Some(held) = self.hits.get_mut(&hit).filter(|held| held.open) else { return };
+        let nth = held.forwards.len() as u32;
+        let chosen = self.entries.get(pod).copied().flatten();
+        held.forwards.push(Some(Out { pod, chosen, at: self.now, then }));
+        self.roll.sent(pod);
+        self.effects.push_back(Effect::Forward { hit, nth, pod, time_out });
+    }
+
+    fn cancel(&mut self, hit: HitId, nth: u32) {
+        if self.hits.get(&hit).is_some_and(|held| (nth as usize) < held.forwards.len()) {
+            self.effects.push_back(Effect::Cancel { hit, nth });
+        }
+    }
+
+    fn bounce(&mut self, hit: HitId, come_back: Ns) {
+        if self.open(hit) {
+            self.effects.push_back(Effect::Bounce { hit, come_back });
+            self.close(hit);
+        }
+    }
+
+    fn error(&mut self, hit: HitId) {
+        if let Some(held) = self.hits.get(&hit).filter(|held| held.open) {
+            self.effects.push_back(Effect::Error { hit, late: self.now >= held.deadline });
+            self.close(hit);
+        }
+    }
+
+    fn vote(&mut self, build: Build, stage: usize, voice: Voice, then: Then<StageNews>) {
+        let vote = self.call();
+        self.votes.insert(vote, then);
+        self.effects.push_back(Effect::Vote { vote, build, stage, voice });
+    }
+
+    fn probe(&mut self, pod: PodId, then: Then<ProbeEnd>) {
+        let probe = self.call();
+        self.probes.insert(probe, then);
+        self.effects.push_back(Effect::Probe { probe, pod });
+    }
+
+    fn ask_list(&mut self) {
+        self.effects.push_back(Effect::AskList);
+    }
+
+    fn watch_list(&mut self, on: bool) {
+        self.effects.push_back(Effect::WatchList(on));
+    }
+
+    fn wake(&mut self, after: Ns, then: Then<()>) {
+        self.next_wake += 1;
+        self.wakes.push(Reverse((self.now.saturating_add(after), self.next_wake)));
+        self.waking.insert(self.next_wake, then);
+    }
+
+    fn log(&mut self, line: &str) {
+        self.effects.push_back(Effect::Log(line.to_string()));
+    }
+}
+
+/// What an operator may look at.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Glance {
+    pub hits: usize,
+    pub pods: usize,
+    pub stage: Option<Stage>,
+    /// The judge's sums: on failures, on slow answers, of the trial by share.
+    pub sums: (f64, f64, f64),
+}
+
+/// One sidecar's decisions. Each method runs to its end and leaves effects for [`Engine::effect`]; `now`
+/// never goes back and is [`EPOCH`] at least.
+pub struct Engine {
+    logic: Logic,
+    desk: Desk,
+    groups: Vec<String>,
+    stage: Option<Stage>,
+}
+
+impl Engine {
+    pub fn new(now: Ns, seed: u64, site: &Site) -> Engine {
+        let desk = Desk {
+            now: now.max(EPOCH),
+            roll: Roll::new(site.zones.clone(), site.machines.clone()),
+            entries: Vec::new(),
+            hits: HashMap::new(),
+            next_hit: 0,
+            wakes: BinaryHeap::new(),
+            waking: HashMap::new(),
+            next_wake: 0,
+            votes: HashMap::new(),
+            probes: HashMap::new(),
+            next_call: 0,
+            effects: VecDeque::new(),
+        };
+        let rules = site.groups.iter().map(|group| group.rules).collect();
+        let logic = Logic::new(
+            desk.now,
+            seed,
+            site.place.clone(),
+            rules,
+            site.forwards.clone(),
+            site.pods.clone(),
+            site.exposure.clone(),
+            site.votes.clone(),
+            site.list.clone(),
+        );
+        let groups = site.groups.iter().map(|group| group.name.clone()).collect();
+        Engine { logic, desk, groups, stage: None }
+    }
+
+    /// Tells the module that it may start; what it asks of the node list comes then.
+    pub fn begin(&mut self, now: Ns) {
+        self.at(now);
+        self.logic.begin(&mut self.desk);
+    }
+
+    fn at(&mut self, now: Ns) {
+        self.desk.now = self.desk.now.max(now);
+    }
+
+    /// The next thing to carry out.
+    pub fn effect(&mut self) -> Option<Effect> {
+        self.desk.effects.pop_front()
+    }
+
+    pub fn next_wake(&self) -> Option<Ns> {
+        self.desk.wakes.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Runs every wake that is due.
+    pub fn wake(&mut self, now: Ns) {
+        self.at(now);
+        while self.next_wake().is_some_and(|at| at <= self.desk.now) {
+            let Some(Reverse((_, id))) = self.desk.wakes.pop() else { break };
+            if let Some(then) = self.desk.waking.remove(&id) {
+                then(&mut self.logic, &mut self.desk, ());
+            }
+        }
+    }
+
+    /// Takes a hit: from here on it is owed one final answer.
+    pub fn hit(&mut self, now: Ns, asked: Asked) -> HitId {
+        self.at(now);
+        let id = self.desk.next_hit;
+        self.desk.next_hit += 1;
+        let Asked { group, customer, key, left, cost_hint, repeat } = asked;
+        let deadline = self.desk.now.saturating_add(left);
+        let held = Held { group, key, deadline, open: true, forwards: Vec::new() };
+        self.desk.hits.insert(id, held);
+        let hit = Hit { id, group, customer, key, left, cost_hint, repeat };
+        self.logic.hit(&mut self.desk, hit);
+        id
+    }
+
+    /// Whether a forward may still go out now: its hit wants an answer, and the rules leave its pod open.
+    pub fn may_go(&mut self, now: Ns, hit: HitId, nth: u32) -> bool {
+        self.at(now);
+        let Some(held) = self.desk.hits.get(&hit).filter(|held| held.open) else { return false };
+        let Some(Some(out)) = held.forwards.get(nth as usize) else { return false };
+        let (group, key, at) = (held.group, held.key, out.at);
+        out.chosen.is_some_and(|chosen| self.logic.still(self.desk.now, group, key, &chosen, at))
+    }
+
+    /// How a forward ended. Whether its answer goes to the client as the hit's final one.
+    pub fn ended(&mut self, now: Ns, hit: HitId, nth: u32, end: Ended, took: Ns, load: Option<Load>) -> bool {
+        self.at(now);
+        let Some(held) = self.desk.hits.get_mut(&hit) else { return false };
+        let Some(out) = held.forwards.get_mut(nth as usize).and_then(Option::take) else { return false };
+        let passed = held.open && end == Ended::Delivered;
+        held.open &= !passed;
+        let over = !held.open;
+        self.desk.roll.ended(out.pod);
+        (out.then)(&mut self.logic, &mut self.desk, Outcome { end, took, over, load });
+        self.desk.sweep(hit);
+        passed
+    }
+
+    /// The client went away: nothing more is owed, though forwards that are out still tell how they end.
+    pub fn left(&mut self, now: Ns, hit: HitId) {
+        self.at(now);
+        self.desk.close(hit);
+    }
+
+    pub fn list(&mut self, now: Ns, whole: bool, pods: Vec<Listed>) {
+        self.at(now);
+        let entries = self.desk.roll.apply(self.desk.now, whole, pods);
+        if whole {
+            self.desk.entries.fill(None);
+        }
+        for entry in &entries {
+            if self.desk.entries.len() <= entry.pod {
+                self.desk.entries.resize(entry.pod + 1, None);
+            }
+            self.desk.entries[entry.pod] = Some(*entry);
+        }
+        self.logic.list(&mut self.desk, whole, &entries);
+        self.desk.roll.sweep();
+    }
+
+    pub fn list_failed(&mut self, now: Ns) {
+        self.at(now);
+        self.logic.list_failed(&mut self.desk);
+    }
+
+    pub fn news(&mut self, now: Ns, stage: Stage) {
+        self.at(now);
+        self.stage = Some(stage);
+        self.logic.news(&mut self.desk, stage);
+    }
+
+    /// The answer to a vote; one that was answered before, or never cast, is passed over.
+    pub fn voted(&mut self, now: Ns, vote: u64, news: StageNews) {
+        self.at(now);
+        if let Some(then) = self.desk.votes.remove(&vote) {
+            self.stage = news.stage.or(self.stage);
+            then(&mut self.logic, &mut self.desk, news);
+        }
+    }
+
+    pub fn probed(&mut self, now: Ns, probe: u64, end: ProbeEnd) {
+        self.at(now);
+        if let Some(then) = self.desk.probes.remove(&probe) {
+            then(&mut self.logic, &mut self.desk, end);
+        }
+    }
+
+    /// Counts that the desk took; false where the path group is not one of the settings.
+    pub fn tally(
+        &mut self,
+        now: Ns,
+        build: Build,
+        group: &str,
+        counts: (u64, u64),
+        mean: Ns,
+        age: Ns,
+    ) -> bool {
+        self.at(now);
+        let Some(group) = self.group(group) else { return false };
+        let (count, failed) = counts;
+        self.logic.tally(&mut self.desk, Tally { build, group, count, failed, mean_latency: mean, age });
+        true
+    }
+
+    /// A client found an answer wrong; false where the pod or path group is not known.
+    pub fn flagged(&mut self, now: Ns, pod: &str, group: &str, ago: Ns) -> bool {
+        self.at(now);
+        let (Some(pod), Some(group)) = (self.desk.roll.find(pod), self.group(group)) else { return false };
+        self.logic.flagged(&mut self.desk, pod, group, ago);
+        true
+    }
+
+    fn group(&self, name: &str) -> Option<GroupId> {
+        self.groups.iter().position(|known| known == name)
+    }
+
+    pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
+        self.desk.roll.address(pod)
+    }
+
+    pub fn pod_name(&self, pod: PodId) -> Option<&str> {
+        self.desk.roll.name(pod)
+    }
+
+    /// The list as last told, to be kept for a start without the node list's service.
+    pub fn listed(&self) -> Vec<Listed> {
+        self.desk.roll.listed(self.desk.now)
+    }
+
+    pub fn glance(&self) -> Glance {
+        let pods = self.desk.entries.iter().flatten().filter(|pod| pod.state == PodState::Running).count();
+        Glance { hits: self.desk.hits.len(), pods, stage: self.stage, sums: self.logic.sums() }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/heads.rs
@@ -0,0 +1,143 @@
+//! What headers say: time left, marks, keys, load; and which of them stay behind.
+
+use havenplank::port::{Load, Ns};
+use hyper::header::{HeaderMap, HeaderName, CONNECTION};
+use winnow::ascii::{dec_uint, float, multispace0};
+use winnow::combinator::{opt, preceded, separated};
+use winnow::error::ContextError;
+use winnow::prelude::*;
+use winnow::token::{one_of, take_while};
+
+/// Longest mark against repeats, in bytes.
+const MARK: usize = 256;
+
+/// A time in the form of `grpc-timeout`: up to eight digits, then H, M, S, m, u or n.
+pub fn time_left(text: &str) -> Option<Ns> {
+    let unit = one_of::<_, _, ContextError>(['H', 'M', 'S', 'm', 'u', 'n']).map(|unit: char| match unit {
+        'H' => 3_600_000_000_000,
+        'M' => 60_000_000_000,
+        'S' => 1_000_000_000,
+        'm' => 1_000_000,
+        'u' => 1_000,
+        _ => 1u64,
+    });
+    let digits = take_while(1..=8, |c: char| c.is_ascii_digit()).try_map(str::parse::<u64>);
+    let (count, unit) = (digits, unit).parse(text).ok()?;
+    count.checked_mul(unit)
+}
+
+/// The same form, rounded down to a whole count of the finest unit that eight digits hold.
+pub fn as_time_left(time: Ns) -> String {
+    let units = [(1, 'n'), (1_000, 'u'), (1_000_000, 'm'), (1_000_000_000, 'S')];
+    let fits = units.iter().find(|(unit, _)| time / unit < 100_000_000);
+    fits.map_or("99999999S".to_string(), |(unit, letter)| format!("{}{letter}", time / unit))
+}
+
+/// Whether a mark has the form of the `Idempotency-Key` draft: a structured string in quotes, not empty.
+pub fn is_mark(text: &[u8]) -> bool {
+    let Some(inner) = text.strip_prefix(b"\"").and_then(|rest| rest.strip_suffix(b"\"")) else {
+        return false;
+    };
+    let mut escaped = false;
+    for byte in inner {
+        match byte {
+            b'\\' | b'"' if escaped => escaped = false,
+            _ if escaped => return false,
+            b'\\' => escaped = true,
+            b' '..=b'~' if *byte != b'"' => {}
+            _ => return false,
+        }
+    }
+    !escaped && !inner.is_empty() && inner.len() <= MARK
+}
+
+/// FNV-1a, so that a key is the same small value in every process; never 0, which stands for none.
+pub fn key_hash(key: &[u8]) -> u64 {
+    let mixed =
+        key.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ *b as u64).wrapping_mul(0x0100_0000_01b3));
+    mixed.max(1)
+}
+
+/// Whole microseconds.
+pub fn cost_hint(text: &str) -> Option<Ns> {
+    dec_uint::<_, u64, ContextError>.parse(text).ok()?.checked_mul(1_000)
+}
+
+/// A load report in the text form of `endpoint-load-metrics`; what it does not name stays unknown.
+pub fn load(text: &str) -> Option<Load> {
+    let name = take_while(1.., |c: char| c.is_ascii_alphanumeric() || "_.-".contains(c));
+    let pair = (preceded(multispace0::<_, ContextError>, name), preceded('=', float::<_, f64, _>));
+    let pairs = separated(1.., pair, (multispace0, ','));
+    let mut report = preceded(("TEXT", opt(':'), multispace0), pairs);
+    let pairs: Vec<(&str, f64)> = report.parse(text.trim_end()).ok()?;
+    let mut load = Load::default();
+    for (name, value) in pairs.into_iter().filter(|(_, value)| value.is_finite()) {
+        match name {
+            "cpu_utilization" => load.busy = Some(value),
+            "rps_fractional" => load.delivered_per_s = Some(value),
+            "eps" => load.failed_per_s = Some(value),
+            "named_metrics.in_flight" => load.in_flight = Some(value),
+            "named_metrics.queued" => load.queued = Some(value),
+            "named_metrics.latency_ms" => load.latency_ms = Some(value),
+            _ => {}
+        }
+    }
+    Some(load)
+}
+
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Takes out what speaks of one connection only (RFC 9110, 7.6.1), with all that `Connection` names.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_marks_and_loads() {
+        let times = [("250m", Some(250_000_000)), ("3S", Some(3_000_000_000)), ("", None), ("5", None)];
+        for (text, wanted) in times.into_iter().chain([("123456789m", None), ("-1S", None), ("1 S", None)]) {
+            assert_eq!(time_left(text), wanted, "{text}");
+        }
+        for time in [0, 999, 99_999_999, 100_000_000, 2_000_000_123, u64::MAX] {
+            let read = time_left(&as_time_left(time)).expect("its own form");
+            assert!(
+                read <= time && (time > 99_999_999_000_000_000 || time - read <= time / 10_000),
+                "{time}"
+            );
+        }
+        for (mark, good) in [("\"a\"", true), ("\"a\\\"b\"", true), ("a", false), ("\"\"", false)] {
+            assert_eq!(is_mark(mark.as_bytes()), good, "{mark}");
+        }
+        assert!(!is_mark(b"\"a\"b\"") && !is_mark(b"\"\\\"") && !is_mark(&[b'"', 200, b'"']));
+        let told =
+            load("TEXT cpu_utilization=0.3, named_metrics.in_flight=4,eps=1e1,odd=2").expect("a report");
+        assert_eq!((told.busy, told.in_flight, told.failed_per_s), (Some(0.3), Some(4.0), Some(10.0)));
+        assert!(load("JSON {}").is_none() && load("TEXT a=b").is_none() && load("").is_none());
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,15 @@
+//! The sidecar as a library: an engine that owns one decision module, and the proxy around it.
+//!
+//! [`engine::Engine`] is free of sockets and clocks: it is told what happens and when, and leaves effects to
+//! carry out, so that a recorded run can be played through it. [`daemon::serve`] is the shell: HTTP/1.1
+//! listeners, connections to pods, the feeds of node list and release desk. Two of either share nothing.
+
+mod admin;
+pub mod daemon;
+pub mod engine;
+pub mod heads;
+mod links;
+mod proxy;
+mod roll;
+
+pub use daemon::{serve, Addresses, StartError};
--- /dev/null
+++ b/crates/sidecar/src/proxy.rs
@@ -0,0 +1,342 @@
+//! A hit's way: read at the door, taken, forwarded as the engine says, answered once.
+
+use crate::daemon::Shell;
+use crate::engine::Asked;
+use crate::heads;
+use crate::links::Lease;
+use bytes::{Bytes, BytesMut};
+use havenplank::port::{Ended, HitId, Kind, Load, Ns, PodId, ProbeEnd};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, VIA};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+const MARK: &str = "idempotency-key";
+/// Which pod delivered, for whoever flags an answer.
+const POD: &str = "x-pod";
+
+/// An answer's body: whole where it was short, else passed on as it comes.
+pub enum Body {
+    Whole(Full<Bytes>),
+    Rest { first: Option<Bytes>, rest: Incoming, lease: Option<Lease> },
+}
+
+impl From<&'static str> for Body {
+    fn from(text: &'static str) -> Body {
+        Body::Whole(Full::new(Bytes::from_static(text.as_bytes())))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Body::Whole(whole) => Pin::new(whole).poll_frame(cx).map_err(|never| match never {}),
+            Body::Rest { first, rest, lease } => {
+                if let Some(first) = first.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(first))));
+                }
+                let polled = Pin::new(rest).poll_frame(cx);
+                match &polled {
+                    Poll::Ready(None) => lease.take().into_iter().for_each(Lease::give_back),
+                    // Its connection is no good any more.
+                    Poll::Ready(Some(Err(_))) => drop(lease.take()),
+                    _ => {}
+                }
+                polled
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Body::Whole(whole) => whole.is_end_stream(),
+            Body::Rest { first, rest, .. } => first.is_none() && rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(whole) => whole.size_hint(),
+            Body::Rest { first, rest, .. } => {
+                let more = first.as_ref().map_or(0, Bytes::len) as u64;
+                rest.size_hint().exact().map_or_else(SizeHint::new, |rest| SizeHint::with_exact(rest + more))
+            }
+        }
+    }
+}
+
+/// A hit as it will be sent, as often as it must be.
+pub struct Ask {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    stream: bool,
+}
+
+/// A final answer that the sidecar makes itself.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// A retry is harmless; whole seconds, as the header has no finer ones, and never later than was decided.
+pub fn bounced(come_back: Ns) -> Response<Body> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "bounced: a retry is harmless\n");
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(come_back / 1_000_000_000));
+    response
+}
+
+pub fn errored(late: bool) -> Response<Body> {
+    match late {
+        true => plain(StatusCode::GATEWAY_TIMEOUT, "errored: out of time\n"),
+        false => plain(StatusCode::BAD_GATEWAY, "errored: it may have run\n"),
+    }
+}
+
+/// The rest of the connection is of no use: what is left of the hit on it was not read.
+fn and_close(mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Told to the engine when the client is gone before its answer.
+struct Owed {
+    shell: Rc<Shell>,
+    hit: HitId,
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        self.shell.left(self.hit);
+    }
+}
+
+/// Answers one hit of a client. What is refused before it is taken is owed nothing by the decisions.
+pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let arrived = Instant::now();
+    let (asked, ask) = match read(&shell, request).await {
+        Ok(read) => read,
+        Err((status, why)) => return Ok(and_close(plain(status, why))),
+    };
+    if shell.is_full() {
+        return Ok(and_close(bounced(1_000_000_000)));
+    }
+    let spent = arrived.elapsed().as_nanos() as Ns + shell.site.door.answer_margin;
+    let asked = Asked { left: asked.left.saturating_sub(spent), ..asked };
+    let (answer, answered) = oneshot::channel();
+    let hit = shell.take(asked, ask, answer);
+    let owed = Owed { shell, hit };
+    let response = answered.await;
+    // An engine that stops with a hit in hand is a fault; the client is told that nothing is promised.
+    let response = response.unwrap_or_else(|_| errored(false));
+    drop(owed);
+    Ok(response)
+}
+
+/// Why a hit was refused before it was taken.
+type Refused = (StatusCode, &'static str);
+
+/// Reads a hit whole, so that it can be sent again, and refuses what is no hit.
+async fn read(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<(Asked, Ask), Refused> {
+    let (site, door) = (&shell.site, &shell.site.door);
+    let (parts, body) = request.into_parts();
+    let found = site.groups.iter().position(|group| group.fits(parts.method.as_str(), parts.uri.path()));
+    let Some(group) = found else {
+        return Err((StatusCode::NOT_FOUND, "no path group takes this method and path\n"));
+    };
+    let rules = &site.groups[group].rules;
+    let bad = |text| Err((StatusCode::BAD_REQUEST, text));
+    let mark = parts.headers.get(MARK);
+    if mark.is_some_and(|mark| !heads::is_mark(mark.as_bytes())) {
+        return bad("Idempotency-Key: expected a text in quotes\n");
+    }
+    if mark.is_none() && rules.kind == Kind::Tagged {
+        return bad("Idempotency-Key: needed by this path group\n");
+    }
+    let text = |name: &str| parts.headers.get(name).map(|value| value.to_str().unwrap_or(""));
+    let asked_time = text(&site.headers.timeout).map(heads::time_left);
+    if asked_time == Some(None) {
+        return bad("time-out: expected up to 8 digits and H, M, S, m, u or n\n");
+    }
+    let asked = Asked {
+        group,
+        customer: text(&site.headers.customer).and_then(|name| site.customers.iter().position(|c| c == name)),
+        key: parts.headers.get(&site.headers.key).map_or(0, |key| heads::key_hash(key.as_bytes())),
+        // A client may wait less than its path group allows, never longer.
+        left: asked_time.flatten().unwrap_or(Ns::MAX).min(rules.client_timeout),
+        cost_hint: text(&site.headers.cost_hint).and_then(heads::cost_hint),
+        repeat: false,
+    };
+    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit\n");
+    if body.size_hint().lower() > door.body_bytes as u64 {
+        return Err(too_large);
+    }
+    let body = if body.is_end_stream() {
+        Bytes::new()
+    } else {
+        let whole = Limited::new(body, door.body_bytes).collect();
+        match timeout(Duration::from_nanos(door.body_time), whole).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => return Err(too_large),
+            Ok(Err(_)) => return bad("the body broke off\n"),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body took too long\n")),
+        }
+    };
+    let mut headers = parts.headers;
+    heads::strip_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.append(VIA, shell.via.clone());
+    let path = parts.uri.into_parts().path_and_query;
+    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream }))
+}
+
+/// How a forward ended, with the answer where there is one.
+struct End {
+    end: Ended,
+    load: Option<Load>,
+    response: Option<Response<Body>>,
+}
+
+impl From<Ended> for End {
+    fn from(end: Ended) -> End {
+        End { end, load: None, response: None }
+    }
+}
+
+/// Carries one forward out and tells the engine how it ended.
+pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, (hit, nth): (HitId, u32), pod: PodId, time_out: Ns) {
+    let began = Instant::now();
+    let sent = Cell::new(false);
+    let time = Duration::from_nanos(time_out);
+    let end = match timeout(time, exchange(&shell, &ask, (hit, nth), pod, time, &sent)).await {
+        Ok(end) => end,
+        Err(_) if sent.get() => Ended::TimeOut.into(),
+        // The client's time ran out first: nothing was sent, and the pod is not to blame.
+        Err(_) => Ended::NotSent.into(),
+    };
+    shell.ended((hit, nth), end.end, began.elapsed().as_nanos() as Ns, end.load, end.response);
+}
+
+async fn exchange(
+    shell: &Rc<Shell>,
+    ask: &Ask,
+    (hit, nth): (HitId, u32),
+    pod: PodId,
+    time: Duration,
+    sent: &Cell<bool>,
+) -> End {
+    let began = Instant::now();
+    let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
+    let mut fresh = false;
+    let (lease, response) = loop {
+        let Ok(mut lease) = shell.links.take(address, fresh).await else { return Ended::NoConnection.into() };
+        // Chosen when it had no connection yet: the pod may drain by now, or its build be closed.
+        if !shell.may_go(hit, nth) {
+            lease.give_back();
+            return Ended::NotSent.into();
+        }
+        let mut request = Request::new(Full::new(ask.body.clone()));
+        *request.method_mut() = ask.method.clone();
+        *request.uri_mut() = ask.uri.clone();
+        *request.headers_mut() = ask.headers.clone();
+        let left = heads::as_time_left(time.saturating_sub(began.elapsed()).as_nanos() as Ns);
+        if let Ok(left) = HeaderValue::from_str(&left) {
+            request.headers_mut().insert(shell.timeout_header.clone(), left);
+        }
+        sent.set(true);
+        match lease.sender.try_send_request(request).await {
+            Ok(response) => break (lease, response),
+            // It comes back whole only where no byte of it was written: the connection closed while idle.
+            Err(mut error) => match error.take_message() {
+                Some(_) if fresh => return Ended::NoConnection.into(),
+                Some(_) => {
+                    sent.set(false);
+                    fresh = true;
+                }
+                None => return Ended::Reset.into(),
+            },
+        }
+    };
+    let (mut parts, mut body) = response.into_parts();
+    let rules = &shell.site.links;
+    let load = parts.headers.get("endpoint-load-metrics").filter(|_| rules.load);
+    let load = load.and_then(|text| heads::load(text.to_str().ok()?));
+    let unseen = parts.status == rules.unseen_status && parts.headers.contains_key(&rules.unseen_header);
+    let end = match parts.status {
+        _ if unseen => Ended::Full,
+        status if status.is_server_error() => Ended::Error,
+        _ => Ended::Delivered,
+    };
+    heads::strip_hop_by_hop(&mut parts.headers);
+    let read = match ask.stream {
+        true => Ok((BytesMut::new(), false)),
+        false => collect(&mut body, shell.site.door.answer_bytes).await,
+    };
+    let Ok((first, whole)) = read else { return Ended::Reset.into() };
+    let first = first.freeze();
+    let body = if whole {
+        lease.give_back();
+        Body::Whole(Full::new(first))
+    } else if end == Ended::Delivered {
+        Body::Rest { first: Some(first).filter(|first| !first.is_empty()), rest: body, lease: Some(lease) }
+    } else {
+        // Nobody reads on in an answer that goes nowhere: its connection closes with the lease.
+        return End { end, load, response: None };
+    };
+    if let Some(name) = shell.pod_name(pod) {
+        parts.headers.insert(POD, name);
+    }
+    End { end, load, response: Some(Response::from_parts(parts, body)) }
+}
+
+/// Reads an answer's body up to `most` bytes, and whether that was all of it.
+async fn collect(body: &mut Incoming, most: usize) -> Result<(BytesMut, bool), hyper::Error> {
+    let mut read = BytesMut::new();
+    while read.len() <= most {
+        match body.frame().await {
+            None => return Ok((read, true)),
+            Some(frame) => {
+                if let Ok(data) = frame?.into_data() {
+                    read.extend_from_slice(&data);
+                }
+            }
+        }
+    }
+    Ok((read, false))
+}
+
+/// Asks a pod's probe path; any answer below 500 is one.
+pub async fn probe(shell: &Rc<Shell>, pod: PodId) -> ProbeEnd {
+    let (began, rules) = (Instant::now(), &shell.site.links);
+    let asked = async {
+        let Some(address) = shell.address(pod) else { return (Ended::NotSent, None) };
+        let Ok(mut lease) = shell.links.take(address, true).await else { return (Ended::NoConnection, None) };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = rules.probe_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
+        request.headers_mut().insert(VIA, shell.via.clone());
+        let Ok(response) = lease.sender.send_request(request).await else { return (Ended::Reset, None) };
+        let load = response.headers().get("endpoint-load-metrics").filter(|_| rules.load);
+        let load = load.and_then(|text| heads::load(text.to_str().ok()?));
+        (if response.status().is_server_error() { Ended::Error } else { Ended::Delivered }, load)
+    };
+    let ended = timeout(Duration::from_nanos(rules.connect_time), asked).await;
+    let (end, load) = ended.unwrap_or((Ended::TimeOut, None));
+    ProbeEnd { end, took: began.elapsed().as_nanos() as Ns, load }
+}
--- /dev/null
+++ b/crates/stand/src/book.rs
@@ -0,0 +1,47 @@
+//! The ledger while it is written: entries from all stand-ins, on one clock.
+
+use havenplank::port::Ns;
+use havenplank_rules::ledger::{Entry, Seen, MOST};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+#[derive(Clone)]
+pub struct Book {
+    began: Instant,
+    /// No more than a ledger may hold; what comes beyond is counted and lost, and the day says so.
+    pages: Rc<RefCell<(Vec<Entry>, u64)>>,
+}
+
+impl Book {
+    pub fn new() -> Book {
+        Book { began: Instant::now(), pages: Rc::default() }
+    }
+
+    pub fn now(&self) -> Ns {
+        self.began.elapsed().as_nanos() as Ns
+    }
+
+    pub fn write(&self, seen: Seen) -> Ns {
+        let at = self.now();
+        let (entries, lost) = &mut *self.pages.borrow_mut();
+        if entries.len() < MOST {
+            entries.push(Entry { at, seen });
+        } else {
+            *lost += 1;
+        }
+        at
+    }
+
+    /// All entries so far in order of time, and how many were lost.
+    pub fn close(&self) -> (Vec<Entry>, u64) {
+        let (entries, lost) = &mut *self.pages.borrow_mut();
+        (std::mem::take(entries), *lost)
+    }
+}
+
+impl Default for Book {
+    fn default() -> Book {
+        Book::new()
+    }
+}
--- /dev/null
+++ b/crates/stand/src/desk.rs
@@ -0,0 +1,374 @@
+//! The release desk's stand-in: offers builds, moves stages by votes or the clock, tells of them late.
+
+use crate::book::Book;
+use crate::fleet::Fleet;
+use crate::notation::{part, Offer, FIRST};
+use futures_util::{SinkExt, StreamExt};
+use havenplank::port::{Build, Control, Heard, Ns, Phase, Stage, Voice};
+use havenplank_feeds::desk;
+use havenplank_feeds::lines::{hello, Lines};
+use havenplank_rules::ledger::{phase_name, Seen};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::codec::Framed;
+
+const MS: Ns = 1_000_000;
+/// How long after the last pod of a stage started its clock starts.
+const SETTLES: Ns = 1_000 * MS;
+const BAKE: Ns = 1_500 * MS;
+/// How late news of a change are, how often they are told again, and how long a vote's answer takes.
+const NEWS_LATE: Ns = 200 * MS;
+const AGAIN: Ns = 4_000 * MS;
+const ANSWERS: Duration = Duration::from_millis(60);
+/// How long pods of a build that goes back stay.
+const GOES_BACK: Ns = 500 * MS;
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub control: Control,
+    pub on_needs: usize,
+    pub back_needs: usize,
+    pub life: Ns,
+    pub step: Ns,
+    pub calls_per_s: f64,
+    pub caps: Vec<f64>,
+    pub shares: Vec<f64>,
+    pub places: usize,
+}
+
+#[derive(Clone, Copy)]
+struct Vote {
+    build: Build,
+    stage: usize,
+    voice: Voice,
+    until: Ns,
+}
+
+/// Where the newest build stands.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    build: Build,
+    stage: usize,
+    phase: Phase,
+    since: Ns,
+    /// When the stage's clock started.
+    clock: Option<Ns>,
+}
+
+pub struct Desk {
+    book: Book,
+    fleet: Rc<Fleet>,
+    terms: Terms,
+    offers: Vec<Offer>,
+    state: Cell<Option<State>>,
+    /// The build that all pods run outside trials, and the one before it, which a late back brings again.
+    released: Cell<Build>,
+    before: Cell<Build>,
+    offered: Cell<usize>,
+    /// By sidecar: one vote each.
+    votes: RefCell<HashMap<String, Vote>>,
+    calls: RefCell<(Ns, f64)>,
+    pub away: Cell<bool>,
+    pub late: Cell<Ns>,
+    pub mute: Cell<bool>,
+    /// What happened to builds, for the day's report.
+    pub story: RefCell<Vec<String>>,
+    groups: Vec<String>,
+}
+
+impl Desk {
+    pub fn new(
+        book: Book,
+        fleet: Rc<Fleet>,
+        terms: Terms,
+        offers: Vec<Offer>,
+        groups: Vec<String>,
+    ) -> Rc<Desk> {
+        Rc::new(Desk {
+            book,
+            fleet,
+            terms,
+            offers,
+            state: Cell::new(None),
+            released: Cell::new(FIRST),
+            before: Cell::new(FIRST),
+            offered: Cell::new(0),
+            votes: RefCell::default(),
+            calls: RefCell::new((0, 0.0)),
+            away: Cell::new(false),
+            late: Cell::new(0),
+            mute: Cell::new(false),
+            story: RefCell::default(),
+            groups,
+        })
+    }
+
+    fn note(&self, what: String) {
+        tracing::info!(what, "desk");
+        self.story.borrow_mut().push(format!("{:6.1} s  {what}", self.book.now() as f64 / 1e9));
+    }
+
+    fn enter(&self, build: Build, stage: usize, phase: Phase) {
+        let since = self.book.now();
+        self.state.set(Some(State { build, stage, phase, since, clock: None }));
+        self.note(format!("build {build} stage {stage}: {phase:?}"));
+    }
+
+    fn cap(&self, state: &State) -> f64 {
+        match state.phase {
+            Phase::Trial => self.terms.caps.get(state.stage).copied().unwrap_or(0.0),
+            Phase::Released => 1.0,
+            Phase::GoingBack | Phase::Withdrawn => 0.0,
+        }
+    }
+
+    fn told(&self, state: &State) -> Stage {
+        let State { build, stage, phase, since, .. } = *state;
+        Stage { build, stage, phase, cap: self.cap(state), age: self.book.now().saturating_sub(since) }
+    }
+
+    /// Runs the stages until dropped.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            self.look().await;
+        }
+    }
+
+    async fn look(&self) {
+        let now = self.book.now();
+        let next = self.offers.get(self.offered.get()).filter(|offer| offer.at <= now);
+        if let Some(offer) = next {
+            if let Some(state) = self.state.get().filter(|state| state.phase == Phase::Trial) {
+                self.note(format!("build {} still on trial when the next came: taken off", state.build));
+                self.fleet.of(state.build).iter().for_each(|pod| self.fleet.drain(pod));
+            }
+            self.offered.set(self.offered.get() + 1);
+            let build = FIRST + self.offered.get() as Build;
+            let group =
+                offer.group.as_ref().and_then(|name| self.groups.iter().position(|known| known == name));
+            self.fleet.spoil(build, offer, group);
+            self.note(format!("build {build} offered, {}", if offer.bad { "bad" } else { "good" }));
+            self.enter(build, 0, Phase::Trial);
+            self.fill(build, 0).await;
+            return;
+        }
+        let Some(mut state) = self.state.get() else { return };
+        match state.phase {
+            Phase::Trial => {
+                if state.clock.is_none() {
+                    state.clock = Some(self.book.now() + SETTLES);
+                    self.state.set(Some(state));
+                }
+                let ran = now.saturating_sub(state.clock.unwrap_or(now));
+                if self.count(&state, Voice::Back) >= self.back_needs() {
+                    self.go_back(&state);
+                } else if self.moves_on(&state, ran) {
+                    self.advance(&state).await;
+                }
+            }
+            Phase::Released if self.count(&state, Voice::Back) >= self.back_needs() => {
+                // The earlier pods are gone: new ones of the earlier build first.
+                let before = self.before.get();
+                for _ in self.fleet.of(before).len()..self.terms.places {
+                    let _ = self.fleet.start(before, None, false).await;
+                }
+                self.released.set(before);
+                self.go_back(&state);
+            }
+            Phase::GoingBack if now >= state.since + GOES_BACK => {
+                self.fleet.of(state.build).iter().for_each(|pod| self.fleet.drain(pod));
+                self.enter(state.build, state.stage, Phase::Withdrawn);
+            }
+            _ => {}
+        }
+    }
+
+    fn back_needs(&self) -> usize {
+        if self.terms.control == Control::Any {
+            1
+        } else {
+            self.terms.back_needs
+        }
+    }
+
+    fn go_back(&self, state: &State) {
+        self.enter(state.build, state.stage, Phase::GoingBack);
+    }
+
+    fn moves_on(&self, state: &State, ran: Ns) -> bool {
+        match self.terms.control {
+            Control::Any => ran >= BAKE && self.count(state, Voice::On) >= 1,
+            Control::Count => ran >= BAKE && self.count(state, Voice::On) >= self.terms.on_needs,
+            Control::Clock => {
+                ran >= self.terms.step && self.count(state, Voice::Hold) < self.terms.back_needs
+            }
+        }
+    }
+
+    async fn advance(&self, state: &State) {
+        let stage = state.stage + 1;
+        if stage < self.terms.shares.len() {
+            self.enter(state.build, stage, Phase::Trial);
+            self.fill(state.build, stage).await;
+            return;
+        }
+        self.enter(state.build, state.stage, Phase::Released);
+        let old = self.fleet.running().into_iter().filter(|pod| pod.who.build < state.build);
+        old.for_each(|pod| self.fleet.drain(&pod));
+        self.before.set(self.released.replace(state.build));
+    }
+
+    /// Starts the pods that a stage's share asks for.
+    async fn fill(&self, build: Build, stage: usize) {
+        let share = self.terms.shares.get(stage).copied().unwrap_or(1.0);
+        for _ in self.fleet.of(build).len()..part(share, self.terms.places) {
+            let _ = self.fleet.start(build, None, false).await;
+        }
+    }
+
+    /// Sidecars whose vote stands for this.
+    fn count(&self, state: &State, voice: Voice) -> usize {
+        let now = self.book.now();
+        let stands = |vote: &&Vote| {
+            vote.until > now
+                && vote.build == state.build
+                && vote.voice == voice
+                && (voice == Voice::Back || vote.stage == state.stage)
+        };
+        self.votes.borrow().values().filter(stands).count()
+    }
+
+    fn vote(&self, sidecar: &str, build: Build, stage: usize, voice: Voice) -> Heard {
+        let now = self.book.now();
+        let (since, used) = &mut *self.calls.borrow_mut();
+        *used = (*used - (now - *since) as f64 / 1e9 * self.terms.calls_per_s).max(0.0) + 1.0;
+        *since = now;
+        if self.terms.calls_per_s > 0.0 && *used > self.terms.calls_per_s {
+            return Heard::Refused;
+        }
+        let fits = self.state.get().is_some_and(|state| {
+            let trial = state.phase == Phase::Trial;
+            let clock = self.terms.control == Control::Clock;
+            state.build == build
+                && match voice {
+                    Voice::None => true,
+                    Voice::Back => trial || state.phase == Phase::Released,
+                    Voice::On => trial && !clock && stage == state.stage,
+                    Voice::Hold => trial && clock && stage == state.stage,
+                }
+        });
+        if !fits {
+            return Heard::Moot;
+        }
+        let vote = Vote { build, stage, voice, until: now + self.terms.life };
+        self.votes.borrow_mut().insert(sidecar.to_string(), vote);
+        Heard::Counted
+    }
+
+    /// Serves on an address until dropped; while away, nothing listens there.
+    pub async fn serve(self: Rc<Self>, address: SocketAddr) {
+        loop {
+            while self.away.get() {
+                sleep(Duration::from_millis(20)).await;
+            }
+            let Ok(listener) = TcpListener::bind(address).await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let mut followers = JoinSet::new();
+            while !self.away.get() {
+                tokio::select! {
+                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                        let desk = self.clone();
+                        followers.spawn_local(async move { desk.follower(stream).await });
+                    },
+                    Some(_) = followers.join_next() => {}
+                    () = sleep(Duration::from_millis(20)) => {}
+                }
+            }
+        }
+    }
+
+    fn tell(&self, sidecar: &str, stage: &Stage) {
+        let Stage { build, stage, phase, cap, .. } = *stage;
+        let (sidecar, phase) = (sidecar.to_string(), phase_name(phase));
+        self.book.write(Seen::News { sidecar, build, stage, phase, cap });
+    }
+
+    async fn follower(&self, stream: TcpStream) {
+        #[derive(Default)]
+        struct Asks {
+            name: Option<String>,
+            votes: Vec<(u64, Build, usize, Voice)>,
+        }
+        impl desk::Asked for Asks {
+            fn hello(&mut self, name: String) {
+                self.name = Some(name);
+            }
+            fn vote(&mut self, vote: u64, build: Build, stage: usize, voice: Voice) {
+                self.votes.push((vote, build, stage, voice));
+            }
+        }
+        let _ = stream.set_nodelay(true);
+        let mut framed = Framed::new(stream, Lines::new(desk::Asking::default(), 1024));
+        if framed.send(hello(desk::FEED, None)).await.is_err() {
+            return;
+        }
+        let (mut asks, mut seq) = (Asks::default(), 0);
+        // What was told last, and when it is told again.
+        let mut told: Option<(Build, usize, Phase, Ns)> = None;
+        loop {
+            tokio::select! {
+                said = framed.next() => match said {
+                    Some(Ok(call)) => call(&mut asks),
+                    _ => return,
+                },
+                () = sleep(Duration::from_millis(50)) => {}
+            }
+            let Some(name) = asks.name.clone() else { continue };
+            let mut out = String::new();
+            let now = self.book.now();
+            if let Some(state) = self.state.get() {
+                let now_is = (state.build, state.stage, state.phase);
+                let known = told.map(|(build, stage, phase, _)| (build, stage, phase));
+                let due = match told {
+                    None => true,
+                    Some(_) if known != Some(now_is) => now >= state.since + NEWS_LATE + self.late.get(),
+                    Some((.., at)) => now >= at + AGAIN,
+                };
+                if due {
+                    let stage = self.told(&state);
+                    seq += 1;
+                    self.tell(&name, &stage);
+                    desk::tell_stage(&mut out, seq, &stage);
+                    told = Some((state.build, state.stage, state.phase, now));
+                }
+            }
+            for (vote, build, stage, voice) in std::mem::take(&mut asks.votes) {
+                sleep(ANSWERS).await;
+                let heard = self.vote(&name, build, stage, voice);
+                if self.mute.get() {
+                    continue;
+                }
+                let stage = self.state.get().filter(|_| self.late.get() == 0).map(|state| self.told(&state));
+                if let Some(stage) = &stage {
+                    self.tell(&name, stage);
+                    let state = self.state.get();
+                    told = state.map(|state| (state.build, state.stage, state.phase, now)).or(told);
+                }
+                seq += 1;
+                desk::tell_voted(&mut out, seq, vote, heard, stage.as_ref());
+            }
+            if !out.is_empty() && framed.send(out).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -638,20 +638,41 @@
         }
     }
 
-    /// The sides (running pods of one zone and build) that the rules leave open to a hit's next forward.
-    fn open(&mut self, now: Ns, trip: &Trip) -> Vec<usize> {
-        let group = self.groups[trip.group];
+    /// Whether the rules close a build to the hits of a path group and key, whatever room its cap leaves.
+    fn closed(&self, group: GroupId, key: u64, build: Build) -> bool {
         let rules = &self.exposure.rules;
         let (newest, stage) = self.stage.map_or((0, 0), |(stage, _)| (stage.build, stage.stage));
         let full = self.exposure.bound.len() >= Exposure::MOST_KEYS;
-        let bound = rules.one_way && (full || self.exposure.bound.contains(&trip.key));
+        let bound = rules.one_way && build < newest && (full || self.exposure.bound.contains(&key));
+        let stage = if build == newest { stage } else { 0 };
+        let guarded = stage < rules.guarded_stages && self.groups[group].kind != Kind::Repeatable;
+        bound || self.cap(build).is_some_and(|cap| cap <= 0.0 || guarded)
+    }
+
+    /// Whether a forward that was chosen a while ago may still go out: while it waits for a connection its
+    /// pod may drain or come back as another, or the desk take the share away. One that waited long is
+    /// counted again, lest forwards that were chosen apart leave together and pass the cap at once.
+    pub fn still(&mut self, now: Ns, group: GroupId, key: u64, was: &PodEntry, chosen: Ns) -> bool {
+        let same = |pod: &Pod| pod.runs() && (pod.entry.started, pod.entry.build) == (was.started, was.build);
+        if !self.pods.table.get(was.pod).is_some_and(same) || self.closed(group, key, was.build) {
+            return false;
+        }
+        let waited = now.saturating_sub(chosen) > self.exposure.rules.window / SLICES as Ns;
+        let Some(cap) = self.cap(was.build).filter(|_| waited) else { return true };
+        let bucket = self.exposure.bucket(group);
+        let room = self.exposure.room(now, was.build, group, cap, 1.0);
+        if room {
+            self.exposure.sent(was.build)[bucket].add(now);
+        }
+        room
+    }
+
+    /// The sides (running pods of one zone and build) that the rules leave open to a hit's next forward.
+    fn open(&mut self, now: Ns, trip: &Trip) -> Vec<usize> {
         let mut open = Vec::new();
         for (n, side) in self.pods.table.sides.iter().enumerate() {
-            let (build, cap) = (side.build, self.cap(side.build));
-            let stage = if build == newest { stage } else { 0 };
-            let guarded = stage < rules.guarded_stages && group.kind != Kind::Repeatable;
-            if !(cap.is_some_and(|cap| cap <= 0.0 || guarded) || bound && build < newest) {
-                open.push((n, build, cap));
+            if !self.closed(trip.group, trip.key, side.build) {
+                open.push((n, side.build, self.cap(side.build)));
             }
         }
         let trial = open.iter().filter_map(|(_, build, cap)| Some((*build, (*cap)?)));
