--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -243,6 +243,8 @@
                         sidecar.oldest = sidecar.oldest.map(least).or(build);
                     }
                     _ => {
+                        // Told is tested: that nothing came after it is what the rule asks for.
+                        self.drains.tested += 1;
                         sidecar.closed.entry(place).or_insert(at);
                     }
                 }
