--- a/crates/rules/src/ledger.rs
+++ b/crates/rules/src/ledger.rs
@@ -80,7 +80,7 @@
 /// Something that crossed a socket, or happened to a process. `ask` numbers one try of a client: a hit that
 /// is tried again by its client is asked anew.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "what", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Seen {
     Figures(Figures),
     SidecarUp {
@@ -191,7 +191,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     pub at: Ns,
-    #[serde(flatten)]
+    // Neither flattened nor tagged within: numbers read by way of a buffer fail wherever another crate turns
+    // on serde_json's arbitrary precision.
     pub seen: Seen,
 }
 
