havenplank bench: proxy, memory and flood, in turns against a bare hyper proxy

The aim for CPU, added latency and memory needs a measurement that anybody can repeat. Pods, a bare round robin proxy and the sidecar run as child processes; the load is an open loop whose times run from when a hit was due; straight, bare and sidecar take turns.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The one program, `havenplank`. Exit status: 0 done, 1 failed, 2 a rule is broken, 64 bad usage or settings.
 
+mod bench;
 mod day;
 mod serve;
 
@@ -70,6 +71,20 @@
         #[arg(long)]
         rate: Option<f64>,
     },
+    /// Measure on loopback: proxy (added latency, CPU a hit), memory (a hit in flight), flood (past the maximum).
+    Bench {
+        what: String,
+        /// Length of each measured turn.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        #[arg(long, default_value_t = 3)]
+        rounds: u64,
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// A part that the bench starts: pod, or bare with the pods' addresses.
+    #[command(hide = true)]
+    BenchPart { kind: String, pods: Vec<std::net::SocketAddr> },
     /// Check a kept ledger again.
     Rules {
         ledger: PathBuf,
@@ -136,6 +151,10 @@
             let Some(site) = settings_of(&settings, &given)? else { return Ok(USAGE) };
             day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref())
         }
+        Command::Bench { what, seconds, rounds, json } => {
+            bench::bench(&what, seconds, rounds, json.as_deref())
+        }
+        Command::BenchPart { kind, pods } => bench::part(&kind, pods),
         Command::Rules { ledger, json } => day::rules(&ledger, json.as_deref()),
     }
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -4,6 +4,7 @@
 //! reads the day files that say who is there and what goes wrong, [`day`] plays one. All run on one thread,
 //! within a `tokio` `LocalSet`.
 
+pub mod bare;
 pub mod book;
 pub mod clients;
 pub mod day;
