--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -25,6 +25,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, LocalOptions};
 use tokio::task::{spawn_local, JoinSet, LocalSet};
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -44,8 +45,8 @@
 
 /// Runs one of the measured parts in this process, for the bench that started it.
 pub fn part(kind: &str, pods: Vec<SocketAddr>) -> anyhow::Result<u8> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(async {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    runtime.block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         println!("{}", listener.local_addr()?);
         match kind {
@@ -54,7 +55,7 @@
             _ => bail!("part {kind:?}: expected pod, or bare with pods"),
         }
         Ok(0)
-    }))
+    })
 }
 
 /// A child process that is ended with the bench.
@@ -225,7 +226,7 @@
 }
 
 pub fn bench(what: &str, seconds: u64, rounds: u64, json: Option<&Path>) -> anyhow::Result<u8> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
     let folder = tempfile::tempdir()?;
     runtime.block_on(LocalSet::new().run_until(async {
         let pods: Vec<Part> = (0..PODS).map(|_| part_of(&["pod"])).collect::<anyhow::Result<_>>()?;
@@ -328,7 +329,8 @@
 /// The sidecar lets more in only as answers prove that there is room, so the count
 /// climbs with them.
 async fn in_flight(name: &str, part: &Part) -> anyhow::Result<serde_json::Value> {
-    const HOLD_MS: u64 = 1_500;
+    const HOLD_MS: u64 = 500;
+    const WAITS_MS: u64 = 8_000;
     let load = Load::new(part.at)?;
     load.open_loop(100.0, Duration::from_secs(1), 0).await;
     let before = memory(part)?;
@@ -338,10 +340,12 @@
         let began = Instant::now();
         let mut tasks = JoinSet::new();
         loop {
-            // Half of what the limit may hold by now, lest the ramp be bounced.
-            let room = ((60.0 + 0.2 * load.delivered.get() as f64) * 0.7) as u64;
-            let room = if name == "bare" { wanted } else { room.min(wanted) };
-            for _ in out.get()..room {
+            // Less than what the limit may hold by now, lest the ramp be bounced.
+            let holds = ((60.0 + 0.2 * load.delivered.get() as f64) * 0.7) as u64;
+            if name == "bare" || holds >= wanted {
+                break;
+            }
+            for _ in out.get()..holds {
                 let (load, out) = (load.clone(), out.clone());
                 out.set(out.get() + 1);
                 tasks.spawn_local(async move {
@@ -350,15 +354,25 @@
                 });
             }
             while tasks.try_join_next().is_some() {}
-            if out.get() >= wanted && load.took_us.borrow().len() > 0 {
-                sleep(Duration::from_millis(HOLD_MS / 2)).await;
-                break;
-            }
             if began.elapsed() > Duration::from_secs(180) {
-                bail!("{name}: {} of {wanted} hits in flight after 180 s", out.get());
+                bail!("{name}: room for {holds} of {wanted} hits after 180 s");
             }
             sleep(Duration::from_millis(10)).await;
         }
+        while tasks.join_next().await.is_some() {}
+        for n in 0..wanted {
+            let (load, out) = (load.clone(), out.clone());
+            out.set(out.get() + 1);
+            tasks.spawn_local(async move {
+                load.hit(Instant::now(), WAITS_MS).await;
+                out.set(out.get() - 1);
+            });
+            // No faster than connections are accepted.
+            if n % 50 == 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        sleep(Duration::from_millis(1_000)).await;
         let held = out.get();
         let bytes = memory(part)?.saturating_sub(before) / held.max(1);
         println!("{name:<8} {held:>6} hits in flight: bytes_in_flight {bytes}");
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -25,7 +25,7 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
-use tokio::task::{spawn_local, AbortHandle, JoinSet, LocalSet};
+use tokio::task::{spawn_local, AbortHandle, JoinSet};
 use tokio::time::{sleep, sleep_until, timeout};
 
 /// Lines that wait to be sent on a feed; one more counts as not sent.
@@ -52,7 +52,8 @@
 
 /// Runs a sidecar on the present thread until `stop` is done; then takes no more hits, gives each that it
 /// holds its one final answer, and returns. `ready` is called once it listens. Needs a tokio runtime with
-/// time and I/O; shares nothing with others in the process.
+/// time and I/O, and a place for local tasks: a `LocalRuntime`, which is the cheaper, or a `LocalSet`. Shares
+/// nothing with others in the process.
 ///
 /// # Errors
 /// An address that cannot be listened on. Feeds that are out of reach are no error: they are tried on.
@@ -62,7 +63,7 @@
     ready: impl FnOnce(Addresses),
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
-    LocalSet::new().run_until(run(site, seed, ready, stop)).await
+    run(site, seed, ready, stop).await
 }
 
 async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
@@ -195,20 +196,51 @@
 {
     let _ = stream.set_nodelay(true);
     let door = &shell.site.door;
-    let service = service_fn(|request| serve(shell.clone(), request));
+    // Since when it waits for a head; none while a hit of it is served.
+    let waits = Cell::new(Some(Instant::now()));
+    let service = service_fn(|request| {
+        waits.set(None);
+        let served = serve(shell.clone(), request);
+        let waits = &waits;
+        async move {
+            let served = served.await;
+            waits.set(Some(Instant::now()));
+            served
+        }
+    });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_nanos(door.head_time))
         .max_buf_size(door.head_bytes)
         // A client that sends no more may still read: its hit gets its answer.
         .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let head_time = Duration::from_nanos(door.head_time);
+    // One timer for all heads of a connection: one for each is a part of a hit's cost that shows.
+    let slow = async {
+        loop {
+            let waited = waits.get().map_or(Duration::ZERO, |since| since.elapsed());
+            if waited >= head_time {
+                break;
+            }
+            sleep(head_time - waited).await;
+        }
+    };
     let ended = tokio::select! {
         ended = &mut connection => ended,
+        () = slow => return,
         _ = stopped.wait_for(|stopped| *stopped) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            // A head half sent is not taken any more; what is served is.
+            let half = async {
+                while waits.get().is_none() {
+                    sleep(Duration::from_millis(50)).await;
+                }
+                sleep(head_time).await;
+            };
+            tokio::select! {
+                ended = &mut connection => ended,
+                () = half => return,
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/sidecar/src/heads.rs
+++ b/crates/sidecar/src/heads.rs
@@ -1,7 +1,9 @@
 //! What headers say: time left, marks, keys, load; and which of them stay behind.
 
+use bytes::BytesMut;
 use havenplank::port::{Load, Ns};
-use hyper::header::{HeaderMap, HeaderName, CONNECTION};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
+use hyper::Uri;
 use winnow::ascii::{dec_uint, float, multispace0};
 use winnow::combinator::{opt, preceded, separated};
 use winnow::error::ContextError;
@@ -114,6 +116,26 @@
     }
 }
 
+/// A copy of headers and path in one piece of memory of their own. As they come they are parts of their
+/// connection's read buffer, and a hit that waits would keep all 8 KiB of it.
+pub fn apart(headers: &HeaderMap, path: &str) -> (HeaderMap, Uri) {
+    let all = path.len() + headers.values().map(HeaderValue::len).sum::<usize>();
+    let mut whole = BytesMut::with_capacity(all);
+    whole.extend_from_slice(path.as_bytes());
+    headers.values().for_each(|value| whole.extend_from_slice(value.as_bytes()));
+    let whole = whole.freeze();
+    let (mut copy, mut at) = (HeaderMap::with_capacity(headers.len() + 1), path.len());
+    for (name, value) in headers {
+        let end = at + value.len();
+        if let Ok(value) = HeaderValue::from_maybe_shared(whole.slice(at..end)) {
+            copy.append(name.clone(), value);
+        }
+        at = end;
+    }
+    let uri = Uri::from_maybe_shared(whole.slice(..path.len()));
+    (copy, uri.unwrap_or_else(|_| Uri::from_static("/")))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -201,9 +201,9 @@
     let mut headers = parts.headers;
     heads::strip_hop_by_hop(&mut headers);
     headers.remove(CONTENT_LENGTH);
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let (mut headers, uri) = heads::apart(&headers, path);
     headers.append(VIA, shell.via.clone());
-    let path = parts.uri.into_parts().path_and_query;
-    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
     Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream }))
 }
 
@@ -286,11 +286,10 @@
     };
     heads::strip_hop_by_hop(&mut parts.headers);
     let read = match ask.stream {
-        true => Ok((BytesMut::new(), false)),
+        true => Ok((Bytes::new(), false)),
         false => collect(&mut body, shell.site.door.answer_bytes).await,
     };
     let Ok((first, whole)) = read else { return Ended::Reset.into() };
-    let first = first.freeze();
     let body = if whole {
         lease.give_back();
         Body::Whole(Full::new(first))
@@ -307,11 +306,22 @@
 }
 
 /// Reads an answer's body up to `most` bytes, and whether that was all of it.
-async fn collect(body: &mut Incoming, most: usize) -> Result<(BytesMut, bool), hyper::Error> {
-    let mut read = BytesMut::new();
+async fn collect(body: &mut Incoming, most: usize) -> Result<(Bytes, bool), hyper::Error> {
+    let mut first = Bytes::new();
+    // Most answers are one frame, which is passed on as it is.
+    while first.is_empty() {
+        match body.frame().await {
+            None => return Ok((first, true)),
+            Some(frame) => first = frame?.into_data().unwrap_or_default(),
+        }
+    }
+    if body.is_end_stream() {
+        return Ok((first, true));
+    }
+    let mut read = BytesMut::from(&first[..]);
     while read.len() <= most {
         match body.frame().await {
-            None => return Ok((read, true)),
+            None => return Ok((read.freeze(), true)),
             Some(frame) => {
                 if let Ok(data) = frame?.into_data() {
                     read.extend_from_slice(&data);
@@ -319,7 +329,7 @@
             }
         }
     }
-    Ok((read, false))
+    Ok((read.freeze(), false))
 }
 
 /// Asks a pod's probe path; any answer below 500 is one.
