Engine tests: the same told gives the same decisions, votes unanswered, names reused

Four tests in virtual time: 20 s of hits twice alike and unlike under another seed, a vote whose answer never comes is cast again, one answer a hit and nothing after it, a thousand lists of new pod names that reuse five indices at most.

--- /dev/null
+++ b/crates/sidecar/tests/engine.rs
@@ -0,0 +1,146 @@
+//! The engine by itself: virtual time, no sockets, and the same decisions each time it is told the same.
+
+use havenplank::port::{Ended, Heard, Ns, Phase, PodState, Stage, StageNews, Voice};
+use havenplank_feeds::nodes::Listed;
+use havenplank_settings::{load, Given, Site};
+use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
+use std::path::Path;
+
+const MS: Ns = 1_000_000;
+const S: Ns = 1_000 * MS;
+
+fn site() -> Site {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/site.star");
+    load(&file, &Given::new()).unwrap_or_else(|problems| panic!("{problems}"))
+}
+
+fn listed(n: u16, build: u32, life: u64, age: Ns) -> Listed {
+    Listed {
+        name: format!("pod-{n}"),
+        address: ([127, 0, 0, 1], 4000 + n).into(),
+        state: PodState::Running,
+        build,
+        life,
+        age,
+        zone: "room-1".to_string(),
+        machine: "three-core".to_string(),
+        cell: 0,
+        size: 3.0,
+    }
+}
+
+fn asked(n: u64) -> Asked {
+    let group = (n % 3) as usize;
+    Asked { group, customer: None, key: n % 7 + 1, left: S, cost_hint: None, repeat: false }
+}
+
+fn effects(engine: &mut Engine) -> Vec<Effect> {
+    std::iter::from_fn(|| engine.effect()).collect()
+}
+
+/// A run of 20 s: old pods answer well, those of build 2 fail; every effect, in order.
+fn run(seed: u64, vote_answered: bool) -> Vec<(Ns, Effect)> {
+    let site = site();
+    let mut engine = Engine::new(EPOCH, seed, &site);
+    engine.begin(EPOCH);
+    let old = (0..6).map(|n| listed(n, 1, 1, 0)).chain((6..9).map(|n| listed(n, 2, 1, 10 * S)));
+    engine.list(EPOCH, true, old.collect());
+    engine.news(EPOCH, Stage { build: 2, stage: 2, phase: Phase::Trial, cap: 1.0, age: S });
+    let (mut out, mut done): (Vec<(Ns, u64, u32, Ended)>, Vec<(Ns, Effect)>) = (Vec::new(), Vec::new());
+    for tick in 0..20_000 {
+        let now = EPOCH + tick * MS;
+        if engine.next_wake().is_some_and(|at| at <= now) {
+            engine.wake(now);
+        }
+        if tick % 5 == 0 {
+            engine.hit(now, asked(tick / 5));
+        }
+        while let Some(at) = out.iter().position(|(due, ..)| *due <= now) {
+            let (_, hit, nth, end) = out.remove(at);
+            engine.ended(now, hit, nth, end, 30 * MS, None);
+        }
+        for effect in effects(&mut engine) {
+            match &effect {
+                Effect::Forward { hit, nth, pod, .. } => {
+                    assert!(engine.may_go(now, *hit, *nth), "nothing has changed since it was chosen");
+                    let end = if *pod >= 6 { Ended::Error } else { Ended::Delivered };
+                    out.push((now + 30 * MS, *hit, *nth, end));
+                }
+                Effect::Vote { vote, .. } => {
+                    let heard = if vote_answered { Heard::Counted } else { Heard::Unknown };
+                    engine.voted(now, *vote, StageNews { heard, stage: None });
+                    // An answer that comes again is nobody's.
+                    engine.voted(now, *vote, StageNews { heard: Heard::Refused, stage: None });
+                }
+                _ => {}
+            }
+            done.push((now, effect));
+        }
+    }
+    done
+}
+
+#[test]
+fn the_same_told_gives_the_same_decisions() {
+    let (first, again, other) = (run(1, true), run(1, true), run(2, true));
+    assert!(first.len() > 4_000, "{}", first.len());
+    assert_eq!(first, again);
+    assert_ne!(first, other, "another seed draws other pods");
+}
+
+#[test]
+fn a_vote_without_an_answer_is_cast_again() {
+    let backs = |run: Vec<(Ns, Effect)>| {
+        run.iter().filter(|(_, effect)| matches!(effect, Effect::Vote { voice: Voice::Back, .. })).count()
+    };
+    let (answered, unanswered) = (backs(run(1, true)), backs(run(1, false)));
+    assert!((1..=6).contains(&answered), "renewed within its life of 6 s: {answered}");
+    assert!(unanswered > 3 * answered, "tried again soon: {unanswered}");
+}
+
+#[test]
+fn each_hit_has_one_answer_and_nothing_after_it() {
+    let site = site();
+    let mut engine = Engine::new(EPOCH, 1, &site);
+    engine.begin(EPOCH);
+    let hit = engine.hit(EPOCH, asked(0));
+    assert!(effects(&mut engine).contains(&Effect::Bounce { hit, come_back: S }), "no pods: at once");
+    engine.list(EPOCH, true, vec![listed(0, 1, 1, 0)]);
+    let hit = engine.hit(EPOCH, asked(2));
+    assert!(matches!(effects(&mut engine)[..], [Effect::Forward { nth: 0, .. }]));
+    assert!(!engine.ended(EPOCH + S, hit, 0, Ended::TimeOut, S, None));
+    assert_eq!(effects(&mut engine), [Effect::Error { hit, late: true }]);
+    assert!(!engine.ended(EPOCH + S, hit, 0, Ended::Delivered, S, None), "its forward ended before");
+    assert!(!engine.may_go(EPOCH + S, hit, 0) && effects(&mut engine).is_empty());
+    let hit = engine.hit(EPOCH + S, asked(2));
+    effects(&mut engine);
+    engine.left(EPOCH + S, hit);
+    assert!(!engine.ended(EPOCH + S, hit, 0, Ended::Delivered, MS, None), "nobody is there to be answered");
+    assert!(effects(&mut engine).is_empty() && engine.glance().hits == 0);
+}
+
+#[test]
+fn a_pod_that_came_back_is_another_and_names_do_not_pile_up() {
+    let site = site();
+    let mut engine = Engine::new(EPOCH, 1, &site);
+    engine.list(EPOCH, true, vec![listed(0, 1, 1, 0)]);
+    let hit = engine.hit(EPOCH, asked(0));
+    assert!(engine.may_go(EPOCH, hit, 0));
+    engine.list(EPOCH + MS, false, vec![listed(0, 1, 2, 0)]);
+    assert!(!engine.may_go(EPOCH + MS, hit, 0), "another life, even where both began long ago");
+    engine.ended(EPOCH + MS, hit, 0, Ended::NotSent, MS, None);
+    // A thousand lists of new names: indices are used again once nothing is out there.
+    let mut most = 0;
+    for n in 0..1_000 {
+        let now = EPOCH + S + n as Ns * MS;
+        engine.list(now, true, vec![listed(n as u16 + 10, 1, 1, 0)]);
+        let hit = engine.hit(now, asked(0));
+        for effect in effects(&mut engine) {
+            if let Effect::Forward { nth, pod, .. } = effect {
+                most = most.max(pod);
+                engine.ended(now, hit, nth, Ended::Delivered, MS, None);
+            }
+        }
+    }
+    assert!(most < 5, "index {most}");
+}
