--- a/crates/stand/src/bare.rs
+++ b/crates/stand/src/bare.rs
@@ -1,41 +1,73 @@
 //! What the sidecar's cost is measured against: a bare `hyper` proxy, and a pod that does nothing.
 
+use crate::pod::UNSEEN;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// How long the pod holds a hit, in milliseconds.
 pub const HOLD: &str = "x-hold-ms";
 
-/// Answers every hit with two bytes, at once or after the time that it asks for.
-pub async fn pod(listener: TcpListener) {
+/// Answers every hit with two bytes, at once or after the time that it asks for. With `slots` it serves only so
+/// many at a time, lets as many wait four times over, and turns the rest away unseen.
+pub async fn pod(listener: TcpListener, slots: Option<usize>) {
+    let most = slots.unwrap_or(Semaphore::MAX_PERMITS);
+    let (free, here) = (Rc::new(Semaphore::new(most)), Rc::new(Cell::new(0)));
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
+        let (free, here) = (free.clone(), here.clone());
         spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| async move {
-                let hold = request.headers().get(HOLD).and_then(|hold| hold.to_str().ok()?.parse().ok());
-                if let Some(hold) = hold.filter(|hold| *hold > 0) {
-                    sleep(Duration::from_millis(hold)).await;
-                }
-                Ok::<_, hyper::Error>(Response::new(Full::new(Bytes::from_static(b"ok"))))
-            });
+            let service = service_fn(|request: Request<Incoming>| serve(request, &free, &here, most));
             let _ = server::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
     }
 }
 
+/// Counts a hit for as long as it is here, also where its connection breaks off.
+struct Here<'a>(&'a Cell<usize>);
+
+impl Drop for Here<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve(
+    request: Request<Incoming>,
+    free: &Semaphore,
+    count: &Cell<usize>,
+    most: usize,
+) -> Result<Response<Full<Bytes>>, hyper::Error> {
+    if count.get() >= most.saturating_mul(5) {
+        let mut full = Response::new(Full::new(Bytes::new()));
+        *full.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        full.headers_mut().insert(UNSEEN, HeaderValue::from_static("1"));
+        return Ok(full);
+    }
+    count.set(count.get() + 1);
+    let _here = Here(count);
+    let _slot = free.acquire().await;
+    let hold = request.headers().get(HOLD).and_then(|hold| hold.to_str().ok()?.parse().ok());
+    if let Some(hold) = hold.filter(|hold| *hold > 0) {
+        sleep(Duration::from_millis(hold)).await;
+    }
+    Ok(Response::new(Full::new(Bytes::from_static(b"ok"))))
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct Bare {
