--- a/crates/sidecar/tests/engine.rs
+++ b/crates/sidecar/tests/engine.rs
@@ -46,7 +46,8 @@
     let old = (0..6).map(|n| listed(n, 1, 1, 0)).chain((6..9).map(|n| listed(n, 2, 1, 10 * S)));
     engine.list(EPOCH, true, old.collect());
     engine.news(EPOCH, Stage { build: 2, stage: 2, phase: Phase::Trial, cap: 1.0, age: S });
-    let (mut out, mut done) = (Vec::new(), Vec::new());
+    let mut out: Vec<(Ns, u64, u32, Ended)> = Vec::new();
+    let mut done = Vec::new();
     for tick in 0..20_000 {
         let now = EPOCH + tick * MS;
         if engine.next_wake().is_some_and(|at| at <= now) {
