--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -249,16 +249,13 @@
                 for rate in [1_000.0, 8_000.0] {
                     measured.push(turns(rate, seconds, rounds, &pods[0], &bare, &sidecar).await?);
                 }
-                json!({ "rates": measured })
+                println!();
+                let memory = in_flights(&bare, &sidecar).await?;
+                json!({ "rates": measured, "memory": memory })
             }
             "memory" => {
                 let sidecar = sidecar(&pods, nodes, "60s", folder.path())?;
-                let through = [("bare", &bare), ("sidecar", &sidecar)];
-                let mut measured = Vec::new();
-                for (name, part) in through {
-                    measured.push(in_flight(name, part).await?);
-                }
-                json!({ "memory": measured })
+                json!({ "memory": in_flights(&bare, &sidecar).await? })
             }
             "flood" => {
                 let sidecar = sidecar(&pods, nodes, "400ms", folder.path())?;
@@ -329,6 +326,10 @@
     }))
 }
 
+async fn in_flights(bare: &Part, sidecar: &Part) -> anyhow::Result<Vec<serde_json::Value>> {
+    Ok(vec![in_flight("bare", bare).await?, in_flight("sidecar", sidecar).await?])
+}
+
 /// Memory a hit that waits; 9,000 take 18,000 descriptors of a proxy, which is about what a process may have.
 /// The sidecar lets more in only as answers prove that there is room, so the count
 /// climbs with them.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -71,7 +71,7 @@
         #[arg(long)]
         rate: Option<f64>,
     },
-    /// Measure on loopback: proxy (added latency, CPU a hit), memory (a hit in flight), flood (past the maximum).
+    /// Measure on loopback: proxy (added latency, CPU and memory a hit), memory alone, flood (past the maximum).
     Bench {
         what: String,
         /// Length of each measured turn.
--- a/crates/sidecar/tests/hard.rs
+++ b/crates/sidecar/tests/hard.rs
@@ -579,7 +579,9 @@
                     let _ = peer.write_all(&[start, &garbage].concat()).await;
                 }
             }
-            let _ = rig.desk.push.send(String::from_utf8_lossy(&garbage).into_owned() + "\n");
+            for feed in [&rig.desk, &rig.nodes] {
+                let _ = feed.push.send(String::from_utf8_lossy(&garbage).into_owned() + "\n");
+            }
         }
         stream.write_all(OK).await.expect("answered");
         assert_eq!(held.await.expect("done"), 200, "the hit that was taken has its answer");
--- a/crates/stand/src/notation.rs
+++ b/crates/stand/src/notation.rs
@@ -190,6 +190,7 @@
             "breaks" => all.reset_after = share()?,
             "loses" => all.lose_answer = share()?,
             "hang" => all.hang = true,
+            "refuse" => all.refuse = true,
             "slow" => all.slow = preceded(space1, cut_err(number)).parse_next(input)?.max(0.1),
             "busy" => all.slow_busy = preceded(space1, cut_err(number)).parse_next(input)?.max(0.1),
             "shared" => shared = preceded(space1, cut_err(number)).parse_next(input)?.max(1.0),
--- a/crates/stand/src/pod.rs
+++ b/crates/stand/src/pod.rs
@@ -29,6 +29,8 @@
 /// Tells the client's stand-in, and nobody else, that an answer is wrong.
 pub const WRONG: &str = "x-wrong";
 const MARK: &str = "idempotency-key";
+/// How often a pod looks whether it is to refuse connections.
+const LOOKS: Duration = Duration::from_millis(20);
 
 /// What kind of machine a pod runs on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -58,6 +60,8 @@
     pub reset_after: f64,
     pub lose_answer: f64,
     pub slow_connect: Ns,
+    /// Nothing listens; connections that are open go on.
+    pub refuse: bool,
 }
 
 impl Default for Faults {
@@ -73,6 +77,7 @@
             reset_after: 0.0,
             lose_answer: 0.0,
             slow_connect: 0,
+            refuse: false,
         }
     }
 }
@@ -92,6 +97,7 @@
             reset_after: either(self.reset_after, other.reset_after),
             lose_answer: either(self.lose_answer, other.lose_answer),
             slow_connect: self.slow_connect.max(other.slow_connect),
+            refuse: self.refuse || other.refuse,
         }
     }
 }
@@ -358,8 +364,19 @@
 async fn accept(pod: Rc<Pod>, listener: TcpListener) {
     let mut down = pod.down.subscribe();
     let mut open = JoinSet::new();
-    loop {
+    let mut listener = Some(listener);
+    while !pod.is_down() {
+        if pod.faults.borrow().refuse {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(pod.address).await.ok();
+        }
+        let Some(listener) = &listener else {
+            sleep(LOOKS).await;
+            continue;
+        };
         tokio::select! {
+            () = sleep(LOOKS) => {}
             _ = down.wait_for(|down| *down) => break,
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
