The door's bound counts hits whose client left while their forwards are out

A reread found that hits held were counted by those that wait for an answer: clients that ask and leave at once could pile up forwards that only the module's own limit bounded. The door now counts what the engine holds. What happens to a pod beyond the roll's bound is said where it happens.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -420,9 +420,10 @@
         });
     }
 
-    /// Whether the door holds as many hits as it may, or stops.
+    /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
+    /// their forwards have ended, else they could pile up forwards past the bound.
     pub fn is_full(&self) -> bool {
-        self.stopping.get() || self.waiting.borrow().len() >= self.site.door.hits
+        self.stopping.get() || self.engine.borrow().held() >= self.site.door.hits
     }
 
     pub fn take(self: &Rc<Self>, asked: Asked, ask: Ask, answer: oneshot::Sender<Response<Body>>) -> HitId {
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -398,6 +398,11 @@
         self.desk.roll.listed(self.desk.now)
     }
 
+    /// Hits held: those owed an answer, and those whose forwards are still out though their client left.
+    pub fn held(&self) -> usize {
+        self.desk.hits.len()
+    }
+
     pub fn glance(&self) -> Glance {
         let pods = self.desk.entries.iter().flatten().filter(|pod| pod.state == PodState::Running).count();
         Glance { hits: self.desk.hits.len(), pods, stage: self.stage, sums: self.logic.sums() }
--- a/crates/sidecar/src/roll.rs
+++ b/crates/sidecar/src/roll.rs
@@ -84,6 +84,7 @@
         }
         let mut entries = Vec::with_capacity(pods.len());
         for listed in pods {
+            // Twice what a list may hold is in use at once: such a pod gets nothing until others have gone.
             let Some(pod) = self.index(&listed.name) else { continue };
             let (zone, machine) =
                 (place(&mut self.zones, &listed.zone), place(&mut self.machines, &listed.machine));
