--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -31,12 +31,14 @@
     seed: u64,
     json: Option<&Path>,
     kept: Option<&Path>,
+    trace: Option<&Path>,
 ) -> anyhow::Result<u8> {
     let own = tempfile::tempdir().context("a folder for lists and logs")?;
     let folder = kept.unwrap_or(own.path()).to_path_buf();
     std::fs::create_dir_all(&folder).with_context(|| format!("{}", folder.display()))?;
     let program = std::env::current_exe().context("this program's own path")?;
-    let launch = Launch { program, settings, folder };
+    let trace = trace.map(Path::to_path_buf);
+    let launch = Launch { program, settings, folder, trace };
     // Hidden where standard error is no terminal.
     let bar = ProgressBar::new(script.length / 1_000_000_000);
     bar.set_style(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,10 @@
-//! The one program, `havenplank`. Exit status: 0 done, 1 failed, 2 a rule is broken, 64 bad usage or settings.
+//! The one program, `havenplank`. Exit status: 0 done, 1 failed, 2 a rule is broken or a replay differs, 64 bad
+//! usage or settings.
 
 mod bench;
 mod day;
 mod serve;
+mod traces;
 
 use anyhow::{bail, Context};
 use clap::{Parser, Subcommand, ValueEnum};
@@ -10,9 +12,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-const FAILED: u8 = 1;
+pub const FAILED: u8 = 1;
 pub const BROKEN: u8 = 2;
-const USAGE: u8 = 64;
+pub const USAGE: u8 = 64;
 
 #[derive(Parser)]
 #[command(name = "havenplank", version, about = "A hit router and release judge")]
@@ -62,6 +64,9 @@
         /// Keep the ledger and the sidecars' logs in this folder.
         #[arg(long, value_name = "DIR")]
         ledger: Option<PathBuf>,
+        /// Let the sidecars record hits and decisions in this folder.
+        #[arg(long, value_name = "DIR")]
+        trace: Option<PathBuf>,
         /// Play with so many sidecars in place of the day's own number.
         #[arg(long)]
         sidecars: Option<usize>,
@@ -85,6 +90,11 @@
     /// A part that the bench starts: pod, or bare with the pods' addresses.
     #[command(hide = true)]
     BenchPart { kind: String, pods: Vec<std::net::SocketAddr> },
+    /// Read, cut, merge, anonymise, summarise and replay recorded traces.
+    Trace {
+        #[command(subcommand)]
+        what: traces::Trace,
+    },
     /// Check a kept ledger again.
     Rules {
         ledger: PathBuf,
@@ -138,7 +148,8 @@
             }
             None => Ok(USAGE),
         },
-        Command::Day { day, seed, json, ledger, sidecars, pods, rate } => {
+        Command::Trace { what } => traces::run(what),
+        Command::Day { day, seed, json, ledger, trace, sidecars, pods, rate } => {
             let Some(mut script) = day::read(&day)? else { return Ok(USAGE) };
             script.sidecars = sidecars.unwrap_or(script.sidecars).max(1);
             script.pods = pods.unwrap_or(script.pods).max(1);
@@ -149,7 +160,7 @@
                 .map(|(name, value)| format!("{name}={value}"))
                 .collect();
             let Some(site) = settings_of(&settings, &given)? else { return Ok(USAGE) };
-            day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref())
+            day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref(), trace.as_deref())
         }
         Command::Bench { what, seconds, rounds, json } => {
             bench::bench(&what, seconds, rounds, json.as_deref())
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,14 +1,47 @@
-//! `havenplank serve`: signals, log and runtime around the sidecar library, nothing else.
+//! `havenplank serve`: signals, log, recorder and runtime around the sidecar library, nothing else.
 
 use anyhow::Context;
 use havenplank_settings::Site;
-use std::time::{SystemTime, UNIX_EPOCH};
+use havenplank_sidecar::engine::EPOCH;
+use havenplank_sidecar::told::{Terms, Witness};
+use havenplank_trace::recorder::{Folder, Limits, Recorder, Writing};
+use havenplank_trace::Source;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 
+/// How long a stop waits for the trace's last blocks.
+const WRITES: Duration = Duration::from_secs(5);
+
+fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
+}
+
+/// The recorder that the settings ask for, if they do.
+fn recorder(site: &Site, seed: u64) -> anyhow::Result<Option<(Recorder, Writing)>> {
+    let Some(trace) = &site.trace else { return Ok(None) };
+    let wall = wall();
+    let folder = Folder::new(&trace.folder, &site.name, wall, trace.total_bytes);
+    let folder = folder.with_context(|| format!("trace.folder: {}", trace.folder.display()))?;
+    let (terms, life) = (Terms::from(site), wall ^ (std::process::id() as u64) << 32);
+    let source =
+        Source { terms, seed, life, part: 0, began: EPOCH, wall, share: 1.0, whole: true, until: u64::MAX };
+    let limits = Limits {
+        share: trace.share,
+        queue: trace.queue_bytes,
+        longest: site.groups.iter().map(|group| group.rules.client_timeout).max().unwrap_or(0),
+        file_bytes: trace.file_bytes,
+        file_age: trace.file_age,
+    };
+    Ok(Some(Recorder::start(source, limits, Box::new(folder))))
+}
+
 pub fn serve(site: Site, seed: Option<u64>) -> anyhow::Result<u8> {
-    let drawn = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64);
-    let seed = seed.unwrap_or_else(drawn);
+    let seed = seed.unwrap_or_else(wall);
+    let (witness, writing) = match recorder(&site, seed)? {
+        Some((recorder, writing)) => (Some(Box::new(recorder) as Box<dyn Witness>), Some(writing)),
+        None => (None, None),
+    };
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
     runtime.block_on(async {
@@ -24,7 +57,13 @@
                 _ = interrupt.recv() => {}
             }
         };
-        havenplank_sidecar::serve(site, seed, ready, stop).await?;
-        Ok(0)
-    })
+        havenplank_sidecar::serve(site, seed, witness, ready, stop).await?;
+        anyhow::Ok(())
+    })?;
+    // The engine goes with the runtime's last task, and the recorder with the engine.
+    drop(runtime);
+    if writing.is_some_and(|writing| !writing.wait(WRITES)) {
+        tracing::warn!("the disk was too slow for the trace's last blocks");
+    }
+    Ok(0)
 }
--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -30,6 +30,21 @@
     /// Where the last whole list is kept for a start without the node list's service.
     pub kept_list: Option<PathBuf>,
     pub desk: Feed,
+    pub trace: Option<Trace>,
+}
+
+/// Where hits and decisions are recorded.
+#[derive(Clone, Debug)]
+pub struct Trace {
+    pub folder: PathBuf,
+    /// Share of hits that are in, each with all its records.
+    pub share: f64,
+    /// Records that may wait for the disk, in bytes; from half of it on new hits are left out.
+    pub queue_bytes: usize,
+    pub file_bytes: u64,
+    pub file_age: Ns,
+    /// Of all files of this sidecar; the oldest go first.
+    pub total_bytes: u64,
 }
 
 /// A path group and the hits that belong to it: the first of the script that fits takes a hit.
@@ -244,9 +259,31 @@
     }
 }
 
+/// `None` where no folder is told: nothing is recorded.
+fn trace(r: &mut Reader) -> Option<Trace> {
+    let folder = r.maybe_text("folder").map(PathBuf::from);
+    let trace = Trace {
+        folder: folder.clone().unwrap_or_default(),
+        share: r.number_or("share", 0.0..=1.0, 1.0),
+        queue_bytes: r.size_or("queue_bytes", 256 * KIB..=1 << 30, 8 << 20) as usize,
+        file_bytes: r.size_or("file_bytes", 64 * KIB..=1 << 40, 256 << 20),
+        file_age: if r.has("file_age") {
+            r.span_above_0("file_age")
+        } else {
+            r.span_or("file_age", 3_600 * S)
+        },
+        total_bytes: r.size_or("total_bytes", 64 * KIB..=1 << 44, 4 << 30),
+    };
+    if trace.total_bytes < trace.file_bytes {
+        r.complain("total_bytes", format!("found {}", trace.total_bytes), "file_bytes at least");
+    }
+    folder.map(|_| trace)
+}
+
 /// Turns the rows of a script into a site. `None` only where there are problems.
 pub(crate) fn site(file: &str, rows: &[Row], problems: &mut Vec<Problem>) -> Option<Site> {
-    const ONCE: [&str; 8] = ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk"];
+    const ONCE: [&str; 9] =
+        ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk", "trace"];
     const NEEDED: [&str; 6] = ["sidecar", "pods", "exposure", "votes", "nodes", "desk"];
     for kind in ONCE {
         for row in rows.iter().filter(|row| row.kind == kind).skip(1) {
@@ -318,6 +355,8 @@
         kept_list = r.maybe_text("keep").map(PathBuf::from);
     });
     read("desk", &mut |r| desk = Some(feed(r)));
+    let mut recorded = None;
+    read("trace", &mut |r| recorded = trace(r));
     let mut groups: Vec<Group> = Vec::new();
     for row in rows.iter().filter(|row| row.kind == "path_group") {
         let mut reader = Reader::new(row, problems);
@@ -351,5 +390,6 @@
         nodes,
         kept_list,
         desk,
+        trace: recorded,
     })
 }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::engine::{Asked, Effect, Engine, Glance, EPOCH};
 use crate::links::Links;
 use crate::proxy::{self, Ask, Body};
+use crate::told::{Terms, Witness};
 use havenplank::port::*;
 use havenplank_feeds::follow::{follow, Link};
 use havenplank_feeds::nodes::Listed;
@@ -51,7 +52,8 @@
 }
 
 /// Runs a sidecar on the present thread until `stop` is done; then takes no more hits, gives each that it
-/// holds its one final answer, and returns. `ready` is called once it listens. Needs a tokio runtime with
+/// holds its one final answer, and returns. `ready` is called once it listens; `witness` sees all that the
+/// engine is told and does. Needs a tokio runtime with
 /// time and I/O, and a place for local tasks: a `LocalRuntime`, which is the cheaper, or a `LocalSet`. Shares
 /// nothing with others in the process.
 ///
@@ -60,10 +62,11 @@
 pub async fn serve(
     site: Site,
     seed: u64,
+    witness: Option<Box<dyn Witness>>,
     ready: impl FnOnce(Addresses),
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
-    run(site, seed, ready, stop).await
+    run(site, seed, witness, ready, stop).await
 }
 
 async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
@@ -78,9 +81,14 @@
 async fn run(
     site: Site,
     seed: u64,
+    witness: Option<Box<dyn Witness>>,
     ready: impl FnOnce(Addresses),
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
+    let mut engine = Engine::new(EPOCH, seed, &Terms::from(&site));
+    if let Some(witness) = witness {
+        engine = engine.watched_by(witness);
+    }
     let (hits, at) = listen(site.door.listen).await?;
     let (admins, admin) = listen(site.door.admin).await?;
     let via = HeaderValue::from_str(&format!("1.1 {}", site.name));
@@ -91,7 +99,7 @@
     let timeout_header = HeaderName::try_from(&site.headers.timeout);
     let shell = Rc::new(Shell {
         began: Instant::now(),
-        engine: RefCell::new(Engine::new(EPOCH, seed, &site)),
+        engine: RefCell::new(engine),
         links: Links::new(&site.links),
         waiting: RefCell::default(),
         armed: Cell::new(0),
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -1,10 +1,10 @@
 //! One decision module and what it asks of the world, with time handed in and effects left in a queue.
 
 use crate::roll::Roll;
+use crate::told::{Terms, Told, Witness};
 use havenplank::logic::Logic;
 use havenplank::port::*;
 use havenplank_feeds::nodes::Listed;
-use havenplank_settings::Site;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
 }
 
 /// A hit as the door read it: all that the decisions see of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Asked {
     pub group: GroupId,
     pub customer: Option<usize>,
@@ -206,13 +206,14 @@
     desk: Desk,
     groups: Vec<String>,
     stage: Option<Stage>,
+    witness: Option<Box<dyn Witness>>,
 }
 
 impl Engine {
-    pub fn new(now: Ns, seed: u64, site: &Site) -> Engine {
+    pub fn new(now: Ns, seed: u64, terms: &Terms) -> Engine {
         let desk = Desk {
             now: now.max(EPOCH),
-            roll: Roll::new(site.zones.clone(), site.machines.clone()),
+            roll: Roll::new(terms.zones.clone(), terms.machines.clone()),
             entries: Vec::new(),
             hits: HashMap::new(),
             next_hit: 0,
@@ -224,25 +225,68 @@
             next_call: 0,
             effects: VecDeque::new(),
         };
-        let rules = site.groups.iter().map(|group| group.rules).collect();
         let logic = Logic::new(
             desk.now,
             seed,
-            site.place.clone(),
-            rules,
-            site.forwards.clone(),
-            site.pods.clone(),
-            site.exposure.clone(),
-            site.votes.clone(),
-            site.list.clone(),
+            terms.place.clone(),
+            terms.groups.iter().map(|(_, rules)| *rules).collect(),
+            terms.forwards.clone(),
+            terms.pods.clone(),
+            terms.exposure.clone(),
+            terms.votes.clone(),
+            terms.list.clone(),
         );
-        let groups = site.groups.iter().map(|group| group.name.clone()).collect();
-        Engine { logic, desk, groups, stage: None }
+        let groups = terms.groups.iter().map(|(name, _)| name.clone()).collect();
+        Engine { logic, desk, groups, stage: None, witness: None }
+    }
+
+    /// Lets a witness see all that the engine is told and does from here on.
+    pub fn watched_by(mut self, witness: Box<dyn Witness>) -> Engine {
+        self.witness = Some(witness);
+        self
+    }
+
+    /// Before the call that it tells of has any effect. What is told is only made where somebody looks on.
+    fn saw(&mut self, told: impl FnOnce() -> Told) {
+        if let Some(witness) = &mut self.witness {
+            witness.told(self.desk.now, told());
+        }
+    }
+
+    /// Tells the engine again what it was told once; whether it says of a forward that it may go, or of an
+    /// answer that it goes to the client, where that is asked.
+    pub fn tell(&mut self, now: Ns, told: Told) -> Option<bool> {
+        match told {
+            Told::Begin => self.begin(now),
+            Told::Hit { asked, .. } => {
+                self.hit(now, asked);
+            }
+            Told::MayGo { hit, nth, .. } => return Some(self.may_go(now, hit, nth)),
+            Told::Ended { hit, nth, end, took, load, .. } => {
+                return Some(self.ended(now, hit, nth, end, took, load))
+            }
+            Told::Left { hit } => self.left(now, hit),
+            Told::List { whole, pods, .. } => {
+                self.list(now, whole, pods);
+            }
+            Told::ListFailed => self.list_failed(now),
+            Told::News(stage) => self.news(now, stage),
+            Told::Voted { vote, news } => self.voted(now, vote, news),
+            Told::Probed { probe, end } => self.probed(now, probe, end),
+            Told::Tally(tally) => self.tallied(now, tally),
+            Told::Flagged { pod, group, ago } => self.flag(now, pod, group, ago),
+            Told::Wake(wake) => {
+                self.at(now);
+                self.woken(wake);
+            }
+        }
+        None
     }
 
     /// Tells the module that it may start; what it asks of the node list comes then.
     pub fn begin(&mut self, now: Ns) {
         self.at(now);
+        self.saw(|| Told::Begin);
         self.logic.begin(&mut self.desk);
     }
 
@@ -252,7 +296,11 @@
 
     /// The next thing to carry out.
     pub fn effect(&mut self) -> Option<Effect> {
-        self.desk.effects.pop_front()
+        let effect = self.desk.effects.pop_front()?;
+        if let Some(witness) = &mut self.witness {
+            witness.did(self.desk.now, &effect);
+        }
+        Some(effect)
     }
 
     pub fn next_wake(&self) -> Option<Ns> {
@@ -264,9 +312,18 @@
         self.at(now);
         while self.next_wake().is_some_and(|at| at <= self.desk.now) {
             let Some(Reverse((_, id))) = self.desk.wakes.pop() else { break };
-            if let Some(then) = self.desk.waking.remove(&id) {
-                then(&mut self.logic, &mut self.desk, ());
-            }
+            self.woken(id);
+        }
+    }
+
+    /// One wake, named, as others may come between two that are due at once.
+    fn woken(&mut self, wake: u64) {
+        if let Some(then) = self.desk.waking.remove(&wake) {
+            self.saw(|| Told::Wake(wake));
+            then(&mut self.logic, &mut self.desk, ());
+        }
+        while self.desk.wakes.peek().is_some_and(|Reverse((_, id))| !self.desk.waking.contains_key(id)) {
+            self.desk.wakes.pop();
         }
     }
 
@@ -275,6 +332,7 @@
         self.at(now);
         let id = self.desk.next_hit;
         self.desk.next_hit += 1;
+        self.saw(|| Told::Hit { hit: id, asked: asked.clone() });
         let Asked { group, customer, key, left, cost_hint, repeat } = asked;
         let deadline = self.desk.now.saturating_add(left);
         let held = Held { group, key, deadline, open: true, forwards: Vec::new() };
@@ -287,6 +345,12 @@
     /// Whether a forward may still go out now: its hit wants an answer, and the rules leave its pod open.
     pub fn may_go(&mut self, now: Ns, hit: HitId, nth: u32) -> bool {
         self.at(now);
+        let may = self.may(hit, nth);
+        self.saw(|| Told::MayGo { hit, nth, may });
+        may
+    }
+
+    fn may(&mut self, hit: HitId, nth: u32) -> bool {
         let Some(held) = self.desk.hits.get(&hit).filter(|held| held.open) else { return false };
         let Some(Some(out)) = held.forwards.get(nth as usize) else { return false };
         let (group, key, at) = (held.group, held.key, out.at);
@@ -301,6 +365,7 @@
         let passed = held.open && end == Ended::Delivered;
         held.open &= !passed;
         let over = !held.open;
+        self.saw(|| Told::Ended { hit, nth, end, took, load, passed });
         self.desk.roll.ended(out.pod);
         (out.then)(&mut self.logic, &mut self.desk, Outcome { end, took, over, load });
         self.desk.sweep(hit);
@@ -310,12 +375,20 @@
     /// The client went away: nothing more is owed, though forwards that are out still tell how they end.
     pub fn left(&mut self, now: Ns, hit: HitId) {
         self.at(now);
+        self.saw(|| Told::Left { hit });
         self.desk.close(hit);
     }
 
-    pub fn list(&mut self, now: Ns, whole: bool, pods: Vec<Listed>) {
+    /// Takes a list in; the index of each of its pods, as long as it is listed and forwards are out there.
+    pub fn list(&mut self, now: Ns, whole: bool, pods: Vec<Listed>) -> Vec<Option<PodId>> {
         self.at(now);
+        let told = self.witness.is_some().then(|| pods.clone());
         let entries = self.desk.roll.apply(self.desk.now, whole, pods);
+        let given: Vec<Option<PodId>> = entries.iter().map(|entry| entry.map(|entry| entry.pod)).collect();
+        if let Some(pods) = told {
+            self.saw(|| Told::List { whole, pods, given: given.clone() });
+        }
+        let entries: Vec<PodEntry> = entries.into_iter().flatten().collect();
         if whole {
             self.desk.entries.fill(None);
         }
@@ -327,15 +400,18 @@
         }
         self.logic.list(&mut self.desk, whole, &entries);
         self.desk.roll.sweep();
+        given
     }
 
     pub fn list_failed(&mut self, now: Ns) {
         self.at(now);
+        self.saw(|| Told::ListFailed);
         self.logic.list_failed(&mut self.desk);
     }
 
     pub fn news(&mut self, now: Ns, stage: Stage) {
         self.at(now);
+        self.saw(|| Told::News(stage));
         self.stage = Some(stage);
         self.logic.news(&mut self.desk, stage);
     }
@@ -344,6 +420,7 @@
     pub fn voted(&mut self, now: Ns, vote: u64, news: StageNews) {
         self.at(now);
         if let Some(then) = self.desk.votes.remove(&vote) {
+            self.saw(|| Told::Voted { vote, news: news.clone() });
             self.stage = news.stage.or(self.stage);
             then(&mut self.logic, &mut self.desk, news);
         }
@@ -352,6 +429,7 @@
     pub fn probed(&mut self, now: Ns, probe: u64, end: ProbeEnd) {
         self.at(now);
         if let Some(then) = self.desk.probes.remove(&probe) {
+            self.saw(|| Told::Probed { probe, end: end.clone() });
             then(&mut self.logic, &mut self.desk, end);
         }
     }
@@ -366,21 +444,31 @@
         mean: Ns,
         age: Ns,
     ) -> bool {
-        self.at(now);
         let Some(group) = self.group(group) else { return false };
         let (count, failed) = counts;
-        self.logic.tally(&mut self.desk, Tally { build, group, count, failed, mean_latency: mean, age });
+        self.tallied(now, Tally { build, group, count, failed, mean_latency: mean, age });
         true
     }
 
+    fn tallied(&mut self, now: Ns, tally: Tally) {
+        self.at(now);
+        self.saw(|| Told::Tally(tally.clone()));
+        self.logic.tally(&mut self.desk, tally);
+    }
+
     /// A client found an answer wrong; false where the pod or path group is not known.
     pub fn flagged(&mut self, now: Ns, pod: &str, group: &str, ago: Ns) -> bool {
-        self.at(now);
         let (Some(pod), Some(group)) = (self.desk.roll.find(pod), self.group(group)) else { return false };
-        self.logic.flagged(&mut self.desk, pod, group, ago);
+        self.flag(now, pod, group, ago);
         true
     }
 
+    fn flag(&mut self, now: Ns, pod: PodId, group: GroupId, ago: Ns) {
+        self.at(now);
+        self.saw(|| Told::Flagged { pod, group, ago });
+        self.logic.flagged(&mut self.desk, pod, group, ago);
+    }
+
     fn group(&self, name: &str) -> Option<GroupId> {
         self.groups.iter().position(|known| known == name)
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,5 +11,6 @@
 mod links;
 mod proxy;
 mod roll;
+pub mod told;
 
 pub use daemon::{serve, Addresses, StartError};
--- a/crates/sidecar/src/roll.rs
+++ b/crates/sidecar/src/roll.rs
@@ -76,16 +76,19 @@
         live.map(aged).collect()
     }
 
-    /// Takes a list in and maps it to the module's entries. The same life keeps the start time it had when
+    /// Takes a list in and maps it to the module's entries, `None` for a pod that no index was left for. The same life keeps the start time it had when
     /// first listed; another life, build or address makes a pod that started anew under its old name.
-    pub fn apply(&mut self, now: Ns, whole: bool, pods: Vec<Listed>) -> Vec<PodEntry> {
+    pub fn apply(&mut self, now: Ns, whole: bool, pods: Vec<Listed>) -> Vec<Option<PodEntry>> {
         if whole {
             self.slots.iter_mut().flatten().for_each(|known| known.listed.state = PodState::Gone);
         }
         let mut entries = Vec::with_capacity(pods.len());
         for listed in pods {
             // Twice what a list may hold is in use at once: such a pod gets nothing until others have gone.
-            let Some(pod) = self.index(&listed.name) else { continue };
+            let Some(pod) = self.index(&listed.name) else {
+                entries.push(None);
+                continue;
+            };
             let (zone, machine) =
                 (place(&mut self.zones, &listed.zone), place(&mut self.machines, &listed.machine));
             let slot = &mut self.slots[pod];
@@ -100,7 +103,7 @@
             let Listed { state, build, cell, size, .. } = listed;
             let forwards_out = slot.as_ref().map_or(0, |known| known.forwards_out);
             *slot = Some(Known { listed, started, forwards_out });
-            entries.push(PodEntry { pod, state, build, started, zone, machine, cell, size });
+            entries.push(Some(PodEntry { pod, state, build, started, zone, machine, cell, size }));
         }
         entries
     }
--- /dev/null
+++ b/crates/sidecar/src/told.rs
@@ -0,0 +1,97 @@
+//! What an engine is told, as data: for those that look on, and to tell it again.
+
+use crate::engine::{Asked, Effect};
+use havenplank::port::*;
+use havenplank_feeds::nodes::Listed;
+use havenplank_settings::Site;
+use serde::{Deserialize, Serialize};
+
+/// What an engine and its readers are told before it starts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Terms {
+    pub name: String,
+    pub place: Place,
+    pub zones: Vec<String>,
+    pub machines: Vec<String>,
+    pub customers: Vec<String>,
+    pub groups: Vec<(String, PathGroup)>,
+    pub forwards: ForwardRules,
+    pub pods: PodRules,
+    pub exposure: ExposureRules,
+    pub votes: VoteRules,
+    pub list: ListRules,
+}
+
+impl From<&Site> for Terms {
+    fn from(site: &Site) -> Terms {
+        Terms {
+            name: site.name.clone(),
+            place: site.place.clone(),
+            zones: site.zones.clone(),
+            machines: site.machines.clone(),
+            customers: site.customers.clone(),
+            groups: site.groups.iter().map(|group| (group.name.clone(), group.rules)).collect(),
+            forwards: site.forwards.clone(),
+            pods: site.pods.clone(),
+            exposure: site.exposure.clone(),
+            votes: site.votes.clone(),
+            list: site.list.clone(),
+        }
+    }
+}
+
+/// One call on an engine, with what it said where it says something.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Begin,
+    Hit {
+        hit: HitId,
+        asked: Asked,
+    },
+    MayGo {
+        hit: HitId,
+        nth: u32,
+        may: bool,
+    },
+    Ended {
+        hit: HitId,
+        nth: u32,
+        end: Ended,
+        took: Ns,
+        load: Option<Load>,
+        passed: bool,
+    },
+    Left {
+        hit: HitId,
+    },
+    /// `given`: the index of each pod, `None` where none was left for it.
+    List {
+        whole: bool,
+        pods: Vec<Listed>,
+        given: Vec<Option<PodId>>,
+    },
+    ListFailed,
+    News(Stage),
+    Voted {
+        vote: u64,
+        news: StageNews,
+    },
+    Probed {
+        probe: u64,
+        end: ProbeEnd,
+    },
+    Tally(Tally),
+    Flagged {
+        pod: PodId,
+        group: GroupId,
+        ago: Ns,
+    },
+    Wake(u64),
+}
+
+/// Looks on at an engine. It is called in the middle of decisions, so it must not wait for anything. Effects
+/// are seen as they are taken, which is in the order left, but maybe after the next call.
+pub trait Witness {
+    fn told(&mut self, now: Ns, told: Told);
+    fn did(&mut self, now: Ns, effect: &Effect);
+}
--- a/crates/sidecar/tests/engine.rs
+++ b/crates/sidecar/tests/engine.rs
@@ -2,16 +2,17 @@
 
 use havenplank::port::{Ended, Heard, Ns, Phase, PodState, Stage, StageNews, Voice};
 use havenplank_feeds::nodes::Listed;
-use havenplank_settings::{load, Given, Site};
+use havenplank_settings::{load, Given};
 use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
+use havenplank_sidecar::told::Terms;
 use std::path::Path;
 
 const MS: Ns = 1_000_000;
 const S: Ns = 1_000 * MS;
 
-fn site() -> Site {
+fn site() -> Terms {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/site.star");
-    load(&file, &Given::new()).unwrap_or_else(|problems| panic!("{problems}"))
+    Terms::from(&load(&file, &Given::new()).unwrap_or_else(|problems| panic!("{problems}")))
 }
 
 fn listed(n: u16, build: u32, life: u64, age: Ns) -> Listed {
--- a/crates/sidecar/tests/hard.rs
+++ b/crates/sidecar/tests/hard.rs
@@ -184,7 +184,7 @@
         spawn_local(async move {
             let stopped = async { stopped.await.unwrap_or(()) };
             let tell = |at| ready.send(at).unwrap_or(());
-            havenplank_sidecar::serve(site, 7, tell, stopped).await.expect("it serves");
+            havenplank_sidecar::serve(site, 7, None, tell, stopped).await.expect("it serves");
             let _ = end.send(());
         });
         let at = listens.await.expect("it listens");
--- a/crates/stand/src/day.rs
+++ b/crates/stand/src/day.rs
@@ -38,6 +38,8 @@
     pub settings: PathBuf,
     /// Where each keeps its last list and its log.
     pub folder: PathBuf,
+    /// Where the sidecars record, if they are to.
+    pub trace: Option<PathBuf>,
 }
 
 /// What a day came to.
@@ -233,6 +235,9 @@
             ("keep", kept),
             ("zone", self.day.zones[n % self.day.zones.len()].clone()),
         ];
+        if let Some(folder) = &self.launch.trace {
+            values.push(("trace".to_string(), folder.display().to_string()));
+        }
         values.extend(own.map(|(name, value)| (name.to_string(), value)));
         let mut command = Command::new(&self.launch.program);
         command.args(["--log-format", "json", "serve"]).arg(&self.launch.settings);
--- /dev/null
+++ b/crates/trace/src/columns.rs
@@ -0,0 +1,679 @@
+//! The body of a block: each field of each kind of record in a column of its own, so that likes stand beside
+//! likes, and so that a reader passes over the columns it does not know.
+
+use crate::record::{Card, Record, Standing, What};
+use havenplank::port::*;
+use havenplank_feeds::lines::MOST_PODS;
+use havenplank_feeds::nodes::Listed;
+use havenplank_sidecar::engine::{Asked, Effect};
+use havenplank_sidecar::told::Told;
+use integer_encoding::VarInt;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Columns of a kind of record; its first is 16 times its number.
+const FIELDS: u16 = 16;
+const COLUMNS: usize = 512;
+/// Bytes of text in one record at most; the largest list with names of usual length takes a quarter.
+const TEXT: usize = 16 << 20;
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Wrong {
+    #[error("column {0} ends before its last value")]
+    Short(u16),
+    #[error("column {0} holds a value out of range")]
+    Range(u16),
+    #[error("column {0} names an entry that its dictionary lacks")]
+    Entry(u16),
+}
+
+/// One way over the fields of a record, writing or reading: what is written and what is read cannot differ,
+/// as both are told by the same walk.
+trait Way {
+    fn number(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong>;
+    fn float(&mut self, column: u16, value: &mut f64) -> Result<(), Wrong>;
+    fn key(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong>;
+    fn text(&mut self, column: u16, value: &mut String) -> Result<(), Wrong>;
+    fn card(&mut self, column: u16, pod: &mut PodId, card: &mut Option<Arc<Card>>) -> Result<(), Wrong>;
+    /// What was last seen in a place, to tell a value by its distance from it.
+    fn last(&mut self, place: (u16, u64)) -> &mut u64;
+    /// Something newer than this program: the record is passed over once it is walked.
+    fn strange(&mut self);
+
+    fn near(&mut self, column: u16, slot: u64, value: &mut u64) -> Result<(), Wrong> {
+        let last = *self.last((column, slot));
+        let mut apart = zigzag(value.wrapping_sub(last) as i64);
+        self.number(column, &mut apart)?;
+        *value = last.wrapping_add(unzigzag(apart) as u64);
+        *self.last((column, slot)) = *value;
+        Ok(())
+    }
+
+    /// A hit, by how far it lies behind the newest one named before.
+    fn hit(&mut self, column: u16, source: u64, hit: &mut HitId) -> Result<(), Wrong> {
+        let newest = *self.last((0, source));
+        let mut apart = zigzag(newest.wrapping_sub(*hit) as i64);
+        self.number(column, &mut apart)?;
+        *hit = newest.wrapping_sub(unzigzag(apart) as u64);
+        *self.last((0, source)) = newest.max(*hit);
+        Ok(())
+    }
+
+    fn index(&mut self, column: u16, value: &mut usize) -> Result<(), Wrong> {
+        let mut wide = *value as u64;
+        self.number(column, &mut wide)?;
+        *value = usize::try_from(wide).map_err(|_| Wrong::Range(column))?;
+        Ok(())
+    }
+
+    fn small(&mut self, column: u16, value: &mut u32) -> Result<(), Wrong> {
+        let mut wide = *value as u64;
+        self.number(column, &mut wide)?;
+        *value = u32::try_from(wide).map_err(|_| Wrong::Range(column))?;
+        Ok(())
+    }
+
+    fn flag(&mut self, column: u16, value: &mut bool) -> Result<(), Wrong> {
+        let mut wide = *value as u64;
+        self.number(column, &mut wide)?;
+        *value = wide != 0;
+        Ok(())
+    }
+
+    /// One of a list of choices, by its place there; the list may grow at its end with minor versions.
+    fn one<T: Copy + PartialEq>(&mut self, column: u16, value: &mut T, all: &[T]) -> Result<(), Wrong> {
+        let mut at = all.iter().position(|one| one == value).unwrap_or(0) as u64;
+        self.number(column, &mut at)?;
+        match usize::try_from(at).ok().and_then(|at| all.get(at)) {
+            Some(one) => *value = *one,
+            None => self.strange(),
+        }
+        Ok(())
+    }
+
+    /// Whether there is one, then `walk` over it.
+    fn maybe<T>(
+        &mut self,
+        column: u16,
+        value: &mut Option<T>,
+        blank: T,
+        walk: impl FnOnce(&mut Self, &mut T) -> Result<(), Wrong>,
+    ) -> Result<(), Wrong> {
+        let mut there = value.is_some();
+        self.flag(column, &mut there)?;
+        if !there {
+            *value = None;
+            return Ok(());
+        }
+        walk(self, value.get_or_insert(blank))
+    }
+}
+
+fn zigzag(value: i64) -> u64 {
+    ((value << 1) ^ (value >> 63)) as u64
+}
+
+fn unzigzag(value: u64) -> i64 {
+    (value >> 1) as i64 ^ -((value & 1) as i64)
+}
+
+const ENDS: [Ended; 8] = [
+    Ended::Delivered,
+    Ended::Error,
+    Ended::Full,
+    Ended::TimeOut,
+    Ended::NoConnection,
+    Ended::Reset,
+    Ended::Cancelled,
+    Ended::NotSent,
+];
+const STATES: [PodState; 3] = [PodState::Running, PodState::Draining, PodState::Gone];
+const PHASES: [Phase; 4] = [Phase::Trial, Phase::GoingBack, Phase::Released, Phase::Withdrawn];
+const VOICES: [Voice; 4] = [Voice::None, Voice::On, Voice::Hold, Voice::Back];
+const HEARD: [Heard; 4] = [Heard::Counted, Heard::Moot, Heard::Unknown, Heard::Refused];
+const NO_STAGE: Stage = Stage { build: 0, stage: 0, phase: Phase::Trial, cap: 0.0, age: 0 };
+
+fn load(w: &mut impl Way, c: u16, load: &mut Option<Load>) -> Result<(), Wrong> {
+    w.maybe(c, load, Load::default(), |w, load| {
+        let fields = [
+            &mut load.in_flight,
+            &mut load.queued,
+            &mut load.busy,
+            &mut load.latency_ms,
+            &mut load.delivered_per_s,
+            &mut load.failed_per_s,
+        ];
+        let there = fields.iter().enumerate().map(|(n, field)| (field.is_some() as u64) << n);
+        let mut there: u64 = there.sum();
+        w.number(c + 1, &mut there)?;
+        for (n, field) in fields.into_iter().enumerate() {
+            *field = (there >> n & 1 == 1).then_some(field.unwrap_or(0.0));
+            if let Some(value) = field {
+                w.float(c + 2 + n as u16, value)?;
+            }
+        }
+        Ok(())
+    })
+}
+
+fn stage(w: &mut impl Way, c: u16, stage: &mut Stage) -> Result<(), Wrong> {
+    w.small(c, &mut stage.build)?;
+    w.index(c + 1, &mut stage.stage)?;
+    w.one(c + 2, &mut stage.phase, &PHASES)?;
+    w.float(c + 3, &mut stage.cap)?;
+    w.number(c + 4, &mut stage.age)
+}
+
+/// Everything but the time: the kind is known on both ways.
+fn walk(w: &mut impl Way, kind: u16, source: u64, record: &mut Record) -> Result<(), Wrong> {
+    let c = kind * FIELDS;
+    match &mut record.what {
+        What::Told(told) => match told {
+            Told::Begin | Told::ListFailed => Ok(()),
+            Told::Hit { hit, asked } => {
+                w.hit(c, source, hit)?;
+                w.index(c + 1, &mut asked.group)?;
+                w.maybe(c + 2, &mut asked.customer, 0, |w, customer| w.index(c + 3, customer))?;
+                w.key(c + 4, &mut asked.key)?;
+                w.near(c + 5, asked.group as u64, &mut asked.left)?;
+                *w.last((1, source)) = asked.left;
+                w.maybe(c + 6, &mut asked.cost_hint, 0, |w, cost| w.number(c + 7, cost))?;
+                w.flag(c + 8, &mut asked.repeat)
+            }
+            Told::MayGo { hit, nth, may } => {
+                w.hit(c, source, hit)?;
+                w.small(c + 1, nth)?;
+                w.flag(c + 2, may)
+            }
+            Told::Ended { hit, nth, end, took, load: said, passed } => {
+                w.hit(c, source, hit)?;
+                w.small(c + 1, nth)?;
+                w.one(c + 2, end, &ENDS)?;
+                w.number(c + 3, took)?;
+                w.flag(c + 4, passed)?;
+                load(w, c + 5, said)
+            }
+            Told::Left { hit } => w.hit(c, source, hit),
+            Told::List { whole, pods, given } => {
+                w.flag(c, whole)?;
+                let mut count = pods.len();
+                w.index(c + 1, &mut count)?;
+                if count > MOST_PODS {
+                    return Err(Wrong::Range(c + 1));
+                }
+                for n in 0..count {
+                    if n == pods.len() {
+                        pods.push(blank_pod());
+                        given.push(None);
+                    }
+                    listed(w, c + 2, &mut pods[n])?;
+                    w.maybe(c + 12, &mut given[n], 0, |w, given| w.index(c + 13, given))?;
+                }
+                Ok(())
+            }
+            Told::News(news) => stage(w, c, news),
+            Told::Voted { vote, news } => {
+                w.number(c, vote)?;
+                w.one(c + 1, &mut news.heard, &HEARD)?;
+                w.maybe(c + 2, &mut news.stage, NO_STAGE, |w, news| stage(w, c + 3, news))
+            }
+            Told::Probed { probe, end } => {
+                w.near(c, 0, probe)?;
+                w.one(c + 1, &mut end.end, &ENDS)?;
+                w.number(c + 2, &mut end.took)?;
+                load(w, c + 3, &mut end.load)
+            }
+            Told::Tally(tally) => {
+                w.small(c, &mut tally.build)?;
+                w.index(c + 1, &mut tally.group)?;
+                w.number(c + 2, &mut tally.count)?;
+                w.number(c + 3, &mut tally.failed)?;
+                w.number(c + 4, &mut tally.mean_latency)?;
+                w.number(c + 5, &mut tally.age)
+            }
+            Told::Flagged { pod, group, ago } => {
+                w.card(c, pod, &mut record.pod)?;
+                w.index(c + 1, group)?;
+                w.number(c + 2, ago)
+            }
+            Told::Wake(wake) => w.near(c, source, wake),
+        },
+        What::Did(effect) => match effect {
+            Effect::Forward { hit, nth, pod, time_out } => {
+                w.hit(c, source, hit)?;
+                w.small(c + 1, nth)?;
+                w.card(c + 2, pod, &mut record.pod)?;
+                // Most go out when their hit comes, with all the time that it has.
+                *w.last((c + 3, source)) = *w.last((1, source));
+                w.near(c + 3, source, time_out)
+            }
+            Effect::Cancel { hit, nth } => {
+                w.hit(c, source, hit)?;
+                w.small(c + 1, nth)
+            }
+            Effect::Bounce { hit, come_back } => {
+                w.hit(c, source, hit)?;
+                w.number(c + 1, come_back)
+            }
+            Effect::Error { hit, late } => {
+                w.hit(c, source, hit)?;
+                w.flag(c + 1, late)
+            }
+            Effect::Vote { vote, build, stage, voice } => {
+                w.number(c, vote)?;
+                w.small(c + 1, build)?;
+                w.index(c + 2, stage)?;
+                w.one(c + 3, voice, &VOICES)
+            }
+            Effect::Probe { probe, pod } => {
+                w.near(c, 0, probe)?;
+                w.card(c + 1, pod, &mut record.pod)
+            }
+            Effect::AskList => Ok(()),
+            Effect::WatchList(on) => w.flag(c, on),
+            Effect::Log(line) => w.text(c, line),
+        },
+        What::Lost { hits, records } => {
+            w.number(c, hits)?;
+            w.number(c + 1, records)
+        }
+    }
+}
+
+fn blank_pod() -> Listed {
+    Listed {
+        name: String::new(),
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        state: PodState::Running,
+        build: 0,
+        life: 0,
+        age: 0,
+        zone: String::new(),
+        machine: String::new(),
+        cell: 0,
+        size: 0.0,
+    }
+}
+
+fn listed(w: &mut impl Way, c: u16, pod: &mut Listed) -> Result<(), Wrong> {
+    w.text(c, &mut pod.name)?;
+    let mut address = pod.address.to_string();
+    w.text(c + 1, &mut address)?;
+    pod.address = address.parse().map_err(|_| Wrong::Range(c + 1))?;
+    w.one(c + 2, &mut pod.state, &STATES)?;
+    w.small(c + 3, &mut pod.build)?;
+    w.near(c + 4, 0, &mut pod.life)?;
+    w.near(c + 5, 0, &mut pod.age)?;
+    w.text(c + 6, &mut pod.zone)?;
+    w.text(c + 7, &mut pod.machine)?;
+    let mut cell = zigzag(pod.cell);
+    w.number(c + 8, &mut cell)?;
+    pod.cell = unzigzag(cell);
+    w.float(c + 9, &mut pod.size)
+}
+
+/// The number of each kind; new kinds get new numbers, and none is ever given twice.
+fn kind_of(what: &What) -> u16 {
+    match what {
+        What::Told(told) => match told {
+            Told::Begin => 1,
+            Told::Hit { .. } => 2,
+            Told::MayGo { .. } => 3,
+            Told::Ended { .. } => 4,
+            Told::Left { .. } => 5,
+            Told::List { .. } => 6,
+            Told::ListFailed => 7,
+            Told::News(_) => 8,
+            Told::Voted { .. } => 9,
+            Told::Probed { .. } => 10,
+            Told::Tally(_) => 11,
+            Told::Flagged { .. } => 12,
+            Told::Wake(_) => 13,
+        },
+        What::Did(effect) => match effect {
+            Effect::Forward { .. } => 16,
+            Effect::Cancel { .. } => 17,
+            Effect::Bounce { .. } => 18,
+            Effect::Error { .. } => 19,
+            Effect::Vote { .. } => 20,
+            Effect::Probe { .. } => 21,
+            Effect::AskList => 22,
+            Effect::WatchList(_) => 23,
+            Effect::Log(_) => 24,
+        },
+        What::Lost { .. } => 25,
+    }
+}
+
+fn blank(kind: u64) -> Option<What> {
+    let asked = || Asked { group: 0, customer: None, key: 0, left: 0, cost_hint: None, repeat: false };
+    let tally = || Tally { build: 0, group: 0, count: 0, failed: 0, mean_latency: 0, age: 0 };
+    let ended = || Told::Ended { hit: 0, nth: 0, end: Ended::Error, took: 0, load: None, passed: false };
+    let news = || StageNews { heard: Heard::Unknown, stage: None };
+    let end = || ProbeEnd { end: Ended::Error, took: 0, load: None };
+    Some(match kind {
+        1 => What::Told(Told::Begin),
+        2 => What::Told(Told::Hit { hit: 0, asked: asked() }),
+        3 => What::Told(Told::MayGo { hit: 0, nth: 0, may: false }),
+        4 => What::Told(ended()),
+        5 => What::Told(Told::Left { hit: 0 }),
+        6 => What::Told(Told::List { whole: false, pods: Vec::new(), given: Vec::new() }),
+        7 => What::Told(Told::ListFailed),
+        8 => What::Told(Told::News(NO_STAGE)),
+        9 => What::Told(Told::Voted { vote: 0, news: news() }),
+        10 => What::Told(Told::Probed { probe: 0, end: end() }),
+        11 => What::Told(Told::Tally(tally())),
+        12 => What::Told(Told::Flagged { pod: 0, group: 0, ago: 0 }),
+        13 => What::Told(Told::Wake(0)),
+        16 => What::Did(Effect::Forward { hit: 0, nth: 0, pod: 0, time_out: 0 }),
+        17 => What::Did(Effect::Cancel { hit: 0, nth: 0 }),
+        18 => What::Did(Effect::Bounce { hit: 0, come_back: 0 }),
+        19 => What::Did(Effect::Error { hit: 0, late: false }),
+        20 => What::Did(Effect::Vote { vote: 0, build: 0, stage: 0, voice: Voice::None }),
+        21 => What::Did(Effect::Probe { probe: 0, pod: 0 }),
+        22 => What::Did(Effect::AskList),
+        23 => What::Did(Effect::WatchList(false)),
+        24 => What::Did(Effect::Log(String::new())),
+        25 => What::Lost { hits: 0, records: 0 },
+        _ => return None,
+    })
+}
+
+const KIND: u16 = 0;
+const TIME: u16 = 1;
+const SOURCE: u16 = 2;
+const OWN: u16 = 3;
+
+/// What a block says before its records.
+#[derive(Serialize, Deserialize)]
+struct Body<'a> {
+    pods: Vec<Card>,
+    keys: Vec<u64>,
+    texts: Vec<String>,
+    standing: Vec<Standing>,
+    #[serde(borrow)]
+    columns: Vec<(u16, &'a [u8])>,
+}
+
+/// Records on their way into a block. Holds no more than the block does: the writer empties it at its size.
+pub struct Filling {
+    columns: Vec<Vec<u8>>,
+    last: HashMap<(u16, u64), u64>,
+    pods: Vec<Card>,
+    pod_places: HashMap<(usize, PodId), (Arc<Card>, u64)>,
+    keys: Vec<u64>,
+    key_places: HashMap<u64, u64>,
+    texts: Vec<String>,
+    text_places: HashMap<String, u64>,
+    standing: Vec<Standing>,
+    source: usize,
+    pub bytes: usize,
+    pub records: u32,
+    pub hits: u32,
+    pub shared: u32,
+    pub first: Ns,
+    pub at: Ns,
+}
+
+impl Filling {
+    /// Begins a block; `standing` is what is in force before its first record.
+    pub fn new(standing: Vec<Standing>) -> Filling {
+        Filling {
+            columns: vec![Vec::new(); COLUMNS],
+            last: HashMap::new(),
+            pods: Vec::new(),
+            pod_places: HashMap::new(),
+            keys: Vec::new(),
+            key_places: HashMap::new(),
+            texts: Vec::new(),
+            text_places: HashMap::new(),
+            standing,
+            source: 0,
+            bytes: 0,
+            records: 0,
+            hits: 0,
+            shared: 0,
+            first: 0,
+            at: 0,
+        }
+    }
+
+    /// Adds a record; `at` never goes back within a block, and an earlier one counts as the last.
+    pub fn put(&mut self, mut record: Record) {
+        if self.records == 0 {
+            self.first = record.at;
+            self.at = record.at;
+        }
+        let at = record.at.max(self.at);
+        let kind = kind_of(&record.what);
+        self.source = record.source;
+        let source = record.source as u64;
+        // Writing fails nowhere.
+        let mut step = at - self.at;
+        let _ = self.number(KIND, &mut (kind as u64));
+        let _ = self.number(TIME, &mut step);
+        let _ = self.number(SOURCE, &mut { source });
+        let _ = self.near(OWN, source, &mut record.own.wrapping_sub(at));
+        let _ = walk(self, kind, source, &mut record);
+        self.at = at;
+        self.records += 1;
+        self.hits += record.begins_hit() as u32;
+        self.shared += record.is_shared() as u32;
+    }
+
+    pub fn body(&self) -> Vec<u8> {
+        let full = self.columns.iter().enumerate().filter(|(_, bytes)| !bytes.is_empty());
+        let body = Body {
+            pods: self.pods.clone(),
+            keys: self.keys.clone(),
+            texts: self.texts.clone(),
+            standing: self.standing.clone(),
+            columns: full.map(|(n, bytes)| (n as u16, &bytes[..])).collect(),
+        };
+        postcard::to_stdvec(&body).unwrap_or_default()
+    }
+}
+
+impl Way for Filling {
+    fn number(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong> {
+        let mut space = [0; 10];
+        let used = value.encode_var(&mut space);
+        self.columns[column as usize].extend_from_slice(&space[..used]);
+        self.bytes += used;
+        Ok(())
+    }
+
+    /// Whole thousandths, which is how most loads are told, or else the bits.
+    fn float(&mut self, column: u16, value: &mut f64) -> Result<(), Wrong> {
+        let thousandths = (*value * 1000.0).round();
+        let fits = (0.0..1e15).contains(&thousandths) && thousandths / 1000.0 == *value;
+        if fits && value.is_sign_positive() {
+            return self.number(column, &mut ((thousandths as u64) << 1));
+        }
+        self.number(column, &mut 1)?;
+        self.columns[column as usize].extend_from_slice(&value.to_bits().to_le_bytes());
+        self.bytes += 8;
+        Ok(())
+    }
+
+    fn key(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong> {
+        let next = self.keys.len() as u64;
+        let mut place = *self.key_places.entry(*value).or_insert(next);
+        if place == next {
+            self.keys.push(*value);
+            self.bytes += 10;
+        }
+        self.number(column, &mut place)
+    }
+
+    fn text(&mut self, column: u16, value: &mut String) -> Result<(), Wrong> {
+        let mut place = match self.text_places.get(value.as_str()) {
+            Some(place) => *place,
+            None => {
+                let place = self.texts.len() as u64;
+                self.texts.push(value.clone());
+                self.text_places.insert(value.clone(), place);
+                self.bytes += value.len() + 4;
+                place
+            }
+        };
+        self.number(column, &mut place)
+    }
+
+    fn card(&mut self, column: u16, pod: &mut PodId, card: &mut Option<Arc<Card>>) -> Result<(), Wrong> {
+        let nobody = || Card { pod: *pod, build: 0, name: String::new(), zone: String::new() };
+        let card = card.get_or_insert_with(|| Arc::new(nobody()));
+        let place = (self.source, *pod);
+        let known =
+            self.pod_places.get(&place).filter(|(known, _)| Arc::ptr_eq(known, card) || known == card);
+        let mut at = match known {
+            Some((_, at)) => *at,
+            None => {
+                let at = self.pods.len() as u64;
+                self.pods.push((**card).clone());
+                self.pod_places.insert(place, (card.clone(), at));
+                self.bytes += card.name.len() + card.zone.len() + 8;
+                at
+            }
+        };
+        self.number(column, &mut at)
+    }
+
+    fn last(&mut self, place: (u16, u64)) -> &mut u64 {
+        self.last.entry(place).or_default()
+    }
+
+    fn strange(&mut self) {}
+}
+
+/// A block being read, one record at a time.
+pub struct Emptying {
+    /// The block's bytes, each column as a part of them that is not read yet.
+    bytes: Vec<u8>,
+    columns: Vec<(usize, usize)>,
+    pods: Vec<Arc<Card>>,
+    keys: Vec<u64>,
+    texts: Vec<String>,
+    pub standing: Vec<Standing>,
+    last: HashMap<(u16, u64), u64>,
+    at: Ns,
+    strange: bool,
+    /// How much text the present record may still take: a lying one could name the same entry a million times.
+    room: usize,
+    /// Records of kinds or with values that this program does not know.
+    pub skipped: u64,
+}
+
+impl Emptying {
+    /// # Errors
+    /// Not the body of a block.
+    pub fn new(bytes: Vec<u8>, first: Ns) -> Result<Emptying, String> {
+        // Fields that a newer minor version adds at the end are left unread.
+        let (body, _) = postcard::take_from_bytes::<Body>(&bytes).map_err(|error| error.to_string())?;
+        let mut columns = vec![(0, 0); COLUMNS];
+        let base = bytes.as_ptr() as usize;
+        for (column, part) in &body.columns {
+            let from = part.as_ptr() as usize - base;
+            if let Some(place) = columns.get_mut(*column as usize) {
+                *place = (from, from + part.len());
+            }
+        }
+        let Body { pods, keys, texts, standing, .. } = body;
+        let pods = pods.into_iter().map(Arc::new).collect();
+        let (last, at) = (HashMap::new(), first);
+        let (strange, room, skipped) = (false, 0, 0);
+        Ok(Emptying { bytes, columns, pods, keys, texts, standing, last, at, strange, room, skipped })
+    }
+
+    /// The next record that this program knows; `None` at the block's end.
+    ///
+    /// # Errors
+    /// The block is not what its format asks for, though its checksum holds.
+    pub fn next(&mut self) -> Result<Option<Record>, Wrong> {
+        loop {
+            let (from, to) = self.columns[KIND as usize];
+            if from == to {
+                return Ok(None);
+            }
+            let (mut kind, mut step, mut source, mut own) = (0, 0, 0, 0);
+            self.number(KIND, &mut kind)?;
+            self.number(TIME, &mut step)?;
+            self.number(SOURCE, &mut source)?;
+            self.near(OWN, source, &mut own)?;
+            self.at = self.at.checked_add(step).ok_or(Wrong::Range(TIME))?;
+            let place = usize::try_from(source).ok().filter(|source| *source <= u16::MAX as usize);
+            let source_place = place.ok_or(Wrong::Range(SOURCE))?;
+            (self.strange, self.room) = (false, TEXT);
+            let Some(what) = blank(kind) else {
+                self.skipped += 1;
+                continue;
+            };
+            let own = self.at.wrapping_add(own);
+            let mut record = Record { at: self.at, own, source: source_place, what, pod: None };
+            walk(self, kind as u16, source, &mut record)?;
+            if !self.strange {
+                return Ok(Some(record));
+            }
+            self.skipped += 1;
+        }
+    }
+}
+
+impl Way for Emptying {
+    fn number(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong> {
+        let (from, to) = self.columns[column as usize];
+        let (read, used) = u64::decode_var(&self.bytes[from..to]).ok_or(Wrong::Short(column))?;
+        self.columns[column as usize].0 += used;
+        *value = read;
+        Ok(())
+    }
+
+    fn float(&mut self, column: u16, value: &mut f64) -> Result<(), Wrong> {
+        let mut told = 0;
+        self.number(column, &mut told)?;
+        if told != 1 {
+            *value = (told >> 1) as f64 / 1000.0;
+            return Ok(());
+        }
+        let (from, to) = self.columns[column as usize];
+        let bits = self.bytes[from..to].first_chunk::<8>().ok_or(Wrong::Short(column))?;
+        *value = f64::from_bits(u64::from_le_bytes(*bits));
+        self.columns[column as usize].0 += 8;
+        Ok(())
+    }
+
+    fn key(&mut self, column: u16, value: &mut u64) -> Result<(), Wrong> {
+        let mut place = 0;
+        self.index(column, &mut place)?;
+        *value = *self.keys.get(place).ok_or(Wrong::Entry(column))?;
+        Ok(())
+    }
+
+    fn text(&mut self, column: u16, value: &mut String) -> Result<(), Wrong> {
+        let mut place = 0;
+        self.index(column, &mut place)?;
+        let found = self.texts.get(place).ok_or(Wrong::Entry(column))?;
+        self.room = self.room.checked_sub(found.len()).ok_or(Wrong::Range(column))?;
+        value.clone_from(found);
+        Ok(())
+    }
+
+    fn card(&mut self, column: u16, pod: &mut PodId, card: &mut Option<Arc<Card>>) -> Result<(), Wrong> {
+        let mut place = 0;
+        self.index(column, &mut place)?;
+        let found = self.pods.get(place).ok_or(Wrong::Entry(column))?;
+        *pod = found.pod;
+        *card = Some(found.clone());
+        Ok(())
+    }
+
+    fn last(&mut self, place: (u16, u64)) -> &mut u64 {
+        self.last.entry(place).or_default()
+    }
+
+    fn strange(&mut self) {
+        self.strange = true;
+    }
+}
--- /dev/null
+++ b/crates/trace/src/show.rs
@@ -0,0 +1,143 @@
+//! Records as JSON, one a line, in the project's words and with names in place of indices.
+
+use crate::record::{Head, Record, Standing, What};
+use crate::summary::ended;
+use havenplank::port::*;
+use havenplank_feeds::nodes::Listed;
+use havenplank_sidecar::engine::Effect;
+use havenplank_sidecar::told::Told;
+use serde_json::{json, Map, Value};
+
+fn word(value: impl std::fmt::Debug) -> String {
+    let mut word = String::new();
+    for letter in format!("{value:?}").chars() {
+        if letter.is_uppercase() && !word.is_empty() {
+            word.push('_');
+        }
+        word.extend(letter.to_lowercase());
+    }
+    word
+}
+
+fn stage(stage: &Stage) -> Value {
+    let Stage { build, stage, phase, cap, age } = stage;
+    json!({"build": build, "stage": stage, "phase": word(phase), "cap": cap, "age_ns": age})
+}
+
+fn load(load: &Option<Load>) -> Value {
+    let Some(load) = load else { return Value::Null };
+    let fields = [
+        ("in_flight", load.in_flight),
+        ("queued", load.queued),
+        ("busy", load.busy),
+        ("latency_ms", load.latency_ms),
+        ("delivered_per_s", load.delivered_per_s),
+        ("failed_per_s", load.failed_per_s),
+    ];
+    fields
+        .into_iter()
+        .filter_map(|(name, value)| Some((name.to_string(), json!(value?))))
+        .collect::<Map<_, _>>()
+        .into()
+}
+
+fn listed(pod: &Listed, given: Option<PodId>) -> Value {
+    let Listed { name, address, state, build, life, age, zone, machine, cell, size } = pod;
+    json!({
+        "name": name, "address": address.to_string(), "state": word(state), "build": build, "life": life,
+        "age_ns": age, "zone": zone, "machine": machine, "cell": cell, "size": size, "index": given,
+    })
+}
+
+/// The stage of a block's beginning, as [`line`] has it.
+pub fn standing(standing: &Standing) -> Value {
+    json!({"source": standing.source, "at": standing.at, "in_force": stage(&standing.stage)})
+}
+
+/// One record; `at` in nanoseconds on the file's clock.
+pub fn line(record: &Record, head: &Head) -> Value {
+    let terms = head.sources.get(record.source).map(|source| &source.terms);
+    let name = |names: Option<&Vec<String>>, at: usize| names.and_then(|names| names.get(at)).cloned();
+    let group = |at: usize| terms.and_then(|terms| terms.groups.get(at)).map(|(name, _)| name.clone());
+    let pod = record.pod.as_ref().map(|pod| json!({"name": pod.name, "build": pod.build, "index": pod.pod}));
+    let (kind, fields) = match &record.what {
+        What::Told(told) => match told {
+            Told::Begin => ("begin", json!({})),
+            Told::Hit { hit, asked } => {
+                let customer = asked.customer.and_then(|at| name(terms.map(|terms| &terms.customers), at));
+                let fields = json!({
+                    "hit": hit, "path_group": group(asked.group), "customer": customer, "key": asked.key,
+                    "left_ns": asked.left, "cost_hint_ns": asked.cost_hint, "repeat": asked.repeat,
+                });
+                ("hit", fields)
+            }
+            Told::MayGo { hit, nth, may } => ("may_go", json!({"hit": hit, "nth": nth, "may": may})),
+            Told::Ended { hit, nth, end, took, load: said, passed } => {
+                let fields = json!({
+                    "hit": hit, "nth": nth, "end": ended(*end), "took_ns": took, "load": load(said),
+                    "to_client": passed,
+                });
+                ("ended", fields)
+            }
+            Told::Left { hit } => ("left", json!({"hit": hit})),
+            Told::List { whole, pods, given } => {
+                let pods: Vec<Value> =
+                    pods.iter().zip(given).map(|(pod, given)| listed(pod, *given)).collect();
+                ("list", json!({"whole": whole, "pods": pods}))
+            }
+            Told::ListFailed => ("list_failed", json!({})),
+            Told::News(news) => ("news", stage(news)),
+            Told::Voted { vote, news } => {
+                let told = news.stage.as_ref().map(stage);
+                ("voted", json!({"vote": vote, "heard": word(news.heard), "stage": told}))
+            }
+            Told::Probed { probe, end } => {
+                let fields = json!({"probe": probe, "end": ended(end.end), "took_ns": end.took, "load": load(&end.load)});
+                ("probed", fields)
+            }
+            Told::Tally(tally) => {
+                let fields = json!({
+                    "build": tally.build, "path_group": group(tally.group), "count": tally.count,
+                    "failed": tally.failed, "mean_latency_ns": tally.mean_latency, "age_ns": tally.age,
+                });
+                ("tally", fields)
+            }
+            Told::Flagged { group: at, ago, .. } => {
+                ("flagged", json!({"path_group": group(*at), "ago_ns": ago}))
+            }
+            Told::Wake(wake) => ("wake", json!({"wake": wake})),
+        },
+        What::Did(effect) => match effect {
+            Effect::Forward { hit, nth, time_out, .. } => {
+                ("forward", json!({"hit": hit, "nth": nth, "time_out_ns": time_out}))
+            }
+            Effect::Cancel { hit, nth } => ("cancel", json!({"hit": hit, "nth": nth})),
+            Effect::Bounce { hit, come_back } => ("bounce", json!({"hit": hit, "come_back_ns": come_back})),
+            Effect::Error { hit, late } => ("error", json!({"hit": hit, "late": late})),
+            Effect::Vote { vote, build, stage, voice } => {
+                ("vote", json!({"vote": vote, "build": build, "stage": stage, "voice": word(voice)}))
+            }
+            Effect::Probe { probe, .. } => ("probe", json!({"probe": probe})),
+            Effect::AskList => ("ask_list", json!({})),
+            Effect::WatchList(on) => ("watch_list", json!({"on": on})),
+            Effect::Log(text) => ("log", json!({"text": text})),
+        },
+        What::Lost { hits, records } => ("lost", json!({"hits": hits, "records": records})),
+    };
+    let side = match &record.what {
+        What::Told(_) => "told",
+        What::Did(_) => "did",
+        What::Lost { .. } => "lost",
+    };
+    let mut line = json!({"at": record.at, "source": record.source, side: kind});
+    if record.own != record.at {
+        line["own"] = json!(record.own);
+    }
+    if let Some(pod) = pod {
+        line["pod"] = pod;
+    }
+    if let (Some(line), Value::Object(fields)) = (line.as_object_mut(), fields) {
+        line.extend(fields);
+    }
+    line
+}
--- a/examples/site.star
+++ b/examples/site.star
@@ -60,3 +60,12 @@
     keep = given("keep", "last-list.txt"),
 )
 desk(address = given("desk", "127.0.0.1:7200"))
+
+# Hits and decisions for a later look; without a folder nothing is recorded.
+trace(
+    folder = given("trace", "") or None,
+    share = float(given("trace_share", "1.0")),
+    file_bytes = "256MiB",
+    file_age = "1h",
+    total_bytes = "4GiB",
+)
--- a/src/port.rs
+++ b/src/port.rs
@@ -40,6 +40,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Kind {
     Repeatable,
     Tagged,
@@ -48,6 +49,7 @@
 
 /// The pods that drop a repeat of a tagged hit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Scope {
     All,
     Zone,
@@ -55,6 +57,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct PathGroup {
     pub kind: Kind,
     pub scope: Scope,
@@ -69,6 +72,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Place {
     pub rank: usize,
     pub instances: usize,
@@ -76,6 +80,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ForwardRules {
     pub max_forwards: u32,
     /// Two forwards of one hit may be out at once.
@@ -88,6 +93,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct PodRules {
     pub drain_grace: Ns,
     /// Share of its capacity that a pod has at its start, at least.
@@ -99,6 +105,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ExposureRules {
     pub window: Ns,
     pub free: f64,
@@ -113,6 +120,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Control {
     /// One voice moves a stage.
     Any,
@@ -123,6 +131,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct VoteRules {
     pub control: Control,
     pub life: Ns,
@@ -136,6 +145,7 @@
 }
 
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ListRules {
     /// The list comes only when asked for.
     pub must_ask: bool,
@@ -174,7 +184,7 @@
 }
 
 /// What a pod said of its load; a site reports some of these or none.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub in_flight: Option<f64>,
     pub queued: Option<f64>,
@@ -193,7 +203,7 @@
     pub load: Option<Load>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ProbeEnd {
     pub end: Ended,
     pub took: Ns,
@@ -229,6 +239,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Phase {
     Trial,
     GoingBack,
@@ -237,6 +248,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Stage {
     pub build: Build,
     pub stage: usize,
@@ -258,13 +270,13 @@
 }
 
 /// The answer to a vote; the stage comes with it where the platform told it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct StageNews {
     pub heard: Heard,
     pub stage: Option<Stage>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tally {
     pub build: Build,
     pub group: GroupId,
