Trace tests: damage at every byte, versions, merge, anonymise, cut; bench trace

The trace file's hard cases need tests that cause them, and recording's cost a measurement. Files cut at every byte and flipped byte by byte, lying lengths and bombs, newer minor and major versions and a kept file of 1.0; 22 lives with clocks 3 s apart merged; anonymised bytes searched for every name; replay finds one changed time-out and one changed cap. havenplank bench trace compares CPU with and without.

--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -43,6 +43,7 @@
 votes(control = "any", life = "6s")
 nodes(address = given("nodes", ""))
 desk(address = given("nodes", ""))
+trace(folder = given("trace", "") or None)
 "#;
 
 /// Runs one of the measured parts in this process, for the bench that started it.
@@ -84,16 +85,23 @@
 }
 
 /// A sidecar whose list names these pods, as a child process.
-fn sidecar(pods: &[Part], nodes: SocketAddr, target: &str, folder: &Path) -> anyhow::Result<Part> {
+fn sidecar(
+    pods: &[Part],
+    nodes: SocketAddr,
+    target: &str,
+    trace: Option<&Path>,
+    folder: &Path,
+) -> anyhow::Result<Part> {
     let settings = folder.join("bench.star");
     std::fs::write(&settings, SETTINGS)?;
     let program = std::env::current_exe()?;
-    let mut child = Command::new(program)
-        .args(["--log-format", "json", "serve"])
-        .arg(&settings)
-        .args(["--seed", "1", "--given", &format!("nodes={nodes}"), "--given", &format!("target={target}")])
-        .stderr(Stdio::piped())
-        .spawn()?;
+    let trace = trace.map(|folder| folder.display().to_string()).unwrap_or_default();
+    let mut command = Command::new(program);
+    command.args(["--log-format", "json", "serve"]).arg(&settings).args(["--seed", "1"]);
+    for (name, value) in [("nodes", nodes.to_string()), ("target", target.to_string()), ("trace", trace)] {
+        command.args(["--given", &format!("{name}={value}")]);
+    }
+    let mut child = command.stderr(Stdio::piped()).spawn()?;
     let mut lines = BufReader::new(child.stderr.take().context("its log")?).lines();
     let at = loop {
         let line = lines.next().context("the sidecar ended before it listened")??;
@@ -132,10 +140,24 @@
     }
 }
 
-/// CPU time of a process with one thread, in nanoseconds.
+/// CPU time of a process, over all its threads, in nanoseconds.
 fn cpu_ns(part: &Part) -> anyhow::Result<u64> {
-    let text = std::fs::read_to_string(format!("/proc/{}/schedstat", part.child.id()))?;
-    text.split(' ').next().and_then(|ns| ns.parse().ok()).context("schedstat: expected a number first")
+    let mut sum = 0;
+    for task in std::fs::read_dir(format!("/proc/{}/task", part.child.id()))? {
+        let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
+        let ns = text.split(' ').next().and_then(|ns| ns.parse::<u64>().ok());
+        sum += ns.context("schedstat: expected a number first")?;
+    }
+    Ok(sum)
+}
+
+/// Bytes of all files of a folder.
+fn size_of(folder: &Path) -> anyhow::Result<u64> {
+    let mut sum = 0;
+    for file in std::fs::read_dir(folder)? {
+        sum += file?.metadata()?.len();
+    }
+    Ok(sum)
 }
 
 /// Memory that a process holds, in bytes.
@@ -244,24 +266,43 @@
         let bare = part_of(&args)?;
         let measured = match what {
             "proxy" => {
-                let sidecar = sidecar(&pods, nodes, "60s", folder.path())?;
+                let sidecar = sidecar(&pods, nodes, "60s", None, folder.path())?;
                 let mut measured = Vec::new();
                 for rate in [1_000.0, 8_000.0] {
-                    measured.push(turns(rate, seconds, rounds, &pods[0], &bare, &sidecar).await?);
+                    let parts = [("straight", &pods[0]), ("bare", &bare), ("sidecar", &sidecar)];
+                    measured.push(turns(rate, seconds, rounds, parts).await?);
                 }
                 println!();
                 let memory = in_flights(&bare, &sidecar).await?;
                 json!({ "rates": measured, "memory": memory })
             }
+            "trace" => {
+                let traces = folder.path().join("traces");
+                let without = sidecar(&pods, nodes, "60s", None, folder.path())?;
+                let recording = sidecar(&pods, nodes, "60s", Some(&traces), folder.path())?;
+                let mut measured = Vec::new();
+                for rate in [1_000.0, 8_000.0] {
+                    let parts = [("straight", &pods[0]), ("without", &without), ("recording", &recording)];
+                    let before = size_of(&traces)?;
+                    let mut turn = turns(rate, seconds, rounds, parts).await?;
+                    // The turn's hits, and those of the second that warmed up.
+                    let hits = rate * (seconds * rounds + 1) as f64;
+                    let bytes = (size_of(&traces)? - before) as f64 / hits;
+                    println!("bytes_a_hit {bytes:.1}");
+                    turn["bytes_a_hit"] = json!(bytes);
+                    measured.push(turn);
+                }
+                json!({ "rates": measured })
+            }
             "memory" => {
-                let sidecar = sidecar(&pods, nodes, "60s", folder.path())?;
+                let sidecar = sidecar(&pods, nodes, "60s", None, folder.path())?;
                 json!({ "memory": in_flights(&bare, &sidecar).await? })
             }
             "flood" => {
-                let sidecar = sidecar(&pods, nodes, "400ms", folder.path())?;
+                let sidecar = sidecar(&pods, nodes, "400ms", None, folder.path())?;
                 flood(&sidecar, seconds).await?
             }
-            _ => bail!("bench {what:?}: expected proxy, memory or flood"),
+            _ => bail!("bench {what:?}: expected proxy, trace, memory or flood"),
         };
         if let Some(file) = json {
             write_json(file, &measured)?;
@@ -270,16 +311,14 @@
     }))
 }
 
-/// Straight, bare and sidecar in turns, so that a machine that slows meanwhile slows all three.
+/// Straight to a pod, and by two ways that are compared, in turns: a machine that slows meanwhile slows all
+/// three.
 async fn turns(
     rate: f64,
     seconds: u64,
     rounds: u64,
-    pod: &Part,
-    bare: &Part,
-    sidecar: &Part,
+    parts: [(&'static str, &Part); 3],
 ) -> anyhow::Result<serde_json::Value> {
-    let parts = [("straight", pod), ("bare", bare), ("sidecar", sidecar)];
     let mut rows = Vec::new();
     for (name, part) in parts {
         // Connections and the limit's room are there before it counts.
@@ -315,14 +354,16 @@
     let added = |row: &Row, quantile| us(row, quantile) as i64 - us(&rows[0], quantile) as i64;
     let ratio = cpu(&rows[2]) / cpu(&rows[1]).max(1e-9);
     let (p50, p99) = (added(&rows[2], 0.5), added(&rows[2], 0.99));
-    let (bare_p50, bare_p99) = (added(&rows[1], 0.5), added(&rows[1], 0.99));
+    let other = rows[1].name;
+    let (other_p50, other_p99) = (added(&rows[1], 0.5), added(&rows[1], 0.99));
     println!(
-        "added_p50_us {p50} (bare {bare_p50})  added_p99_us {p99} (bare {bare_p99})  cpu_ratio {ratio:.2}"
+        "added_p50_us {p50} ({other} {other_p50})  added_p99_us {p99} ({other} {other_p99})  cpu_ratio {ratio:.3}"
     );
     Ok(json!({
-        "rate_per_s": rate, "added_p50_us": p50, "added_p99_us": p99, "bare_added_p50_us": bare_p50,
-        "bare_added_p99_us": bare_p99, "cpu_ratio": ratio, "bare_cpu_us": cpu(&rows[1]),
-        "sidecar_cpu_us": cpu(&rows[2]), "bounced": rows[2].load.bounced.get(), "failed": rows[2].load.failed.get(),
+        "rate_per_s": rate, "measured": rows[2].name, "beside": other, "added_p50_us": p50, "added_p99_us": p99,
+        "beside_added_p50_us": other_p50, "beside_added_p99_us": other_p99, "cpu_ratio": ratio,
+        "beside_cpu_us": cpu(&rows[1]), "cpu_us": cpu(&rows[2]), "bounced": rows[2].load.bounced.get(),
+        "failed": rows[2].load.failed.get(),
     }))
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -76,7 +76,8 @@
         #[arg(long)]
         rate: Option<f64>,
     },
-    /// Measure on loopback: proxy (added latency, CPU and memory a hit), memory alone, flood (past the maximum).
+    /// Measure on loopback: proxy (added latency, CPU and memory a hit), trace (what recording costs), memory
+    /// alone, flood (past the maximum).
     Bench {
         what: String,
         /// Length of each measured turn.
--- a/crates/trace/src/columns.rs
+++ b/crates/trace/src/columns.rs
@@ -111,6 +111,33 @@
     }
 }
 
+/// Slots of a column that are held side by side; a path group or source beyond goes by hash.
+const SLOTS: u64 = 64;
+
+/// What was last seen, by column and slot.
+#[derive(Default)]
+struct Last {
+    near: Vec<Vec<u64>>,
+    far: HashMap<(u16, u64), u64>,
+}
+
+impl Last {
+    fn of(&mut self, (column, slot): (u16, u64)) -> &mut u64 {
+        if slot >= SLOTS {
+            return self.far.entry((column, slot)).or_default();
+        }
+        let (column, slot) = (column as usize, slot as usize);
+        if self.near.len() <= column {
+            self.near.resize(column + 1, Vec::new());
+        }
+        let slots = &mut self.near[column];
+        if slots.len() <= slot {
+            slots.resize(slot + 1, 0);
+        }
+        &mut slots[slot]
+    }
+}
+
 fn zigzag(value: i64) -> u64 {
     ((value << 1) ^ (value >> 63)) as u64
 }
@@ -400,7 +427,7 @@
 /// Records on their way into a block. Holds no more than the block does: the writer empties it at its size.
 pub struct Filling {
     columns: Vec<Vec<u8>>,
-    last: HashMap<(u16, u64), u64>,
+    last: Last,
     pods: Vec<Card>,
     pod_places: HashMap<(usize, PodId), (Arc<Card>, u64)>,
     keys: Vec<u64>,
@@ -422,7 +449,7 @@
     pub fn new(standing: Vec<Standing>) -> Filling {
         Filling {
             columns: vec![Vec::new(); COLUMNS],
-            last: HashMap::new(),
+            last: Last::default(),
             pods: Vec::new(),
             pod_places: HashMap::new(),
             keys: Vec::new(),
@@ -542,7 +569,7 @@
     }
 
     fn last(&mut self, place: (u16, u64)) -> &mut u64 {
-        self.last.entry(place).or_default()
+        self.last.of(place)
     }
 
     fn strange(&mut self) {}
@@ -557,7 +584,7 @@
     keys: Vec<u64>,
     texts: Vec<String>,
     pub standing: Vec<Standing>,
-    last: HashMap<(u16, u64), u64>,
+    last: Last,
     at: Ns,
     strange: bool,
     /// How much text the present record may still take: a lying one could name the same entry a million times.
@@ -582,7 +609,7 @@
         }
         let Body { pods, keys, texts, standing, .. } = body;
         let pods = pods.into_iter().map(Arc::new).collect();
-        let (last, at) = (HashMap::new(), first);
+        let (last, at) = (Last::default(), first);
         let (strange, room, skipped) = (false, 0, 0);
         Ok(Emptying { bytes, columns, pods, keys, texts, standing, last, at, strange, room, skipped })
     }
@@ -670,7 +697,7 @@
     }
 
     fn last(&mut self, place: (u16, u64)) -> &mut u64 {
-        self.last.entry(place).or_default()
+        self.last.of(place)
     }
 
     fn strange(&mut self) {
--- /dev/null
+++ b/crates/trace/tests/common/mod.rs
@@ -0,0 +1,235 @@
+//! A small world in virtual time around one engine, recorded in memory.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use havenplank::port::*;
+use havenplank_feeds::nodes::Listed;
+use havenplank_settings::{load, Given};
+use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
+use havenplank_sidecar::told::Terms;
+use havenplank_trace::file::Reader;
+use havenplank_trace::recorder::{Limits, Recorder, Shelf, Writing};
+use havenplank_trace::{Record, Source};
+use oorandom::Rand64;
+use std::io::{self, Cursor, Write};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub const MS: Ns = 1_000_000;
+pub const S: Ns = 1_000 * MS;
+/// When the world began, in nanoseconds since 1970.
+pub const BASE: Ns = 1_700_000_000 * S;
+
+pub fn terms(name: &str) -> Terms {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/site.star");
+    let given = Given::from([("name".to_string(), name.to_string())]);
+    Terms::from(&load(&file, &given).unwrap_or_else(|problems| panic!("{problems}")))
+}
+
+/// One life of one sidecar.
+#[derive(Clone)]
+pub struct Life {
+    pub name: String,
+    pub seed: u64,
+    /// Since the world began.
+    pub starts: Ns,
+    pub lasts: Ns,
+    /// By how much its clock is ahead, and how much faster it goes.
+    pub skew: i64,
+    pub drift: f64,
+    /// Longest that shared events take to be heard.
+    pub notice: Ns,
+    pub limits: Limits,
+}
+
+impl Life {
+    pub fn new(name: &str, seed: u64, lasts: Ns) -> Life {
+        let limits =
+            Limits { share: 1.0, queue: 64 << 20, longest: 3 * S, file_bytes: u64::MAX, file_age: u64::MAX };
+        Life { name: name.to_string(), seed, starts: 0, lasts, skew: 0, drift: 0.0, notice: 0, limits }
+    }
+
+    pub fn own(&self, time: Ns) -> Ns {
+        let since = time - self.starts;
+        EPOCH + (since as f64 * (1.0 + self.drift)) as Ns
+    }
+
+    pub fn source(&self) -> Source {
+        let wall = (BASE + self.starts).wrapping_add_signed(self.skew);
+        let (terms, life) = (terms(&self.name), self.seed ^ 0x5eed);
+        Source {
+            terms,
+            seed: self.seed,
+            life,
+            part: 0,
+            began: EPOCH,
+            wall,
+            share: 1.0,
+            whole: true,
+            until: u64::MAX,
+        }
+    }
+}
+
+/// Files in memory, in the order opened.
+#[derive(Clone, Default)]
+pub struct Memory(pub Arc<Mutex<Vec<Vec<u8>>>>);
+
+struct MemoryFile(Memory, usize);
+
+impl Write for MemoryFile {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 .0.lock().unwrap()[self.1].extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Shelf for Memory {
+    fn open(&mut self, _part: u64) -> io::Result<Box<dyn Write + Send>> {
+        let mut files = self.0.lock().unwrap();
+        files.push(Vec::new());
+        Ok(Box::new(MemoryFile(self.clone(), files.len() - 1)))
+    }
+}
+
+pub fn pod(n: u64, state: PodState, build: Build, life: u64) -> Listed {
+    Listed {
+        name: format!("searchnode{n}.krakow.example.org"),
+        address: ([10, 20, 30, n as u8], 4000 + n as u16).into(),
+        state,
+        build,
+        life,
+        age: if build == 1 { 0 } else { 10 * S },
+        zone: format!("serverhall-{}", n % 2 + 1),
+        machine: "three-core".to_string(),
+        cell: n as i64 / 4,
+        size: 3.0,
+    }
+}
+
+/// The shared event of a number, which all sidecars hear of: a pod leaves or comes back, or a stage begins.
+pub enum Event {
+    Pod(Listed),
+    Stage(Stage),
+}
+
+pub const EVENT: Ns = 350 * MS;
+
+pub fn event(k: u64) -> Event {
+    if k % 8 == 3 {
+        let stage = (k / 8 % 4) as usize;
+        let build = 2 + (k / 32) as Build;
+        return Event::Stage(Stage {
+            build,
+            stage,
+            phase: Phase::Trial,
+            cap: [0.136, 0.425, 1.0, 1.0][stage],
+            age: 0,
+        });
+    }
+    let n = k % 6;
+    match k / 6 % 2 {
+        0 => Event::Pod(pod(n, PodState::Gone, 1, 1 + k / 12)),
+        _ => Event::Pod(pod(n, PodState::Running, 1, 2 + k / 12)),
+    }
+}
+
+/// Lives through `life`, its engine recorded by `recorder`.
+pub fn live(life: &Life, recorder: Recorder) {
+    let mut engine = Engine::new(EPOCH, life.seed, &terms(&life.name)).watched_by(Box::new(recorder));
+    let mut chance = Rand64::new(life.seed as u128);
+    engine.begin(EPOCH);
+    let mut first: Vec<Listed> = (0..12).map(|n| pod(n, PodState::Running, 1, 1)).collect();
+    first.extend((12..16).map(|n| pod(n, PodState::Running, 2, 1)));
+    engine.list(EPOCH, true, first);
+    let mut heard = life.starts.div_ceil(EVENT);
+    let mut due = heard * EVENT + chance.rand_range(0..life.notice + 1);
+    let mut out: Vec<(Ns, u64, u32, Ended, Ns)> = Vec::new();
+    let step = MS;
+    for tick in 0..life.lasts / step {
+        let time = life.starts + tick * step + chance.rand_range(0..step / 2);
+        let now = life.own(time);
+        if engine.next_wake().is_some_and(|at| at <= now) {
+            engine.wake(now);
+        }
+        while due <= time {
+            match event(heard) {
+                Event::Pod(pod) => drop(engine.list(now, false, vec![pod])),
+                Event::Stage(stage) => engine.news(now, stage),
+            }
+            heard += 1;
+            due = heard * EVENT + chance.rand_range(0..life.notice + 1);
+        }
+        if tick % 5 == 0 {
+            let group = (tick / 5 % 3) as usize;
+            let (customer, key) = (Some((tick % 2) as usize), chance.rand_range(1..40) << 20);
+            let left = [2 * S, 3 * S, 3 * S][group] - 20 * MS - chance.rand_range(20_000..60_000);
+            engine.hit(now, Asked { group, customer, key, left, cost_hint: None, repeat: false });
+        }
+        if tick % 400 == 7 {
+            engine.tally(now, 1, "query", (40, 1), 30 * MS, S);
+            engine.flagged(now, "searchnode13.krakow.example.org", "query", S);
+        }
+        while let Some(at) = out.iter().position(|(due, ..)| *due <= time) {
+            let (_, hit, nth, end, sent) = out.remove(at);
+            let load = Load { in_flight: Some((hit % 4) as f64), busy: Some(0.333), ..Load::default() };
+            engine.ended(now, hit, nth, end, now - sent + 30_000, Some(load));
+        }
+        while let Some(effect) = engine.effect() {
+            match effect {
+                Effect::Forward { hit, nth, pod, .. } => {
+                    let may = engine.may_go(now, hit, nth);
+                    let fails = chance.rand_range(0..100) < if pod >= 12 { 30 } else { 2 };
+                    let end = match (may, fails) {
+                        (false, _) => Ended::NotSent,
+                        (_, true) => Ended::Error,
+                        _ => Ended::Delivered,
+                    };
+                    out.push((time + chance.rand_range(8 * MS..50 * MS), hit, nth, end, now));
+                }
+                Effect::Vote { vote, .. } => {
+                    engine.voted(now, vote, StageNews { heard: Heard::Counted, stage: None });
+                }
+                Effect::Probe { probe, .. } => {
+                    engine.probed(now, probe, ProbeEnd { end: Ended::Delivered, took: MS, load: None });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+pub fn finish(writing: Writing) {
+    assert!(writing.wait(Duration::from_secs(60)), "all is written");
+}
+
+/// The files of a life, in memory.
+pub fn files(life: &Life) -> Vec<Vec<u8>> {
+    let memory = Memory::default();
+    let (recorder, writing) = Recorder::start(life.source(), life.limits.clone(), Box::new(memory.clone()));
+    live(life, recorder);
+    finish(writing);
+    let files = std::mem::take(&mut *memory.0.lock().unwrap());
+    files
+}
+
+/// The only file of a life.
+pub fn file(life: &Life) -> Vec<u8> {
+    let mut files = files(life);
+    assert_eq!(files.len(), 1);
+    files.remove(0)
+}
+
+pub fn open(bytes: &[u8]) -> Reader<Cursor<Vec<u8>>> {
+    Reader::open(Cursor::new(bytes.to_vec())).unwrap_or_else(|error| panic!("{error}"))
+}
+
+pub fn all(bytes: &[u8]) -> Vec<Record> {
+    let mut reader = open(bytes);
+    std::iter::from_fn(|| reader.record().unwrap_or_else(|error| panic!("{error}"))).collect()
+}
