--- a/crates/trace/tests/tools.rs
+++ b/crates/trace/tests/tools.rs
@@ -33,7 +33,7 @@
 fn a_replay_does_the_same_and_names_the_first_difference() {
     let life = Life::new("sidecar-0", 7, 8 * S);
     let file = file(&life);
-    let same = replayed(&[file.clone()]);
+    let same = replayed(std::slice::from_ref(&file));
     assert!(same.differs.is_none() && same.stopped.is_none(), "{same:?}");
     assert!(same.hits == 1_600 && same.compared > 4_000, "{same:?}");
     // What was recorded is found out where it is not what is done.
@@ -222,7 +222,7 @@
         })
         .collect();
     assert!(veiled.len() == keys.len() && veiled.is_disjoint(&keys), "one stand-in for each key");
-    let (before, after) = (replayed(&[file.clone()]), replayed(&[bytes.clone()]));
+    let (before, after) = (replayed(std::slice::from_ref(&file)), replayed(std::slice::from_ref(&bytes)));
     assert!(after.differs.is_none() && after == before, "{after:?}");
     // Nothing of a name's length shows; another key gives other stand-ins, the same key the same.
     let stand_ins = |bytes: &[u8]| -> Vec<String> {
