Adapter: decoding told apart from deciding; its actions can be read back

What an instance hears is a trait now: the deciding instance is one taker, and whoever writes it down another.

--- a/crates/adapter/src/door.rs
+++ b/crates/adapter/src/door.rs
@@ -1,7 +1,7 @@
 //! Events decoded into calls of the module, its effects encoded into actions. Ids become small indices here.
 
 use crate::line::{Fields, Line};
-use crate::setup::{self, Names};
+use crate::setup::{self, Names, Setup};
 use havenplank::logic::Logic;
 use havenplank::port::*;
 use serde_json::Value;
@@ -10,11 +10,37 @@
 use std::io;
 
 /// A pod as a bank lists it: read once, mapped to indices by each instance that is pointed to the bank.
-struct Row {
-    pod: String,
-    zone: String,
-    machine: String,
-    entry: PodEntry,
+pub struct Row {
+    pub pod: String,
+    pub zone: String,
+    pub machine: String,
+    pub entry: PodEntry,
+}
+
+/// What an instance hears, decoded: names as they stand on the wire, all else as the module takes it.
+pub trait Hears {
+    fn attach(now: Ns, sidecar: u64, seed: u64, setup: Setup) -> Self;
+    /// The time of what comes next.
+    fn at(&mut self, now: Ns);
+    /// Lends or takes back what is to be answered with.
+    fn swap(&mut self, _out: &mut String) {}
+    fn names(&self) -> &Names;
+    fn knows(&self, pod: &str) -> bool;
+    fn begin(&mut self);
+    fn list(&mut self, whole: bool, rows: &[Row]);
+    fn list_failed(&mut self);
+    /// The id of `hit` is not set yet.
+    fn hit(&mut self, name: &str, hit: Hit);
+    fn ended(&mut self, name: &str, nth: usize, outcome: Outcome);
+    fn left(&mut self, name: &str);
+    fn woken(&mut self, id: u64);
+    fn news(&mut self, stage: Stage);
+    /// The answer to the oldest vote that has none.
+    fn voted(&mut self, news: StageNews);
+    fn tally(&mut self, tally: Tally);
+    fn flagged(&mut self, pod: &str, group: GroupId, ago: Ns);
+    /// The end of the oldest probe of a pod that has none.
+    fn probed(&mut self, pod: &str, end: ProbeEnd);
 }
 
 /// The forwards of a hit that are out, and whether its final answer is still owed.
@@ -44,22 +70,30 @@
     out: String,
 }
 
-struct Instance {
+/// An instance that decides.
+pub struct Instance {
     logic: Logic,
     door: Door,
 }
 
-#[derive(Default)]
-pub struct Wire {
+/// The wire to any number of instances, which decide or only write down what they hear.
+pub struct Wire<H> {
     now: Ns,
     turn: u64,
     banks: BTreeMap<u64, Vec<Row>>,
     /// None for an instance that was stopped.
-    instances: BTreeMap<u64, Option<Box<Instance>>>,
+    pub instances: BTreeMap<u64, Option<Box<H>>>,
     strange: HashSet<String>,
     out: String,
 }
 
+impl<H> Default for Wire<H> {
+    fn default() -> Wire<H> {
+        let (banks, instances, strange) = (BTreeMap::new(), BTreeMap::new(), HashSet::new());
+        Wire { now: 0, turn: 0, banks, instances, strange, out: String::new() }
+    }
+}
+
 impl Door {
     fn act(&mut self, verb: &str) -> &mut String {
         let _ = write!(self.out, "{{\"verb\":\"{verb}\",\"sidecar\":{}", self.sidecar);
@@ -102,28 +136,32 @@
         self.pod_names.push(name.to_string());
         id
     }
+}
 
-    fn known_pod(&self, fields: &Fields) -> Result<PodId, String> {
-        let name = fields.text("pod")?;
-        self.pods.get(name).copied().ok_or_else(|| fields.complain("pod", "a pod never listed"))
+fn known_pod<'a>(heard: &impl Hears, fields: &Fields<'a>) -> Result<&'a str, String> {
+    let name = fields.text("pod")?;
+    if heard.knows(name) {
+        Ok(name)
+    } else {
+        Err(fields.complain("pod", "a pod never listed"))
     }
+}
 
-    fn load(&self, fields: &Fields) -> Result<Option<Load>, String> {
-        let Some(row) = fields.maybe_numbers("gauge")? else { return Ok(None) };
-        let mut load = Load::default();
-        for (name, value) in self.names.load.iter().zip(row) {
-            match name.as_str() {
-                "busy_reqs" => load.in_flight = Some(value),
-                "pending" => load.queued = Some(value),
-                "cpu_share" => load.busy = Some(value),
-                "svc_ms" => load.latency_ms = Some(value),
-                "served_ps" => load.delivered_per_s = Some(value),
-                "failed_ps" => load.failed_per_s = Some(value),
-                _ => {}
-            }
+fn load(names: &Names, fields: &Fields) -> Result<Option<Load>, String> {
+    let Some(row) = fields.maybe_numbers("gauge")? else { return Ok(None) };
+    let mut load = Load::default();
+    for (name, value) in names.load.iter().zip(row) {
+        match name.as_str() {
+            "busy_reqs" => load.in_flight = Some(value),
+            "pending" => load.queued = Some(value),
+            "cpu_share" => load.busy = Some(value),
+            "svc_ms" => load.latency_ms = Some(value),
+            "served_ps" => load.delivered_per_s = Some(value),
+            "failed_ps" => load.failed_per_s = Some(value),
+            _ => {}
         }
-        Ok(Some(load))
     }
+    Ok(Some(load))
 }
 
 impl Host for Door {
@@ -286,143 +324,231 @@
     })
 }
 
-impl Instance {
-    fn event(&mut self, line: &Line, banks: &BTreeMap<u64, Vec<Row>>) -> Result<(), String> {
-        let f = line.of();
-        let (logic, door) = (&mut self.logic, &mut self.door);
-        match line.verb.as_str() {
-            "ROSTER_CHANGE" => {
-                let whole = match f.text("how")? {
-                    "delta" => false,
-                    "full" | "cached" => true,
-                    "failed" => {
-                        logic.list_failed(door);
-                        return Ok(());
-                    }
-                    _ => return Err(f.complain("how", "not delta, full, cached or failed")),
-                };
-                let rows =
-                    banks.get(&f.whole("bank")?).ok_or_else(|| f.complain("bank", "a list never sent"))?;
-                let mut entries = Vec::with_capacity(rows.len());
-                for row in rows {
-                    let mut entry = row.entry;
-                    entry.pod = door.pod_index(&row.pod);
-                    entry.zone = place(&mut door.names.zones, &row.zone);
-                    entry.machine = place(&mut door.names.machines, &row.machine);
-                    entries.push(entry);
-                }
-                logic.list(door, whole, &entries);
-            }
-            "KNOCK" => {
-                let name = f.text("opId")?;
-                let group = f.named("grade", &door.names.groups)?;
-                let customer = match f.maybe_name("clientGroup")? {
-                    Some(name) => door.names.customers.iter().position(|known| *known == name),
-                    None => None,
-                };
-                let id = door.next_hit;
-                let hit = Hit {
-                    id,
-                    group,
-                    customer,
-                    key: f.maybe_text("entity")?.map_or(0, key_hash),
-                    left: f.whole("graceNs")?,
-                    cost_hint: f.maybe_whole("sizeHintNs")?,
-                    repeat: f.flag("repeat")?,
-                };
-                door.next_hit += 1;
-                door.hit_ids.insert(name.to_string(), id);
-                door.hits.insert(id, Held { name: name.to_string(), open: true, forwards: Vec::new() });
-                logic.hit(door, hit);
-            }
-            "RETURNED" => {
-                let name = f.text("opId")?;
-                let trial = f.whole("trial")? as usize;
-                door.known_pod(&f)?;
-                let outcome = Outcome {
-                    end: ended(&f)?,
-                    took: f.whole("latencyNs")?,
-                    over: f.flag("over")?,
-                    load: door.load(&f)?,
-                };
-                let Some(hit) = door.hit_ids.get(name).copied() else { return Ok(()) };
-                let Some(held) = door.hits.get_mut(&hit) else { return Ok(()) };
-                held.open &= !outcome.over;
-                let then = held.forwards.get_mut(trial).and_then(Option::take);
-                if let Some(then) = then {
-                    then(logic, door, outcome);
-                }
-                door.sweep(hit);
-            }
-            "HANGUP" => {
-                if let Some(hit) = door.hit_ids.get(f.text("opId")?).copied() {
-                    door.answer(hit);
-                }
-            }
-            "HEADERS" => {
-                f.text("opId")?;
-                f.whole("trial")?;
-                f.whole("latencyNs")?;
-                door.known_pod(&f)?;
-            }
-            "ALARM" => {
-                let token = f.text("keyBack")?;
-                if let Some(then) = token.parse().ok().and_then(|id: u64| door.wakes.remove(&id)) {
-                    then(logic, door, ());
+impl Hears for Instance {
+    fn attach(now: Ns, sidecar: u64, seed: u64, s: Setup) -> Instance {
+        let logic = Logic::new(now, seed, s.place, s.groups, s.forwards, s.pods, s.exposure, s.votes, s.list);
+        let door = Door {
+            now,
+            sidecar,
+            names: s.names,
+            pods: HashMap::new(),
+            pod_names: Vec::new(),
+            hit_ids: HashMap::new(),
+            hits: HashMap::new(),
+            next_hit: 0,
+            wakes: HashMap::new(),
+            next_wake: 0,
+            votes: VecDeque::new(),
+            probes: HashMap::new(),
+            out: String::new(),
+        };
+        Instance { logic, door }
+    }
+
+    fn at(&mut self, now: Ns) {
+        self.door.now = now;
+    }
+
+    fn swap(&mut self, out: &mut String) {
+        std::mem::swap(&mut self.door.out, out);
+    }
+
+    fn names(&self) -> &Names {
+        &self.door.names
+    }
+
+    fn knows(&self, pod: &str) -> bool {
+        self.door.pods.contains_key(pod)
+    }
+
+    fn begin(&mut self) {
+        self.logic.begin(&mut self.door);
+    }
+
+    fn list(&mut self, whole: bool, rows: &[Row]) {
+        let door = &mut self.door;
+        let mut entries = Vec::with_capacity(rows.len());
+        for row in rows {
+            let mut entry = row.entry;
+            entry.pod = door.pod_index(&row.pod);
+            entry.zone = place(&mut door.names.zones, &row.zone);
+            entry.machine = place(&mut door.names.machines, &row.machine);
+            entries.push(entry);
+        }
+        self.logic.list(door, whole, &entries);
+    }
+
+    fn list_failed(&mut self) {
+        self.logic.list_failed(&mut self.door);
+    }
+
+    fn hit(&mut self, name: &str, hit: Hit) {
+        let door = &mut self.door;
+        let id = door.next_hit;
+        door.next_hit += 1;
+        door.hit_ids.insert(name.to_string(), id);
+        door.hits.insert(id, Held { name: name.to_string(), open: true, forwards: Vec::new() });
+        self.logic.hit(door, Hit { id, ..hit });
+    }
+
+    fn ended(&mut self, name: &str, nth: usize, outcome: Outcome) {
+        let door = &mut self.door;
+        let Some(hit) = door.hit_ids.get(name).copied() else { return };
+        let Some(held) = door.hits.get_mut(&hit) else { return };
+        held.open &= !outcome.over;
+        if let Some(then) = held.forwards.get_mut(nth).and_then(Option::take) {
+            then(&mut self.logic, door, outcome);
+        }
+        door.sweep(hit);
+    }
+
+    fn left(&mut self, name: &str) {
+        if let Some(hit) = self.door.hit_ids.get(name).copied() {
+            self.door.answer(hit);
+        }
+    }
+
+    fn woken(&mut self, id: u64) {
+        if let Some(then) = self.door.wakes.remove(&id) {
+            then(&mut self.logic, &mut self.door, ());
+        }
+    }
+
+    fn news(&mut self, stage: Stage) {
+        self.logic.news(&mut self.door, stage);
+    }
+
+    fn voted(&mut self, news: StageNews) {
+        if let Some(then) = self.door.votes.pop_front() {
+            then(&mut self.logic, &mut self.door, news);
+        }
+    }
+
+    fn tally(&mut self, tally: Tally) {
+        self.logic.tally(&mut self.door, tally);
+    }
+
+    fn flagged(&mut self, pod: &str, group: GroupId, ago: Ns) {
+        if let Some(pod) = self.door.pods.get(pod).copied() {
+            self.logic.flagged(&mut self.door, pod, group, ago);
+        }
+    }
+
+    fn probed(&mut self, pod: &str, end: ProbeEnd) {
+        let probes = self.door.pods.get(pod).and_then(|pod| self.door.probes.get_mut(pod));
+        if let Some(then) = probes.and_then(VecDeque::pop_front) {
+            then(&mut self.logic, &mut self.door, end);
+        }
+    }
+}
+
+fn event(heard: &mut impl Hears, line: &Line, banks: &BTreeMap<u64, Vec<Row>>) -> Result<(), String> {
+    let f = line.of();
+    match line.verb.as_str() {
+        "ROSTER_CHANGE" => {
+            let whole = match f.text("how")? {
+                "delta" => false,
+                "full" | "cached" => true,
+                "failed" => {
+                    heard.list_failed();
+                    return Ok(());
                 }
+                _ => return Err(f.complain("how", "not delta, full, cached or failed")),
+            };
+            let rows = banks.get(&f.whole("bank")?).ok_or_else(|| f.complain("bank", "a list never sent"))?;
+            heard.list(whole, rows);
+        }
+        "KNOCK" => {
+            let name = f.text("opId")?;
+            let group = f.named("grade", &heard.names().groups)?;
+            let customer = match f.maybe_name("clientGroup")? {
+                Some(name) => heard.names().customers.iter().position(|known| *known == name),
+                None => None,
+            };
+            let hit = Hit {
+                id: 0,
+                group,
+                customer,
+                key: f.maybe_text("entity")?.map_or(0, key_hash),
+                left: f.whole("graceNs")?,
+                cost_hint: f.maybe_whole("sizeHintNs")?,
+                repeat: f.flag("repeat")?,
+            };
+            heard.hit(name, hit);
+        }
+        "RETURNED" => {
+            let name = f.text("opId")?;
+            let trial = f.whole("trial")? as usize;
+            known_pod(heard, &f)?;
+            let outcome = Outcome {
+                end: ended(&f)?,
+                took: f.whole("latencyNs")?,
+                over: f.flag("over")?,
+                load: load(heard.names(), &f)?,
+            };
+            heard.ended(name, trial, outcome);
+        }
+        "HANGUP" => heard.left(f.text("opId")?),
+        "HEADERS" => {
+            f.text("opId")?;
+            f.whole("trial")?;
+            f.whole("latencyNs")?;
+            known_pod(heard, &f)?;
+        }
+        "ALARM" => {
+            if let Ok(id) = f.text("keyBack")?.parse() {
+                heard.woken(id);
             }
-            "ROLLOUT_STATE" => {
-                let ending = f.whole("ending")?;
-                let told = stage(&f)?;
-                let told = (ending == 100).then_some(told);
-                if f.whole_or("sense", 0)? == 0 {
-                    if let Some(told) = told {
-                        logic.news(door, told);
-                    }
-                } else if let Some(then) = door.votes.pop_front() {
-                    let heard = match ending {
-                        100 => Heard::Counted,
-                        307 => Heard::Moot,
-                        303 => Heard::Unknown,
-                        _ => Heard::Refused,
-                    };
-                    then(logic, door, StageNews { heard, stage: told });
+        }
+        "ROLLOUT_STATE" => {
+            let ending = f.whole("ending")?;
+            let told = stage(&f)?;
+            let told = (ending == 100).then_some(told);
+            if f.whole_or("sense", 0)? == 0 {
+                if let Some(told) = told {
+                    heard.news(told);
                 }
-            }
-            "DIGEST" => {
-                let tally = Tally {
-                    build: f.whole("release")?.min(u32::MAX as u64) as Build,
-                    group: f.named("grade", &door.names.groups)?,
-                    count: f.whole_or("count", 0)?,
-                    failed: f.whole_or("lost", 0)?,
-                    mean_latency: f.whole_or("latencyNs", 0)?,
-                    age: f.whole_or("latenessNs", 0)?,
+            } else {
+                let answer = match ending {
+                    100 => Heard::Counted,
+                    307 => Heard::Moot,
+                    303 => Heard::Unknown,
+                    _ => Heard::Refused,
                 };
-                logic.tally(door, tally);
-            }
-            "CONTESTED" => {
-                let pod = door.known_pod(&f)?;
-                let group = f.named("grade", &door.names.groups)?;
-                logic.flagged(door, pod, group, f.whole("latenessNs")?);
-            }
-            "PING_RESULT" => {
-                let pod = door.known_pod(&f)?;
-                let end = ProbeEnd { end: ended(&f)?, took: f.whole("latencyNs")?, load: door.load(&f)? };
-                if let Some(then) = door.probes.get_mut(&pod).and_then(VecDeque::pop_front) {
-                    then(logic, door, end);
-                }
-            }
-            // Nothing here sends to peers; what one says is read for its form alone.
-            _ => {
-                f.whole("sender")?;
-                f.text("blob")?;
+                heard.voted(StageNews { heard: answer, stage: told });
             }
         }
-        Ok(())
+        "DIGEST" => {
+            let tally = Tally {
+                build: f.whole("release")?.min(u32::MAX as u64) as Build,
+                group: f.named("grade", &heard.names().groups)?,
+                count: f.whole_or("count", 0)?,
+                failed: f.whole_or("lost", 0)?,
+                mean_latency: f.whole_or("latencyNs", 0)?,
+                age: f.whole_or("latenessNs", 0)?,
+            };
+            heard.tally(tally);
+        }
+        "CONTESTED" => {
+            let pod = known_pod(heard, &f)?;
+            let group = f.named("grade", &heard.names().groups)?;
+            heard.flagged(pod, group, f.whole("latenessNs")?);
+        }
+        "PING_RESULT" => {
+            let pod = known_pod(heard, &f)?;
+            let load = load(heard.names(), &f)?;
+            heard.probed(pod, ProbeEnd { end: ended(&f)?, took: f.whole("latencyNs")?, load });
+        }
+        // Nothing here sends to peers; what one says is read for its form alone.
+        _ => {
+            f.whole("sender")?;
+            f.text("blob")?;
+        }
     }
+    Ok(())
 }
 
-impl Wire {
+impl<H: Hears> Wire<H> {
     /// Takes one line; the number of the batch where the line ends one.
     pub fn line(&mut self, line: Line) -> Result<Option<u64>, String> {
         let f = line.of();
@@ -448,10 +574,10 @@
                 let known = self.instances.get_mut(&sidecar);
                 let instance = known.ok_or_else(|| f.complain("sidecar", "an instance never started"))?;
                 if let Some(instance) = instance {
-                    instance.door.now = self.now;
-                    std::mem::swap(&mut instance.door.out, &mut self.out);
-                    let done = instance.event(&line, &self.banks);
-                    std::mem::swap(&mut instance.door.out, &mut self.out);
+                    instance.at(self.now);
+                    instance.swap(&mut self.out);
+                    let done = event(instance.as_mut(), &line, &self.banks);
+                    instance.swap(&mut self.out);
                     done?;
                 }
             }
@@ -467,27 +593,11 @@
     fn attach(&mut self, f: &Fields) -> Result<(), String> {
         let sidecar = f.whole("sidecar")?;
         let seed = f.whole("prng")?;
-        let s = setup::read(&f.object("setup")?)?;
-        let door = Door {
-            now: self.now,
-            sidecar,
-            names: s.names,
-            pods: HashMap::new(),
-            pod_names: Vec::new(),
-            hit_ids: HashMap::new(),
-            hits: HashMap::new(),
-            next_hit: 0,
-            wakes: HashMap::new(),
-            next_wake: 0,
-            votes: VecDeque::new(),
-            probes: HashMap::new(),
-            out: std::mem::take(&mut self.out),
-        };
-        let logic =
-            Logic::new(self.now, seed, s.place, s.groups, s.forwards, s.pods, s.exposure, s.votes, s.list);
-        let mut instance = Box::new(Instance { logic, door });
-        instance.logic.begin(&mut instance.door);
-        self.out = std::mem::take(&mut instance.door.out);
+        let setup = setup::read(&f.object("setup")?)?;
+        let mut instance = Box::new(H::attach(self.now, sidecar, seed, setup));
+        instance.swap(&mut self.out);
+        instance.begin();
+        instance.swap(&mut self.out);
         self.instances.insert(sidecar, Some(instance));
         Ok(())
     }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,9 +1,7 @@
 //! Speaks the simulator's wire on standard input and output for any number of instances.
 
-mod door;
-mod line;
-mod setup;
-
+use havenplank_adapter::door::{Instance, Wire};
+use havenplank_adapter::line::Line;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
@@ -20,7 +18,7 @@
 fn serve() -> Result<(), String> {
     let mut input = io::stdin().lock();
     let mut output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    let mut wire = door::Wire::default();
+    let mut wire = Wire::<Instance>::default();
     let mut text = Vec::new();
     let mut number = 0u64;
     loop {
@@ -32,7 +30,7 @@
         if text.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
-        let done = line::Line::read(number, &text).and_then(|line| wire.line(line))?;
+        let done = Line::read(number, &text).and_then(|line| wire.line(line))?;
         if let Some(turn) = done {
             wire.reply(turn, &mut output)
                 .and_then(|()| output.flush())
