--- a/crates/cli/src/traces.rs
+++ b/crates/cli/src/traces.rs
@@ -5,7 +5,7 @@
 use clap::Subcommand;
 use havenplank_trace::file::{Reader, TraceError, MAJOR};
 use havenplank_trace::summary::{Figures, Summary};
-use havenplank_trace::{cut, merge, replay, show, summary, veil};
+use havenplank_trace::{cut, from_wire, merge, replay, show, summary, veil};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -63,6 +63,13 @@
         #[arg(long)]
         source: Option<String>,
     },
+    /// Make a trace of a day of the bench, from what went into the adapter and what came out of it (by tee).
+    FromBench {
+        input: PathBuf,
+        output: PathBuf,
+        #[arg(long, short = 'o', value_name = "FILE")]
+        trace: PathBuf,
+    },
     /// Play what the engines were told through the library and compare all that they do.
     Replay {
         #[arg(required = true)]
@@ -222,6 +229,17 @@
             }
             Ok(damage(&file, met))
         }
+        Trace::FromBench { input, output, trace } => {
+            let read = |file: &Path| {
+                File::open(file).map(BufReader::new).with_context(|| format!("{}", file.display()))
+            };
+            let sources =
+                from_wire::sources(read(&input)?).with_context(|| format!("{}", input.display()))?;
+            let (heard, said) = (read(&input)?, read(&output)?);
+            let records = write(&trace, |out| from_wire::write(heard, said, sources, out))?;
+            println!("{records} records");
+            Ok(0)
+        }
         Trace::Replay { files } => {
             let readers = files.iter().map(|file| open(file)).collect::<anyhow::Result<Vec<_>>>()?;
             let (played, met) = replay::replay(readers)?;
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -9,8 +9,8 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-/// The least time that an engine may be told as now: ages of pods and stages are taken off it, and what
-/// would lie before 0 counts as long ago.
+/// Where the clock of an engine begins: ages of pods and stages are taken off it, and on a clock that begins
+/// lower what would lie before 0 counts as long ago.
 pub const EPOCH: Ns = 1 << 50;
 
 /// Something to carry out, in the order left.
@@ -200,7 +200,7 @@
 }
 
 /// One sidecar's decisions. Each method runs to its end and leaves effects for [`Engine::effect`]; `now`
-/// never goes back and is [`EPOCH`] at least.
+/// never goes back.
 pub struct Engine {
     logic: Logic,
     desk: Desk,
@@ -212,8 +212,8 @@
 impl Engine {
     pub fn new(now: Ns, seed: u64, terms: &Terms) -> Engine {
         let desk = Desk {
-            now: now.max(EPOCH),
-            roll: Roll::new(terms.zones.clone(), terms.machines.clone()),
+            now,
+            roll: Roll::new(terms.zones.clone(), terms.machines.clone(), terms.reuse),
             entries: Vec::new(),
             hits: HashMap::new(),
             next_hit: 0,
--- a/crates/sidecar/src/roll.rs
+++ b/crates/sidecar/src/roll.rs
@@ -26,6 +26,8 @@
     free: Vec<PodId>,
     zones: Vec<String>,
     machines: Vec<String>,
+    /// Off for a recorded host that kept each name its index for good, so that draws fall on the same pods.
+    reuse: bool,
 }
 
 fn place(names: &mut Vec<String>, name: &str) -> usize {
@@ -38,8 +40,8 @@
 }
 
 impl Roll {
-    pub fn new(zones: Vec<String>, machines: Vec<String>) -> Roll {
-        Roll { zones, machines, ..Roll::default() }
+    pub fn new(zones: Vec<String>, machines: Vec<String>, reuse: bool) -> Roll {
+        Roll { zones, machines, reuse, ..Roll::default() }
     }
 
     pub fn find(&self, name: &str) -> Option<PodId> {
@@ -70,7 +72,8 @@
     pub fn listed(&self, now: Ns) -> Vec<Listed> {
         let live = self.slots.iter().flatten().filter(|known| known.listed.state != PodState::Gone);
         let aged = |known: &Known| {
-            let age = if known.started <= LONG_AGO { 0 } else { now.saturating_sub(known.started).max(1) };
+            let age =
+                if known.started <= LONG_AGO + 1 { 0 } else { now.saturating_sub(known.started).max(1) };
             Listed { age, ..known.listed.clone() }
         };
         live.map(aged).collect()
@@ -96,9 +99,9 @@
             let started = match before {
                 Some((started, life, address)) if (life, address) == (listed.life, listed.address) => started,
                 // Long ago twice is two lives all the same, and the module tells them by this.
-                Some((LONG_AGO, ..)) if listed.age == 0 => LONG_AGO - 1,
+                Some((LONG_AGO, ..)) if listed.age == 0 => LONG_AGO + 1,
                 _ if listed.age == 0 => LONG_AGO,
-                _ => now.saturating_sub(listed.age).max(LONG_AGO + 1),
+                _ => now.saturating_sub(listed.age).max(LONG_AGO + 2),
             };
             let Listed { state, build, cell, size, .. } = listed;
             let forwards_out = slot.as_ref().map_or(0, |known| known.forwards_out);
@@ -126,6 +129,9 @@
 
     /// Frees the indices of pods that are gone for good; to be called after the module took the list in.
     pub fn sweep(&mut self) {
+        if !self.reuse {
+            return;
+        }
         for (id, slot) in self.slots.iter_mut().enumerate() {
             let gone = |known: &mut Known| known.listed.state == PodState::Gone && known.forwards_out == 0;
             if let Some(known) = slot.take_if(gone) {
@@ -137,4 +143,4 @@
 }
 
 /// The start time that stands for "long ago"; the clock of an engine starts far later.
-pub const LONG_AGO: Ns = 1;
+pub const LONG_AGO: Ns = 0;
--- a/crates/sidecar/src/told.rs
+++ b/crates/sidecar/src/told.rs
@@ -20,6 +20,13 @@
     pub exposure: ExposureRules,
     pub votes: VoteRules,
     pub list: ListRules,
+    /// Whether a pod's index goes to another once it is gone.
+    #[serde(default = "yes")]
+    pub reuse: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 impl From<&Site> for Terms {
@@ -36,6 +43,7 @@
             exposure: site.exposure.clone(),
             votes: site.votes.clone(),
             list: site.list.clone(),
+            reuse: true,
         }
     }
 }
--- /dev/null
+++ b/crates/trace/src/from_wire.rs
@@ -0,0 +1,401 @@
+//! A day of the bench as a trace: what the adapter was told and what it answered, as seen on its pipes.
+
+use crate::file::{TraceError, Writer};
+use crate::record::{Card, Head, Record, Source, What};
+use havenplank::port::*;
+use havenplank_adapter::acts::{self, Acts};
+use havenplank_adapter::door::{Hears, Row, Wire};
+use havenplank_adapter::line::Line;
+use havenplank_adapter::setup::{Names, Setup};
+use havenplank_feeds::nodes::Listed;
+use havenplank_sidecar::engine::{Asked, Effect};
+use havenplank_sidecar::told::{Terms, Told};
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A hit in flight: what its forwards' ends and its lateness are told by.
+struct Held {
+    id: HitId,
+    deadline: Ns,
+    open: bool,
+    out: Vec<bool>,
+}
+
+/// An instance that writes down what it hears.
+struct Scribe {
+    now: Ns,
+    names: Names,
+    /// Taken by whoever numbers the sources.
+    fresh: Option<Box<Source>>,
+    number: usize,
+    /// Grows with the pods ever listed.
+    pods: HashMap<String, PodId>,
+    cards: Vec<Arc<Card>>,
+    /// Emptied of a hit once it is answered and its forwards have ended.
+    hits: HashMap<String, Held>,
+    next_hit: HitId,
+    /// Votes and probes are counted together, as an engine counts them.
+    calls: u64,
+    votes: VecDeque<u64>,
+    probes: HashMap<PodId, VecDeque<u64>>,
+    told: Vec<Told>,
+}
+
+impl Scribe {
+    fn call(&mut self) -> u64 {
+        self.calls += 1;
+        self.calls
+    }
+
+    fn sweep(&mut self, name: &str) {
+        if self.hits.get(name).is_some_and(|held| !held.open && !held.out.contains(&true)) {
+            self.hits.remove(name);
+        }
+    }
+
+    fn id(&self, name: &str) -> HitId {
+        // A hit that nobody knows is told as such by the replay.
+        self.hits.get(name).map_or(HitId::MAX, |held| held.id)
+    }
+
+    fn close(&mut self, name: &str) {
+        if let Some(held) = self.hits.get_mut(name) {
+            held.open = false;
+        }
+        self.sweep(name);
+    }
+}
+
+impl Hears for Scribe {
+    fn attach(now: Ns, sidecar: u64, seed: u64, setup: Setup) -> Scribe {
+        let Setup { names, place, groups, forwards, pods, exposure, votes, list } = setup;
+        let terms = Terms {
+            name: format!("sidecar-{sidecar}"),
+            place,
+            zones: names.zones.clone(),
+            machines: names.machines.clone(),
+            customers: names.customers.clone(),
+            groups: names.groups.iter().cloned().zip(groups).collect(),
+            forwards,
+            pods,
+            exposure,
+            votes,
+            list,
+            reuse: false,
+        };
+        let (life, until) = (seed ^ now, Ns::MAX);
+        let source =
+            Source { terms, seed, life, part: 0, began: now, wall: now, share: 1.0, whole: true, until };
+        Scribe {
+            now,
+            names,
+            fresh: Some(Box::new(source)),
+            number: 0,
+            pods: HashMap::new(),
+            cards: Vec::new(),
+            hits: HashMap::new(),
+            next_hit: 0,
+            calls: 0,
+            votes: VecDeque::new(),
+            probes: HashMap::new(),
+            told: Vec::new(),
+        }
+    }
+
+    fn at(&mut self, now: Ns) {
+        self.now = now;
+    }
+
+    fn names(&self) -> &Names {
+        &self.names
+    }
+
+    fn knows(&self, pod: &str) -> bool {
+        self.pods.contains_key(pod)
+    }
+
+    fn begin(&mut self) {
+        self.told.push(Told::Begin);
+    }
+
+    fn list(&mut self, whole: bool, rows: &[Row]) {
+        let (mut pods, mut given) = (Vec::new(), Vec::new());
+        for Row { pod, zone, machine, entry } in rows {
+            let next = self.cards.len();
+            let id = *self.pods.entry(pod.clone()).or_insert(next);
+            let card = Arc::new(Card { pod: id, build: entry.build, name: pod.clone(), zone: zone.clone() });
+            match self.cards.get_mut(id) {
+                Some(known) => *known = card,
+                None => self.cards.push(card),
+            }
+            let age = match entry.started {
+                0 => 0,
+                started => self.now.saturating_sub(started).max(1),
+            };
+            pods.push(Listed {
+                name: pod.clone(),
+                // The bench has none.
+                address: SocketAddr::from(([0, 0, 0, 0], 0)),
+                state: entry.state,
+                build: entry.build,
+                life: entry.started,
+                age,
+                zone: zone.clone(),
+                machine: machine.clone(),
+                cell: entry.cell,
+                size: entry.size,
+            });
+            given.push(Some(id));
+        }
+        self.told.push(Told::List { whole, pods, given });
+    }
+
+    fn list_failed(&mut self) {
+        self.told.push(Told::ListFailed);
+    }
+
+    fn hit(&mut self, name: &str, hit: Hit) {
+        let id = self.next_hit;
+        self.next_hit += 1;
+        let Hit { group, customer, key, left, cost_hint, repeat, .. } = hit;
+        let held = Held { id, deadline: self.now.saturating_add(left), open: true, out: Vec::new() };
+        self.hits.insert(name.to_string(), held);
+        let asked = Asked { group, customer, key, left, cost_hint, repeat };
+        self.told.push(Told::Hit { hit: id, asked });
+    }
+
+    fn ended(&mut self, name: &str, nth: usize, outcome: Outcome) {
+        let Some(held) = self.hits.get_mut(name) else { return };
+        let Some(out) = held.out.get_mut(nth).filter(|out| **out) else { return };
+        *out = false;
+        let Outcome { end, took, load, .. } = outcome;
+        let passed = held.open && end == Ended::Delivered;
+        held.open &= !passed;
+        let (hit, nth) = (held.id, nth as u32);
+        self.told.push(Told::Ended { hit, nth, end, took, load, passed });
+        self.sweep(name);
+    }
+
+    fn left(&mut self, name: &str) {
+        if let Some(hit) = self.hits.get(name).map(|held| held.id) {
+            self.told.push(Told::Left { hit });
+            self.close(name);
+        }
+    }
+
+    fn woken(&mut self, id: u64) {
+        // An engine counts its wakes from 1, the adapter from 0.
+        self.told.push(Told::Wake(id.saturating_add(1)));
+    }
+
+    fn news(&mut self, stage: Stage) {
+        self.told.push(Told::News(stage));
+    }
+
+    fn voted(&mut self, news: StageNews) {
+        if let Some(vote) = self.votes.pop_front() {
+            self.told.push(Told::Voted { vote, news });
+        }
+    }
+
+    fn tally(&mut self, tally: Tally) {
+        self.told.push(Told::Tally(tally));
+    }
+
+    fn flagged(&mut self, pod: &str, group: GroupId, ago: Ns) {
+        if let Some(pod) = self.pods.get(pod).copied() {
+            self.told.push(Told::Flagged { pod, group, ago });
+        }
+    }
+
+    fn probed(&mut self, pod: &str, end: ProbeEnd) {
+        let Some(pod) = self.pods.get(pod) else { return };
+        if let Some(probe) = self.probes.get_mut(pod).and_then(VecDeque::pop_front) {
+            self.told.push(Told::Probed { probe, end });
+        }
+    }
+}
+
+/// What the instances did, put down as it is read. Those that were stopped are passed over.
+struct Deeds<'a> {
+    wire: &'a mut Wire<Scribe>,
+    done: Vec<(u64, Effect)>,
+}
+
+impl Deeds<'_> {
+    fn by(&mut self, sidecar: u64, effect: impl FnOnce(&mut Scribe) -> Effect) {
+        if let Some(Some(scribe)) = self.wire.instances.get_mut(&sidecar) {
+            let effect = effect(scribe);
+            self.done.push((sidecar, effect));
+        }
+    }
+}
+
+impl Acts for Deeds<'_> {
+    fn forward(&mut self, sidecar: u64, hit: &str, pod: &str, time_out: Ns) {
+        self.by(sidecar, |scribe| {
+            let pod = scribe.pods.get(pod).copied().unwrap_or(PodId::MAX);
+            let Some(held) = scribe.hits.get_mut(hit) else {
+                return Effect::Forward { hit: HitId::MAX, nth: 0, pod, time_out };
+            };
+            held.out.push(true);
+            Effect::Forward { hit: held.id, nth: held.out.len() as u32 - 1, pod, time_out }
+        });
+    }
+
+    fn cancel(&mut self, sidecar: u64, hit: &str, nth: u32) {
+        self.by(sidecar, |scribe| Effect::Cancel { hit: scribe.id(hit), nth });
+    }
+
+    fn bounce(&mut self, sidecar: u64, hit: &str, come_back: Ns) {
+        self.by(sidecar, |scribe| {
+            let bounced = Effect::Bounce { hit: scribe.id(hit), come_back };
+            scribe.close(hit);
+            bounced
+        });
+    }
+
+    fn error(&mut self, sidecar: u64, hit: &str) {
+        self.by(sidecar, |scribe| {
+            let late = scribe.hits.get(hit).is_some_and(|held| scribe.now >= held.deadline);
+            let errored = Effect::Error { hit: scribe.id(hit), late };
+            scribe.close(hit);
+            errored
+        });
+    }
+
+    fn vote(&mut self, sidecar: u64, build: Build, stage: usize, voice: Voice) {
+        self.by(sidecar, |scribe| {
+            let vote = scribe.call();
+            scribe.votes.push_back(vote);
+            Effect::Vote { vote, build, stage, voice }
+        });
+    }
+
+    fn probe(&mut self, sidecar: u64, pod: &str) {
+        self.by(sidecar, |scribe| {
+            let (probe, pod) = (scribe.call(), scribe.pods.get(pod).copied().unwrap_or(PodId::MAX));
+            scribe.probes.entry(pod).or_default().push_back(probe);
+            Effect::Probe { probe, pod }
+        });
+    }
+
+    fn ask_list(&mut self, sidecar: u64) {
+        self.by(sidecar, |_| Effect::AskList);
+    }
+
+    fn watch_list(&mut self, sidecar: u64, on: bool) {
+        self.by(sidecar, |_| Effect::WatchList(on));
+    }
+
+    fn log(&mut self, sidecar: u64, text: &str) {
+        self.by(sidecar, |_| Effect::Log(text.to_string()));
+    }
+}
+
+/// Reads lines of one pipe, with their numbers.
+struct Lines<I> {
+    input: I,
+    text: Vec<u8>,
+    number: u64,
+}
+
+impl<I: BufRead> Lines<I> {
+    fn new(input: I) -> Lines<I> {
+        Lines { input, text: Vec::new(), number: 0 }
+    }
+
+    fn next(&mut self) -> Result<Option<Line>, TraceError> {
+        loop {
+            self.text.clear();
+            if self.input.read_until(b'\n', &mut self.text)? == 0 {
+                return Ok(None);
+            }
+            self.number += 1;
+            if !self.text.iter().all(u8::is_ascii_whitespace) {
+                return Line::read(self.number, &self.text).map(Some).map_err(TraceError::Unfit);
+            }
+        }
+    }
+}
+
+/// Every life that begins in a day, in order: a first reading of what the adapter was told.
+///
+/// # Errors
+/// A line that is none of the wire's.
+pub fn sources(input: impl BufRead) -> Result<Vec<Source>, TraceError> {
+    let (mut lines, mut wire, mut sources) = (Lines::new(input), Wire::<Scribe>::default(), Vec::new());
+    while let Some(line) = lines.next()? {
+        let sidecar = line.of().whole("sidecar").ok();
+        wire.line(line).map_err(TraceError::Unfit)?;
+        let scribe = sidecar.and_then(|sidecar| wire.instances.get_mut(&sidecar)).and_then(Option::as_mut);
+        if let Some(scribe) = scribe {
+            sources.extend(scribe.fresh.take().map(|source| *source));
+            scribe.told.clear();
+        }
+    }
+    Ok(sources)
+}
+
+/// Writes the day as a trace, one source for each life. What the adapter did in a batch comes after all that
+/// it was told there. Returns the records written.
+///
+/// # Errors
+/// A line that is none of the wire's, or outputs that do not belong to the inputs.
+pub fn write(
+    heard: impl BufRead,
+    said: impl BufRead,
+    sources: Vec<Source>,
+    out: impl Write,
+) -> Result<u64, TraceError> {
+    let (mut heard, mut said) = (Lines::new(heard), Lines::new(said));
+    let mut writer = Writer::new(out, &Head::new(sources), Vec::new())?;
+    let mut wire = Wire::<Scribe>::default();
+    let (mut lives, mut count) = (0, 0);
+    let mut put = |scribe: &Scribe, what: What| {
+        let record = Record { at: scribe.now, own: scribe.now, source: scribe.number, what, pod: None };
+        let pod = record.pod_index().and_then(|pod| scribe.cards.get(pod)).cloned();
+        count += 1;
+        writer.put(Record { pod, ..record })
+    };
+    while let Some(line) = heard.next()? {
+        let sidecar = line.of().whole("sidecar").ok();
+        let turn = wire.line(line).map_err(TraceError::Unfit)?;
+        let scribe = sidecar.and_then(|sidecar| wire.instances.get_mut(&sidecar)).and_then(Option::as_mut);
+        if let Some(scribe) = scribe {
+            if scribe.fresh.take().is_some() {
+                scribe.number = lives;
+                lives += 1;
+            }
+            for told in std::mem::take(&mut scribe.told) {
+                put(scribe, What::Told(told))?;
+            }
+        }
+        let Some(turn) = turn else { continue };
+        loop {
+            let Some(line) = said.next()? else {
+                let why = format!("the output ends before its answer to batch {turn}");
+                return Err(TraceError::Unfit(why));
+            };
+            let mut deeds = Deeds { wire: &mut wire, done: Vec::new() };
+            let ends = acts::read(&line, &mut deeds).map_err(TraceError::Unfit)?;
+            for (sidecar, effect) in deeds.done {
+                if let Some(Some(scribe)) = wire.instances.get(&sidecar) {
+                    put(scribe, What::Did(effect))?;
+                }
+            }
+            match ends {
+                Some(answered) if answered == turn => break,
+                Some(answered) => {
+                    let why = format!("the output answers batch {answered} where the input has {turn}");
+                    return Err(TraceError::Unfit(why));
+                }
+                None => {}
+            }
+        }
+    }
+    writer.finish()?;
+    Ok(count)
+}
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -4,6 +4,7 @@
 mod columns;
 pub mod cut;
 pub mod file;
+pub mod from_wire;
 pub mod merge;
 pub mod record;
 pub mod recorder;
