trace drive: a recorded life against a real sidecar, pods scripted as recorded

Stand-ins tell the recorded lists, news and tallies in real time, clients ask the recorded hits, pods end each forward as one of the same hit to the same build did, else as the build's did then. Settings are written from the trace's terms.

--- a/crates/cli/src/traces.rs
+++ b/crates/cli/src/traces.rs
@@ -3,9 +3,11 @@
 use crate::{write_json, BROKEN, USAGE};
 use anyhow::{bail, Context};
 use clap::Subcommand;
+use havenplank_stand::drive;
 use havenplank_trace::file::{Reader, TraceError, MAJOR};
 use havenplank_trace::summary::{Figures, Summary};
 use havenplank_trace::{cut, from_wire, merge, replay, show, summary, veil};
+use indicatif::ProgressBar;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -63,6 +65,15 @@
         #[arg(long)]
         source: Option<String>,
     },
+    /// Play one sidecar's recorded hits and troubles against a real sidecar with stand-ins, in real time.
+    Drive {
+        file: PathBuf,
+        /// The sidecar's name, where the trace holds several.
+        #[arg(long)]
+        source: Option<String>,
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
     /// Make a trace of a day of the bench, from what went into the adapter and what came out of it (by tee).
     FromBench {
         input: PathBuf,
@@ -229,6 +240,7 @@
             }
             Ok(damage(&file, met))
         }
+        Trace::Drive { file, source, json } => drive(&file, source.as_deref(), json.as_deref()),
         Trace::FromBench { input, output, trace } => {
             let read = |file: &Path| {
                 File::open(file).map(BufReader::new).with_context(|| format!("{}", file.display()))
@@ -268,6 +280,64 @@
     }
 }
 
+fn drive(file: &Path, source: Option<&str>, json: Option<&Path>) -> anyhow::Result<u8> {
+    let mut reader = open(file)?;
+    let names: Vec<&str> = reader.head.sources.iter().map(|source| source.terms.name.as_str()).collect();
+    let number = match source {
+        Some(name) => names.iter().position(|known| *known == name),
+        None if names.len() == 1 => Some(0),
+        None => None,
+    };
+    let Some(number) = number else {
+        eprintln!("havenplank: --source: expected one of {}", names.join(", "));
+        return Ok(USAGE);
+    };
+    let folder = tempfile::tempdir()?;
+    let program = std::env::current_exe().context("this program's own path")?;
+    let bar = ProgressBar::new(0);
+    let tell = |at: u64, of: u64| {
+        bar.set_length(of / 1_000_000_000);
+        bar.set_position(at / 1_000_000_000);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let driving = drive::drive(&mut reader, number, program, folder.path(), tell);
+    let driven = runtime.block_on(tokio::task::LocalSet::new().run_until(driving))?;
+    bar.finish_and_clear();
+    println!("             hits  delivered  bounced  errored     left  forwards");
+    let votes = |fared: &drive::Fared| -> Vec<serde_json::Value> {
+        let vote = |((build, stage, voice), count): (&(u32, usize, String), &u64)| json!({"build": build, "stage": stage, "voice": voice, "votes": count});
+        fared.votes.iter().map(vote).collect()
+    };
+    let figures = |fared: &drive::Fared| {
+        json!({
+            "hits": fared.hits, "delivered": fared.delivered, "bounced": fared.bounced,
+            "errored": fared.errored, "left": fared.left, "forwards": fared.forwards, "votes": votes(fared),
+        })
+    };
+    for (name, fared) in [("recorded", &driven.recorded), ("driven", &driven.driven)] {
+        let drive::Fared { hits, delivered, bounced, errored, left, forwards, .. } = fared;
+        println!("{name:<9} {hits:>7} {delivered:>10} {bounced:>8} {errored:>8} {left:>8} {forwards:>9}");
+    }
+    for (name, fared) in [("recorded", &driven.recorded), ("driven", &driven.driven)] {
+        for ((build, stage, voice), count) in &fared.votes {
+            println!("{name:<9} votes: build {build} stage {stage} {voice}: {count}");
+        }
+    }
+    println!(
+        "{} forwards ended as recorded, {} as their build's did then",
+        driven.as_recorded, driven.as_build
+    );
+    driven.troubles.iter().for_each(|trouble| eprintln!("{trouble}"));
+    if let Some(file) = json {
+        let value = json!({
+            "recorded": figures(&driven.recorded), "driven": figures(&driven.driven),
+            "as_recorded": driven.as_recorded, "as_build": driven.as_build,
+        });
+        write_json(file, &value)?;
+    }
+    Ok(if driven.troubles.is_empty() { 0 } else { crate::FAILED })
+}
+
 /// Hands out every record; the damage that ended it, if any did.
 fn each(
     reader: &mut Opened,
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clients;
 pub mod day;
 pub mod desk;
+pub mod drive;
 pub mod fleet;
 pub mod nodes;
 pub mod notation;
