--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -302,7 +302,7 @@
                 let sidecar = sidecar(&pods, nodes, "400ms", None, folder.path())?;
                 flood(&sidecar, seconds).await?
             }
-            _ => bail!("bench {what:?}: expected proxy, trace, memory or flood"),
+            _ => bail!("bench {what:?}: expected proxy, trace, trace-file, memory or flood"),
         };
         if let Some(file) = json {
             write_json(file, &measured)?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! usage or settings.
 
 mod bench;
+mod bench_trace;
 mod day;
 mod serve;
 mod traces;
@@ -77,7 +78,7 @@
         rate: Option<f64>,
     },
     /// Measure on loopback: proxy (added latency, CPU and memory a hit), trace (what recording costs), memory
-    /// alone, flood (past the maximum).
+    /// alone, flood (past the maximum); trace-file: a long recording and its tools, in virtual time.
     Bench {
         what: String,
         /// Length of each measured turn.
@@ -85,6 +86,9 @@
         seconds: u64,
         #[arg(long, default_value_t = 3)]
         rounds: u64,
+        /// Hits of the long recording.
+        #[arg(long, default_value_t = 1_000_000)]
+        hits: u64,
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
@@ -163,7 +167,10 @@
             let Some(site) = settings_of(&settings, &given)? else { return Ok(USAGE) };
             day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref(), trace.as_deref())
         }
-        Command::Bench { what, seconds, rounds, json } => {
+        Command::Bench { what, hits, json, .. } if what == "trace-file" => {
+            bench_trace::bench(hits, json.as_deref())
+        }
+        Command::Bench { what, seconds, rounds, json, .. } => {
             bench::bench(&what, seconds, rounds, json.as_deref())
         }
         Command::BenchPart { kind, pods } => bench::part(&kind, pods),
--- /dev/null
+++ b/crates/trace/tests/wire.rs
@@ -0,0 +1,138 @@
+//! A day as seen on the adapter's pipes becomes a trace, and plays through the engine as it did there.
+
+mod common;
+
+use common::*;
+use havenplank_adapter::door::{Instance, Wire};
+use havenplank_adapter::line::Line;
+use havenplank_trace::{from_wire, replay, TraceError};
+use oorandom::Rand64;
+use std::collections::HashMap;
+use std::fmt::Write as _;
+
+const SETUP: &str = r#"{"azs":["east","west"],"locality":"east","skus":["box"],"instances":2,"rank":0,"discovery":"automatic","classes":[{"name":"read","semantics":"free","onTimeNs":500000000,"giveUpNs":1000000000,"worth":1.0}],"limits":{"maxAttempts":3,"retryAfter":true,"maxRetryAfterNs":300000000},"rules":{"drainGraceNs":500000000,"coldShare":0.3,"warmUpNs":4000000000,"fallMultiple":2.0,"fallNs":1000000000},"familyInfo":{"control":"by_count","counts":"all","exposureWindowNs":2000000000,"free":1.0,"mostShares":[0.1,1.0],"ballotTtlNs":4000000000,"callTimeoutNs":1000000000}}"#;
+
+/// What goes in over some seconds, and what comes out: two instances, one of which restarts, pods that come
+/// and go under the same names, forwards that fail, a build on trial.
+fn pipes() -> (String, String) {
+    let (mut input, mut output) = (String::new(), Vec::new());
+    let (mut wire, mut chance) = (Wire::<Instance>::default(), Rand64::new(3));
+    // Hits that wait for their forward: when it ends, the line without its sidecar's number, and the sidecar.
+    let mut due: Vec<(u64, String)> = Vec::new();
+    let mut alarms: Vec<(u64, String)> = Vec::new();
+    let mut tries: HashMap<(String, String), u64> = HashMap::new();
+    for turn in 0..1_500u64 {
+        let now = 9 * S + turn * 4 * MS;
+        let mut lines = vec![format!(r#"{{"verb":"ROUND","momentNs":{now},"turn":{turn}}}"#)];
+        if turn == 700 {
+            lines.push(r#"{"verb":"POWER_OFF","sidecar":1}"#.to_string());
+            alarms.retain(|(_, line)| !line.contains("\"sidecar\":1"));
+            due.retain(|(_, line)| !line.contains("\"sidecar\":1"));
+        }
+        for sidecar in (0..2).filter(|sidecar| turn == 0 || turn == 800 && *sidecar == 1) {
+            lines.push(format!(
+                r#"{{"verb":"ATTACH","sidecar":{sidecar},"prng":{},"setup":{SETUP}}}"#,
+                5 + turn
+            ));
+        }
+        let up = |sidecar: u64| sidecar == 0 || !(700..=800).contains(&turn);
+        if turn % 100 == 1 {
+            let pod = |n: u64| {
+                let (build, az) = (1 + n / 4, if n % 2 == 0 { "east" } else { "west" });
+                let state = if (turn / 100 + n) % 5 == 0 && n > 0 { "Deleted" } else { "Running" };
+                let started = if build == 2 { 8 * S + turn / 500 } else { 0 };
+                format!(
+                    r#"{{"size":2,"release":{build},"az":"{az}","machine":"box","pod":"p{n}","startedAtNs":{started},"lifecycle":"{state}"}}"#
+                )
+            };
+            let pods: Vec<String> = (0..6).map(pod).collect();
+            lines.push(format!(r#"{{"verb":"LIST","bank":0,"records":[{}]}}"#, pods.join(",")));
+            for sidecar in (0..2).filter(|sidecar| up(*sidecar)) {
+                lines
+                    .push(format!(r#"{{"verb":"ROSTER_CHANGE","sidecar":{sidecar},"how":"full","bank":0}}"#));
+                lines.push(format!(
+                    r#"{{"verb":"ROLLOUT_STATE","sidecar":{sidecar},"ending":100,"release":2,"wave":1,"standing":0,"limitShare":0.5,"latenessNs":9}}"#
+                ));
+            }
+        }
+        for list in [&mut due, &mut alarms] {
+            let ready: Vec<String> =
+                list.iter().filter(|(at, _)| *at <= now).map(|(_, line)| line.clone()).collect();
+            list.retain(|(at, _)| *at > now);
+            lines.extend(ready);
+        }
+        for sidecar in (0..2).filter(|sidecar| up(*sidecar) && turn > 1) {
+            lines.push(format!(
+                r#"{{"verb":"KNOCK","sidecar":{sidecar},"opId":"h{turn}","grade":"read","graceNs":900000000,"entity":"e{}"}}"#,
+                turn % 7
+            ));
+        }
+        lines.push(r#"{"verb":"GO"}"#.to_string());
+        let mut answer = Vec::new();
+        for (n, line) in lines.iter().enumerate() {
+            input += line;
+            input.push('\n');
+            if let Some(turn) = wire.line(Line::read(n as u64, line.as_bytes()).unwrap()).unwrap() {
+                wire.reply(turn, &mut answer).unwrap();
+            }
+        }
+        for line in String::from_utf8(answer.clone()).unwrap().lines() {
+            let said: serde_json::Value = serde_json::from_str(line).unwrap();
+            let sidecar = &said["sidecar"];
+            match said["verb"].as_str().unwrap() {
+                "ATTEMPT" => {
+                    let took = chance.rand_range(10..90) * MS;
+                    let bad = said["pod"].as_str().unwrap() > "p3" && chance.rand_range(0..3) == 0;
+                    let (ending, over) = if bad { (301, false) } else { (100, true) };
+                    let hit = &said["opId"];
+                    let tries = tries.entry((sidecar.to_string(), hit.to_string())).or_insert(0u64);
+                    *tries += 1;
+                    let tries = *tries - 1;
+                    due.push((now + took, format!(
+                        r#"{{"verb":"RETURNED","sidecar":{sidecar},"opId":{hit},"trial":{tries},"pod":{},"ending":{ending},"latencyNs":{took},"over":{over}}}"#,
+                        said["pod"]
+                    )));
+                }
+                "TIMER" => alarms.push((now + said["fromNowNs"].as_u64().unwrap(), format!(
+                    r#"{{"verb":"ALARM","sidecar":{sidecar},"keyBack":{}}}"#,
+                    said["keyBack"]
+                ))),
+                "VERDICT" => due.push((now + 20 * MS, format!(
+                    r#"{{"verb":"ROLLOUT_STATE","sidecar":{sidecar},"ending":100,"release":2,"wave":1,"sense":{},"standing":0,"limitShare":0.5}}"#,
+                    said["sense"]
+                ))),
+                _ => {}
+            }
+        }
+        output.extend(answer);
+    }
+    let _ = writeln!(input);
+    (input, String::from_utf8(output).unwrap())
+}
+
+#[test]
+fn a_day_on_the_pipes_plays_identically() {
+    let (input, output) = pipes();
+    let sources = from_wire::sources(input.as_bytes()).unwrap();
+    assert_eq!(sources.len(), 3, "two, and one that came back");
+    let mut bytes = Vec::new();
+    from_wire::write(input.as_bytes(), output.as_bytes(), sources.clone(), &mut bytes).unwrap();
+    let (played, damage) = replay::replay(vec![open(&bytes)]).unwrap();
+    assert!(damage.is_none());
+    for (name, outcome) in &played {
+        assert!(outcome.differs.is_none(), "{name}: {:?}", outcome.differs);
+    }
+    let hits: u64 = played.iter().map(|(_, outcome)| outcome.hits).sum();
+    let compared: u64 = played.iter().map(|(_, outcome)| outcome.compared).sum();
+    assert!(hits == 2_895 && compared > 4_000, "{hits} {compared}");
+    // An answer that the adapter did not give is found.
+    let other = output.replacen("\"patienceNs\":", "\"patienceNs\":1", 1);
+    let mut bytes = Vec::new();
+    from_wire::write(input.as_bytes(), other.as_bytes(), sources.clone(), &mut bytes).unwrap();
+    let (played, _) = replay::replay(vec![open(&bytes)]).unwrap();
+    assert!(played.iter().any(|(_, outcome)| outcome.differs.is_some()));
+    // Pipes that do not belong together.
+    let short: String = output.lines().take(100).fold(String::new(), |text, line| text + line + "\n");
+    let ends = from_wire::write(input.as_bytes(), short.as_bytes(), sources, Vec::new());
+    assert!(matches!(ends, Err(TraceError::Unfit(why)) if why.contains("batch")));
+}
