--- a/crates/cli/src/bench_trace.rs
+++ b/crates/cli/src/bench_trace.rs
@@ -168,7 +168,7 @@
         at = reader.read_to();
         writeln!(lines, "{}", show::line(&record, &reader.head))?;
     }
-    let as_json = lines.finish()?.len() as f64 / compared.min(COMPARED).max(1) as f64;
+    let as_json = lines.finish()?.len() as f64 / compared.clamp(1, COMPARED) as f64;
     println!("as JSON lines under zstd: bytes_a_hit {as_json:.1}, over the first {at} blocks");
 
     let (began, mut records) = (Instant::now(), 0u64);
--- a/crates/trace/src/columns.rs
+++ b/crates/trace/src/columns.rs
@@ -195,7 +195,7 @@
 
 /// Everything but the time: the kind is known on both ways.
 fn walk(w: &mut impl Way, kind: u16, source: u64, record: &mut Record) -> Result<(), Wrong> {
-    let c = kind * FIELDS;
+    let (c, own) = (kind * FIELDS, record.own);
     match &mut record.what {
         What::Told(told) => match told {
             Told::Begin | Told::ListFailed => Ok(()),
@@ -218,7 +218,12 @@
                 w.hit(c, source, hit)?;
                 w.small(c + 1, nth)?;
                 w.one(c + 2, end, &ENDS)?;
-                w.number(c + 3, took)?;
+                let sent = *w.last((SENT, forward_slot(source, *hit, *nth)));
+                // What it took is about the time since it was sent, where the block knows that.
+                let about = if sent == 0 { 0 } else { own.wrapping_sub(sent) };
+                let mut apart = zigzag(took.wrapping_sub(about) as i64);
+                w.number(c + 3, &mut apart)?;
+                *took = about.wrapping_add(unzigzag(apart) as u64);
                 w.flag(c + 4, passed)?;
                 load(w, c + 5, said)
             }
@@ -272,6 +277,7 @@
                 w.hit(c, source, hit)?;
                 w.small(c + 1, nth)?;
                 w.card(c + 2, pod, &mut record.pod)?;
+                *w.last((SENT, forward_slot(source, *hit, *nth))) = own;
                 // Most go out when their hit comes, with all the time that it has.
                 *w.last((c + 3, source)) = *w.last((1, source));
                 w.near(c + 3, source, time_out)
@@ -309,6 +315,13 @@
     }
 }
 
+/// Where the time of a forward is kept until its end: no column has this number.
+const SENT: u16 = 5;
+
+fn forward_slot(source: u64, hit: HitId, nth: u32) -> u64 {
+    hit.wrapping_mul(64).wrapping_add(nth as u64).wrapping_add(source << 52)
+}
+
 fn blank_pod() -> Listed {
     Listed {
         name: String::new(),
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -275,3 +275,32 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use oorandom::Rand64;
+
+    #[test]
+    fn offset_and_drift_are_found_among_late_hearings() {
+        let mut chance = Rand64::new(5);
+        // Ten minutes, an event each second, heard up to 40 ms late on both sides and now and then much later.
+        let mut points: Vec<(i128, i128)> = (0..600)
+            .map(|n| {
+                let own = 1_000_000_000_000i128 + n * 1_000_000_000;
+                let late = |chance: &mut Rand64| chance.rand_range(0..40_000_000) as i128;
+                let very = if chance.rand_range(0..20) == 0 { 2_000_000_000 } else { 0 };
+                let told = own + 2_500_000_000 + n * 80_000 + late(&mut chance) - late(&mut chance) + very;
+                (own, told)
+            })
+            .collect();
+        let (from, offset, drift, spread) = fit(&mut points).expect("points enough");
+        assert_eq!(from, 1_000_000_000_000);
+        assert!((offset - 2_500_000_000).abs() < 10_000_000, "{offset}");
+        assert!((drift - 80e-6).abs() < 10e-6, "{drift}");
+        assert!((1_000_000..30_000_000).contains(&spread), "{spread}");
+        // Too few, or too close together, for a drift.
+        assert_eq!(fit(&mut points[..5]).expect("points").2, 0.0);
+        assert!(fit(&mut []).is_none());
+    }
+}
--- a/crates/trace/tests/wire.rs
+++ b/crates/trace/tests/wire.rs
@@ -38,8 +38,8 @@
         let up = |sidecar: u64| sidecar == 0 || !(700..=800).contains(&turn);
         if turn % 100 == 1 {
             let pod = |n: u64| {
-                let (build, az) = (1 + n / 4, if n % 2 == 0 { "east" } else { "west" });
-                let state = if (turn / 100 + n) % 5 == 0 && n > 0 { "Deleted" } else { "Running" };
+                let (build, az) = (1 + n / 4, if n.is_multiple_of(2) { "east" } else { "west" });
+                let state = if (turn / 100 + n).is_multiple_of(5) && n > 0 { "Deleted" } else { "Running" };
                 let started = if build == 2 { 8 * S + turn / 500 } else { 0 };
                 format!(
                     r#"{{"size":2,"release":{build},"az":"{az}","machine":"box","pod":"p{n}","startedAtNs":{started},"lifecycle":"{state}"}}"#
