A copy of an unclosed trace is not held to effects that were never written

Opening a file without an index marks until when its sources are whole; copies carry the mark on. Result: replay of the closed file still differs, of the unclosed one and its merged copy not.

--- a/crates/trace/src/file.rs
+++ b/crates/trace/src/file.rs
@@ -320,6 +320,12 @@
             Err(why) => {
                 reader.rebuilt = Some(why);
                 reader.walk(start, length)?;
+                // What the last call left to do may be missing; whoever copies the records must still know.
+                let last = reader.span().map_or(0, |(_, last)| last);
+                if !reader.head.merged {
+                    let until = last.saturating_add(1);
+                    reader.head.sources.iter_mut().for_each(|source| source.until = source.until.min(until));
+                }
             }
         }
         Ok(reader)
--- a/crates/trace/src/merge.rs
+++ b/crates/trace/src/merge.rs
@@ -174,6 +174,7 @@
                 Some(at) if source.part == parts[at] + 1 => {
                     parts[at] += 1;
                     sources[at].whole &= source.whole;
+                    sources[at].until = source.until;
                     of.push(at);
                 }
                 Some(at) => {
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -176,7 +176,7 @@
     /// The end. Of a trace that was `closed`, what the engine would have done besides is a difference, too.
     pub fn finish(mut self, closed: bool) -> Outcome {
         let at = self.last;
-        if closed && !self.is_over() {
+        if closed && self.until == Ns::MAX && !self.is_over() {
             if let Some(more) = self.engine.effect() {
                 self.compare(at, "nothing more", more, false);
             }
--- a/crates/trace/tests/recorder.rs
+++ b/crates/trace/tests/recorder.rs
@@ -6,7 +6,7 @@
 use havenplank_sidecar::engine::EPOCH;
 use havenplank_sidecar::told::Told;
 use havenplank_trace::recorder::{Folder, Recorder, Shelf};
-use havenplank_trace::{replay, summary, Record, TraceError, What};
+use havenplank_trace::{merge, replay, summary, Record, TraceError, What, Writer};
 use std::collections::{HashMap, HashSet};
 use std::io::{self, Write};
 use std::sync::mpsc::{self, Receiver};
@@ -235,6 +235,18 @@
     assert!(begun.len() > 800);
     let (played, damage) = replay::replay(vec![open(&bytes[..last.offset as usize])]).unwrap();
     assert!(damage.is_none() && played[0].1.differs.is_none());
+    // Nor is it a difference in a copy, which is closed, that the last call's effects were not written.
+    let told = found.iter().rposition(|record| matches!(record.what, What::Told(Told::Hit { .. }))).unwrap();
+    let mut writer = Writer::new(Vec::new(), &open(&bytes).head, Vec::new()).unwrap();
+    found[..=told].iter().for_each(|record| writer.put(record.clone()).unwrap());
+    let ends = writer.finish().unwrap();
+    let unclosed = &ends[..ends.len() - 20];
+    let mut merged = Vec::new();
+    merge::merge(vec![open(unclosed)], &mut merged).unwrap();
+    for (file, same) in [(&ends[..], false), (unclosed, true), (&merged[..], true)] {
+        let (played, _) = replay::replay(vec![open(file)]).unwrap();
+        assert_eq!(played[0].1.differs.is_none(), same);
+    }
     let first = found.iter().find(|record| matches!(record.what, What::Told(Told::Begin))).unwrap();
     assert_eq!(first.at, EPOCH);
 }
