havenplank platform: a real sidecar serves the users' protocol, every decision the module's

Need: the users want the sidecar in service on their platform, which speaks its own protocol.

crates/platform holds configuration, clients, pods, node list and release desk upon the one Engine. What its shell shares with the daemon (engine, clock, wakes, waiting hits) is parted from the daemon into crates/sidecar/src/hub.rs, not copied. The pods' side lies on httparse beneath hyper, to tell what was written whole and what lies unread on a kept connection.

--- a/crates/adapter/src/door.rs
+++ b/crates/adapter/src/door.rs
@@ -150,20 +150,32 @@
 fn load(names: &Names, fields: &Fields) -> Result<Option<Load>, String> {
     let Some(row) = fields.maybe_numbers("gauge")? else { return Ok(None) };
     let mut load = Load::default();
-    for (name, value) in names.load.iter().zip(row) {
-        match name.as_str() {
-            "busy_reqs" => load.in_flight = Some(value),
-            "pending" => load.queued = Some(value),
-            "cpu_share" => load.busy = Some(value),
-            "svc_ms" => load.latency_ms = Some(value),
-            "served_ps" => load.delivered_per_s = Some(value),
-            "failed_ps" => load.failed_per_s = Some(value),
-            _ => {}
-        }
-    }
+    names.load.iter().zip(row).for_each(|(name, value)| gauge(&mut load, name, value));
     Ok(Some(load))
 }
 
+fn gauge(load: &mut Load, column: &str, value: f64) {
+    match column {
+        "busy_reqs" => load.in_flight = Some(value),
+        "pending" => load.queued = Some(value),
+        "cpu_share" => load.busy = Some(value),
+        "svc_ms" => load.latency_ms = Some(value),
+        "served_ps" => load.delivered_per_s = Some(value),
+        "failed_ps" => load.failed_per_s = Some(value),
+        _ => {}
+    }
+}
+
+/// A load report as a JSON object of the given columns; none where it cannot be read.
+pub fn load_of(columns: &[String], text: &[u8]) -> Option<Load> {
+    let told: Value = serde_json::from_slice(text).ok()?;
+    let mut load = Load::default();
+    for (column, value) in told.as_object()?.iter().filter(|(column, _)| columns.contains(column)) {
+        gauge(&mut load, column, value.as_f64()?);
+    }
+    Some(load)
+}
+
 impl Host for Door {
     fn now(&self) -> Ns {
         self.now
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod bench_trace;
 mod day;
+mod platform;
 mod serve;
 mod traces;
 
@@ -48,6 +49,8 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Run a sidecar on the operators' platform, by the file that PROXY_CONFIG names.
+    Platform,
     /// Check a settings script and print every mistake in it.
     Check {
         settings: PathBuf,
@@ -117,7 +120,8 @@
             return if error.use_stderr() { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
         }
     };
-    let usual = if matches!(args.command, Command::Serve { .. }) { "info" } else { "warn" };
+    let usual =
+        if matches!(args.command, Command::Serve { .. } | Command::Platform) { "info" } else { "warn" };
     let filter = tracing_subscriber::EnvFilter::try_new(args.log.as_deref().unwrap_or(usual));
     let filter = match filter {
         Ok(filter) => filter,
@@ -126,7 +130,9 @@
             return ExitCode::from(USAGE);
         }
     };
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colour = std::io::IsTerminal::is_terminal(&std::io::stderr());
+    let log =
+        tracing_subscriber::fmt().with_ansi(colour).with_env_filter(filter).with_writer(std::io::stderr);
     match args.log_format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
@@ -146,6 +152,7 @@
             Some(site) => serve::serve(site, seed),
             None => Ok(USAGE),
         },
+        Command::Platform => platform::platform(),
         Command::Check { settings, given } => match settings_of(&settings, &given)? {
             Some(site) => {
                 println!("{}: {} path groups, no mistakes", settings.display(), site.groups.len());
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! The operators' platform: one more way in and out of the sidecar. It owns sockets and wire names, no
+//! decision; all hang on the one engine of `havenplank-sidecar`.
+
+pub mod config;
+pub mod desk;
+pub mod door;
+pub mod list;
+pub mod node;
+pub mod pods;
+mod steady;
+mod tap;
+
+pub use config::Config;
+pub use node::{serve, Orders, StartError};
--- /dev/null
+++ b/crates/platform/src/node.rs
@@ -0,0 +1,221 @@
+//! The shell: one engine with its clients, pods, node list and release desk on one thread; start, reload, stop.
+
+use crate::config::Config;
+use crate::desk::Votes;
+use crate::door::{self, Door};
+use crate::pods::{self, Ask, Pods};
+use crate::{desk, list};
+use bytes::Bytes;
+use havenplank::port::*;
+use havenplank_sidecar::engine::{Engine, EPOCH};
+use havenplank_sidecar::hub::{Hub, Outside};
+use http_body_util::Full;
+use hyper::Response;
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::sleep;
+
+/// Descriptors for what is neither a client's connection nor a pod's: log, runtime, listener, node list and
+/// release desk with their successors, and those that close just now.
+const OTHERS: usize = 28;
+/// Part of the rest that clients' connections may take.
+const CLIENTS: f64 = 0.45;
+const BACKLOG: u32 = 1024;
+const BEAT: Duration = Duration::from_millis(20);
+
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    #[error("listen on {address}: {error}; expected a free address of this machine")]
+    Listen { address: SocketAddr, error: std::io::Error },
+}
+
+/// What a running sidecar is told by whoever started it.
+pub enum Orders {
+    /// A new configuration: the addresses of node list and release desk in it hold from now on.
+    Reload(Box<Config>),
+    /// Take no more hits, answer those taken, and return.
+    Stop,
+}
+
+/// The platform around the engine.
+pub struct Node {
+    pub groups: Vec<(String, PathGroup)>,
+    pub votes: VoteRules,
+    pub answer_margin: Ns,
+    pub door: Door,
+    pub pods: Pods,
+    pub ballots: Votes,
+    pub stopping: Cell<bool>,
+}
+
+pub type Shell = Hub<Node>;
+
+impl Outside for Node {
+    type Ask = Ask;
+    type Answer = Response<Full<Bytes>>;
+
+    fn forward(
+        hub: Rc<Shell>,
+        ask: Rc<Ask>,
+        nth: (HitId, u32),
+        pod: PodId,
+        time_out: Ns,
+    ) -> impl Future<Output = ()> + 'static {
+        pods::forward(hub, ask, nth, pod, time_out)
+    }
+
+    fn bounced(&self, come_back: Ns) -> Response<Full<Bytes>> {
+        door::bounced(come_back)
+    }
+
+    fn errored(&self, late: bool) -> Response<Full<Bytes>> {
+        door::errored(late)
+    }
+
+    fn vote(hub: &Rc<Shell>, vote: u64, build: Build, stage: usize, voice: Voice) {
+        hub.ballots.cast(hub, vote, build, stage, voice);
+    }
+
+    fn probe(hub: &Rc<Shell>, probe: u64, pod: PodId) {
+        spawn_local(pods::probe(hub.clone(), probe, pod));
+    }
+
+    /// The watch always stands, and brings the whole list where changes are not enough.
+    fn ask_list(_: &Rc<Shell>) {}
+
+    fn watch_list(_: &Rc<Shell>, _: bool) {}
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|error| StartError::Listen { address, error })
+}
+
+/// Runs one sidecar on the present thread until it is ordered to stop. Needs a `LocalRuntime` of tokio with
+/// time and I/O. `ready` is called with the address once it listens.
+///
+/// # Errors
+/// An address that cannot be listened on. Services that are out of reach are no error: they are tried on.
+pub async fn serve(
+    config: Config,
+    mut orders: mpsc::Receiver<Orders>,
+    ready: impl FnOnce(SocketAddr),
+) -> Result<(), StartError> {
+    let Config { terms, seed, .. } = config;
+    let engine = Engine::new(EPOCH, seed, &terms);
+    let listener = listen(config.listen)?;
+    let address = listener.local_addr().unwrap_or(config.listen);
+    let places = config.sockets.saturating_sub(OTHERS);
+    let clients = (places as f64 * CLIENTS) as usize;
+    let shell = Hub::new(
+        engine,
+        Node {
+            groups: terms.groups.clone(),
+            votes: terms.votes.clone(),
+            answer_margin: config.answer_margin,
+            door: Door::new(clients),
+            pods: Pods::new(config.links, config.load, places - clients),
+            ballots: Votes::default(),
+            stopping: Cell::new(false),
+        },
+    );
+    let (since, known) = config.known;
+    shell.call(|engine, now| engine.list(now, true, known));
+    if let Some(stage) = config.stage {
+        shell.call(|engine, now| engine.news(now, stage));
+    }
+    shell.call(|engine, now| engine.begin(now));
+    let (nodes_at, nodes) = watch::channel(config.nodes);
+    let (desk_at, desk) = watch::channel(config.desk);
+    let (stopping, stopped) = watch::channel(false);
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(shell.clone().tick());
+    tasks.spawn_local(list::follow(shell.clone(), nodes, since, seed ^ 1));
+    tasks.spawn_local(desk::follow(shell.clone(), desk, seed ^ 2));
+    tasks.spawn_local(sweep(shell.clone()));
+    tasks.spawn_local(beat(shell.clone()));
+    let door = spawn_local(door::accept(shell.clone(), listener, stopped));
+    ready(address);
+    while let Some(order) = orders.recv().await {
+        match order {
+            Orders::Reload(config) => {
+                tracing::info!(nodes = %config.nodes, desk = %config.desk, "reloaded");
+                nodes_at.send_if_modified(|at| std::mem::replace(at, config.nodes) != config.nodes);
+                desk_at.send_if_modified(|at| std::mem::replace(at, config.desk) != config.desk);
+            }
+            Orders::Stop => break,
+        }
+    }
+    shell.stopping.set(true);
+    let _ = stopping.send(true);
+    tracing::info!(hits = shell.owed(), "stopping");
+    sleep(door::COMING).await;
+    door.abort();
+    let longest = shell.groups.iter().map(|(_, rules)| rules.client_timeout).max().unwrap_or(0);
+    let until = Instant::now() + Duration::from_nanos(longest);
+    while shell.door.open() > 0 && Instant::now() < until {
+        sleep(Duration::from_millis(10)).await;
+    }
+    tracing::info!(hits = shell.owed(), "stopped");
+    Ok(())
+}
+
+async fn sweep(shell: Rc<Shell>) {
+    loop {
+        sleep(Duration::from_secs(1)).await;
+        let listed: HashSet<SocketAddr> = shell.listed().into_iter().map(|pod| pod.address).collect();
+        shell.pods.sweep(&listed);
+    }
+}
+
+fn resident_kb() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.trim().trim_end_matches("kB").trim().parse().ok()
+}
+
+/// Once a second, what the engine believes beside what the sockets show.
+async fn beat(shell: Rc<Shell>) {
+    let (mut told, mut longest) = (Instant::now(), Duration::ZERO);
+    loop {
+        let began = Instant::now();
+        sleep(BEAT).await;
+        longest = longest.max(began.elapsed().saturating_sub(BEAT));
+        if told.elapsed() < Duration::from_secs(1) {
+            continue;
+        }
+        let (pods, door) = (&shell.pods, &shell.door);
+        let (links, idle) = pods.count();
+        let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+        tracing::info!(
+            hits = shell.look().held(),
+            hits_at_door = door.serving(),
+            forwards = shell.look().out(),
+            forwards_on_wire = pods.seen.out.get(),
+            sent = pods.seen.sent.get(),
+            clients = door.open(),
+            links,
+            idle_links = idle,
+            links_opened = pods.seen.opened.get(),
+            refused = door.refused.get(),
+            turned_out = door.turned_out.get(),
+            descriptors,
+            resident_kb = resident_kb().unwrap_or(0),
+            longest_gap_us = longest.as_micros() as u64,
+            "state"
+        );
+        (told, longest) = (Instant::now(), Duration::ZERO);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/pods.rs
@@ -0,0 +1,413 @@
+//! Forwards and probes: connections to pods, what went out on them, and what came back.
+//!
+//! This lies beneath `hyper`, on its parser `httparse`: whether a request's last byte was written, and
+//! whether bytes lie unread on a kept connection, `hyper`'s client does not tell (`tests/beneath.rs`).
+
+use crate::config;
+use crate::node::Shell;
+use bytes::{Buf, Bytes, BytesMut};
+use havenplank::port::{Ended, HitId, Load, Ns, PodId, ProbeEnd};
+use havenplank_adapter::door::load_of;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::io::Write as _;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+pub const UNSEEN: HeaderName = HeaderName::from_static("x-unprocessed");
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+/// An answer's head, and each of its chunks' heads.
+const HEAD_BYTES: usize = 16 << 10;
+const HEADERS: usize = 64;
+/// The protocol's bound on any body.
+pub const BODY_BYTES: usize = 64 << 10;
+/// Informational answers that may stand in front of one.
+const INTERIM: usize = 16;
+
+/// A hit as it is sent, as often as it must be.
+pub struct Ask {
+    /// Request line and headers, without the time left and the empty line.
+    pub head: Vec<u8>,
+    pub body: Bytes,
+}
+
+/// No connection was had in time: the pod is down, out of reach or at its cap, or every place is taken.
+enum NoLink {
+    Pod,
+    Places,
+}
+
+/// A connection to a pod. Dropped, it is closed.
+struct Link {
+    stream: TcpStream,
+    /// Used before.
+    kept: bool,
+    _place: OwnedSemaphorePermit,
+}
+
+impl Link {
+    /// Whether it is open and nothing lies unread on it: what came behind an answer is no answer to the next
+    /// request. Asks the socket itself, as the runtime learns of bytes only when it polls.
+    fn is_clean(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// What the sockets show, to be set beside what the engine believes.
+#[derive(Default)]
+pub struct Seen {
+    /// Forwards written whole that have no end yet.
+    pub out: Cell<usize>,
+    pub opened: Cell<u64>,
+    pub sent: Cell<u64>,
+}
+
+pub struct Pods {
+    rules: config::Links,
+    load: Vec<String>,
+    /// One for each connection, idle ones too.
+    places: Arc<Semaphore>,
+    most: usize,
+    /// By address, the last used at the end. Emptied of what was idle too long or is no longer listed.
+    idle: RefCell<HashMap<SocketAddr, Vec<(Link, Instant)>>>,
+    pub seen: Seen,
+}
+
+impl Pods {
+    pub fn new(rules: config::Links, load: Vec<String>, most: usize) -> Pods {
+        let places = Arc::new(Semaphore::new(most));
+        Pods { rules, load, places, most, idle: RefCell::default(), seen: Seen::default() }
+    }
+
+    /// How long a connection is kept idle: the pod closes it at its own limit, maybe just as we write.
+    fn keep(&self) -> Duration {
+        self.rules.idle.mul_f64(0.7)
+    }
+
+    /// Connections open, and idle ones among them.
+    pub fn count(&self) -> (usize, usize) {
+        let open = self.most - self.places.available_permits();
+        (open, self.idle.borrow().values().map(Vec::len).sum())
+    }
+
+    fn idle_one(&self, address: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some((link, since)) = kept.pop() {
+            if since.elapsed() < self.keep() && link.is_clean() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Closes the connection that was idle the longest, whichever pod it goes to.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(at, kept)| Some((*at, kept.first()?.1)));
+        let Some((at, _)) = oldest.min_by_key(|(_, since)| *since) else { return false };
+        idle.get_mut(&at).map(|kept| kept.remove(0)).is_some()
+    }
+
+    /// An idle connection, else a new one; `fresh` wants a new one.
+    async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Link, NoLink> {
+        if let Some(mut link) = self.idle_one(address).filter(|_| !fresh) {
+            link.kept = true;
+            return Ok(link);
+        }
+        let began = Instant::now();
+        let mut place = self.places.clone().try_acquire_owned();
+        if place.is_err() && self.close_oldest() {
+            place = self.places.clone().try_acquire_owned();
+        }
+        let place = match place {
+            Ok(place) => place,
+            // Those that wait are hits in flight, which the door bounds.
+            Err(_) => timeout(self.rules.connect_time, self.places.clone().acquire_owned())
+                .await
+                .map_err(|_| NoLink::Places)?
+                .map_err(|_| NoLink::Places)?,
+        };
+        let left = self.rules.connect_time.saturating_sub(began.elapsed());
+        let stream = timeout(left, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| NoLink::Pod)?.map_err(|_| NoLink::Pod)?;
+        let _ = stream.set_nodelay(true);
+        self.seen.opened.set(self.seen.opened.get() + 1);
+        Ok(Link { stream, kept: false, _place: place })
+    }
+
+    fn give_back(&self, address: SocketAddr, link: Link) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < self.rules.per_pod {
+            kept.push((link, Instant::now()));
+        }
+    }
+
+    /// Closes idle connections to pods no longer listed, and those that were idle too long or were closed.
+    pub fn sweep(&self, listed: &HashSet<SocketAddr>) {
+        let keep = self.keep();
+        self.idle.borrow_mut().retain(|address, kept| {
+            kept.retain(|(link, since)| since.elapsed() < keep && link.is_clean());
+            listed.contains(address) && !kept.is_empty()
+        });
+    }
+}
+
+/// How a forward ended, with the answer where there is one.
+pub struct End {
+    end: Ended,
+    load: Option<Load>,
+    answer: Option<Response<Full<Bytes>>>,
+}
+
+impl From<Ended> for End {
+    fn from(end: Ended) -> End {
+        End { end, load: None, answer: None }
+    }
+}
+
+/// Counts a forward that is written whole until it has its end, however that comes.
+struct Out<'a>(&'a Pods);
+
+impl<'a> Out<'a> {
+    fn new(pods: &'a Pods) -> Out<'a> {
+        pods.seen.out.set(pods.seen.out.get() + 1);
+        pods.seen.sent.set(pods.seen.sent.get() + 1);
+        Out(pods)
+    }
+}
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        self.0.seen.out.set(self.0.seen.out.get() - 1);
+    }
+}
+
+/// Carries one forward out and tells the engine how it ended.
+pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, (hit, nth): (HitId, u32), pod: PodId, time_out: Ns) {
+    let began = Instant::now();
+    let whole = Cell::new(false);
+    let time = Duration::from_nanos(time_out);
+    let end = match timeout(time, exchange(&shell, &ask, (hit, nth), pod, time, &whole)).await {
+        Ok(end) => end,
+        // The connection closed with the exchange: the pod is told that nobody waits.
+        Err(_) if whole.get() => Ended::TimeOut.into(),
+        // The last byte was not written, so the pod cannot have begun.
+        Err(_) => Ended::NotSent.into(),
+    };
+    shell.ended((hit, nth), end.end, began.elapsed().as_nanos() as Ns, end.load, end.answer);
+}
+
+async fn exchange(
+    shell: &Rc<Shell>,
+    ask: &Ask,
+    (hit, nth): (HitId, u32),
+    pod: PodId,
+    time: Duration,
+    whole: &Cell<bool>,
+) -> End {
+    let (began, pods) = (Instant::now(), &shell.pods);
+    let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
+    let mut fresh = false;
+    let mut link = loop {
+        let mut link = match pods.take(address, fresh).await {
+            Ok(link) => link,
+            Err(NoLink::Pod) => return Ended::NoConnection.into(),
+            Err(NoLink::Places) => return Ended::NotSent.into(),
+        };
+        // Chosen when it had no connection yet: the pod may drain by now, or its build be closed.
+        if !shell.may_go(hit, nth) {
+            pods.give_back(address, link);
+            return Ended::NotSent.into();
+        }
+        let mut out = Vec::with_capacity(ask.head.len() + ask.body.len() + 40);
+        out.extend_from_slice(&ask.head);
+        let left = time.saturating_sub(began.elapsed()).as_millis();
+        let _ = write!(out, "{TIME_LEFT}: {left}\r\n\r\n");
+        out.extend_from_slice(&ask.body);
+        match link.stream.write_all(&out).await {
+            Ok(()) => break link,
+            // A kept one that the pod closed meanwhile; its last byte was never taken.
+            Err(_) if link.kept => fresh = true,
+            Err(_) => return Ended::NoConnection.into(),
+        }
+    };
+    whole.set(true);
+    let _out = Out::new(pods);
+    let Ok(came) = read(&mut link).await else { return Ended::Reset.into() };
+    let load = came.headers.get(LOAD).filter(|_| !pods.load.is_empty());
+    let load = load.and_then(|text| load_of(&pods.load, text.as_bytes()));
+    let never = matches!(came.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+        && came.headers.get(UNSEEN).is_some_and(|value| value == "1");
+    if came.reusable {
+        pods.give_back(address, link);
+    }
+    let end = match came.status {
+        StatusCode::OK => Ended::Delivered,
+        _ if never => Ended::Full,
+        _ => Ended::Error,
+    };
+    let answer = (end == Ended::Delivered).then(|| {
+        let mut headers = came.headers;
+        havenplank_sidecar::heads::strip_hop_by_hop(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        let mut answer = Response::new(Full::new(came.body));
+        *answer.headers_mut() = headers;
+        answer
+    });
+    End { end, load, answer }
+}
+
+/// A whole answer.
+struct Came {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Nothing lies behind it and the pod keeps the connection.
+    reusable: bool,
+}
+
+/// The answer cannot be read, or is not whole: it may have run.
+struct Spoilt;
+
+async fn more(link: &mut Link, read: &mut BytesMut) -> Result<(), Spoilt> {
+    match link.stream.read_buf(read).await {
+        Ok(0) | Err(_) => Err(Spoilt),
+        Ok(_) => Ok(()),
+    }
+}
+
+async fn read(link: &mut Link) -> Result<Came, Spoilt> {
+    let mut read = BytesMut::with_capacity(2048);
+    let mut interim = 0;
+    let (status, headers) = loop {
+        match head(&mut read)? {
+            Some((status, _)) if status.is_informational() => {
+                interim += 1;
+                if status == StatusCode::SWITCHING_PROTOCOLS || interim > INTERIM {
+                    return Err(Spoilt);
+                }
+            }
+            Some(head) => break head,
+            None => more(link, &mut read).await?,
+        }
+    };
+    let lengths: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
+    let coded: Vec<&HeaderValue> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    let body = match (&lengths[..], &coded[..]) {
+        ([length], []) => {
+            let text = length.to_str().ok().filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+            let length = text.and_then(|text| text.parse::<usize>().ok()).ok_or(Spoilt)?;
+            if length > BODY_BYTES {
+                return Err(Spoilt);
+            }
+            while read.len() < length {
+                more(link, &mut read).await?;
+            }
+            read.split_to(length).freeze()
+        }
+        ([], [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            chunks(link, &mut read).await?
+        }
+        // Two lengths, two framings, or an end by close, which a break looks just like.
+        _ => return Err(Spoilt),
+    };
+    let closes = headers.get_all(CONNECTION).iter().any(|value| {
+        value
+            .as_bytes()
+            .split(|byte| *byte == b',')
+            .any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+    });
+    Ok(Came { status, headers, body, reusable: read.is_empty() && !closes })
+}
+
+/// Takes one head off the front of what was read; none where it is not whole yet.
+fn head(read: &mut BytesMut) -> Result<Option<(StatusCode, HeaderMap)>, Spoilt> {
+    let mut lines = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Response::new(&mut lines);
+    let end = match parsed.parse(read) {
+        Ok(httparse::Status::Complete(end)) => end,
+        Ok(httparse::Status::Partial) if read.len() <= HEAD_BYTES => return Ok(None),
+        _ => return Err(Spoilt),
+    };
+    let status = parsed.code.and_then(|code| StatusCode::from_u16(code).ok()).ok_or(Spoilt)?;
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for line in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(line.name.as_bytes()).map_err(|_| Spoilt)?;
+        headers.append(name, HeaderValue::from_bytes(line.value).map_err(|_| Spoilt)?);
+    }
+    read.advance(end);
+    Ok(Some((status, headers)))
+}
+
+async fn chunks(link: &mut Link, read: &mut BytesMut) -> Result<Bytes, Spoilt> {
+    let mut body = BytesMut::new();
+    loop {
+        let (head, size) = match httparse::parse_chunk_size(read) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) if read.len() <= HEAD_BYTES => {
+                more(link, read).await?;
+                continue;
+            }
+            _ => return Err(Spoilt),
+        };
+        if size > (BODY_BYTES - body.len()) as u64 {
+            return Err(Spoilt);
+        }
+        let (size, end) = (size as usize, head + size as usize + 2);
+        // The last one has no data; trailers, which nothing here sends, count as spoilt.
+        while read.len() < end {
+            more(link, read).await?;
+        }
+        if &read[end - 2..end] != b"\r\n" {
+            return Err(Spoilt);
+        }
+        body.extend_from_slice(&read[head..end - 2]);
+        read.advance(end);
+        if size == 0 {
+            return Ok(body.freeze());
+        }
+    }
+}
+
+/// Asks a pod how it is, on a connection like any other.
+pub async fn probe(shell: Rc<Shell>, probe: u64, pod: PodId) {
+    let (began, pods) = (Instant::now(), &shell.pods);
+    let path = if pods.load.is_empty() { "/healthz" } else { "/load" };
+    let asked = async {
+        let Some(address) = shell.address(pod) else { return End::from(Ended::NotSent) };
+        let mut link = match pods.take(address, false).await {
+            Ok(link) => link,
+            Err(NoLink::Pod) => return Ended::NoConnection.into(),
+            Err(NoLink::Places) => return Ended::NotSent.into(),
+        };
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        if link.stream.write_all(request.as_bytes()).await.is_err() {
+            return Ended::NoConnection.into();
+        }
+        let Ok(came) = read(&mut link).await else { return Ended::Reset.into() };
+        if came.reusable {
+            pods.give_back(address, link);
+        }
+        let end = if came.status == StatusCode::OK { Ended::Delivered } else { Ended::Error };
+        End { end, load: load_of(&pods.load, &came.body).filter(|_| !pods.load.is_empty()), answer: None }
+    };
+    let ended = timeout(pods.rules.connect_time, asked).await;
+    let End { end, load, .. } = ended.unwrap_or_else(|_| Ended::TimeOut.into());
+    let end = ProbeEnd { end, took: began.elapsed().as_nanos() as Ns, load };
+    shell.call(|engine, now| engine.probed(now, probe, end));
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -1,7 +1,8 @@
 //! The shell of a sidecar: sockets, feeds and time around one engine, on one thread.
 
 use crate::admin;
-use crate::engine::{Asked, Effect, Engine, Glance, EPOCH};
+use crate::engine::{Engine, EPOCH};
+use crate::hub::{Hub, Outside};
 use crate::links::Links;
 use crate::proxy::{self, Ask, Body};
 use crate::told::{Terms, Witness};
@@ -15,8 +16,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::cell::Cell;
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -25,9 +26,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
-use tokio::task::{spawn_local, AbortHandle, JoinSet};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::sync::{mpsc, watch, Notify, Semaphore};
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::{sleep, timeout};
 
 /// Lines that wait to be sent on a feed; one more counts as not sent.
 const ASKS: usize = 64;
@@ -87,13 +88,8 @@
     let (desk_asks, desk_asked) = mpsc::channel(ASKS);
     let (stopping, stopped) = watch::channel(false);
     let timeout_header = HeaderName::try_from(&site.headers.timeout);
-    let shell = Rc::new(Shell {
-        began: Instant::now(),
-        engine: RefCell::new(engine),
+    let lines = Lines {
         links: Links::new(&site.links),
-        waiting: RefCell::default(),
-        armed: Cell::new(0),
-        rearm: Notify::new(),
         keep: Notify::new(),
         nodes_asks,
         desk_asks,
@@ -102,13 +98,14 @@
         via,
         timeout_header: timeout_header.unwrap_or(HeaderName::from_static("grpc-timeout")),
         site,
-    });
+    };
+    let shell = Hub::new(engine, lines);
     let site = &shell.site;
     if let Some(path) = &site.kept_list {
         start_from_kept(&shell, path);
     }
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(tick(shell.clone()));
+    tasks.spawn_local(shell.clone().tick());
     tasks.spawn_local(sweep_links(shell.clone()));
     tasks.spawn_local(keep_list(shell.clone()));
     let (nodes_at, desk_at, name) = (site.nodes.clone(), site.desk.clone(), site.name.clone());
@@ -137,7 +134,7 @@
     tracing::info!(hits_in_flight = held, "stopping");
     // Each connection ends with the answer it owes, and none can owe one longer than this.
     let closed = timeout(Duration::from_nanos(longest) + STOP_MARGIN, door).await;
-    let left = shell.waiting.borrow().len();
+    let left = shell.owed();
     tracing::info!(all_closed = closed.is_ok(), hits_in_flight = left, "stopped");
     Ok(())
 }
@@ -267,26 +264,11 @@
     }
 }
 
-async fn tick(shell: Rc<Shell>) {
-    loop {
-        let next = shell.engine.borrow().next_wake();
-        shell.armed.set(next.unwrap_or(Ns::MAX));
-        let at = next.map(|at| shell.began + Duration::from_nanos(at.saturating_sub(EPOCH)));
-        tokio::select! {
-            () = sleep_until(at.unwrap_or(Instant::now() + Duration::from_secs(3600)).into()) => {
-                shell.call(|engine, now| engine.wake(now));
-            }
-            () = shell.rearm.notified() => {}
-        }
-    }
-}
-
 async fn sweep_links(shell: Rc<Shell>) {
     let period = Duration::from_nanos(shell.site.links.idle / 2).max(Duration::from_millis(100));
     loop {
         sleep(period).await;
-        let listed: HashSet<SocketAddr> =
-            shell.engine.borrow().listed().into_iter().map(|pod| pod.address).collect();
+        let listed: HashSet<SocketAddr> = shell.listed().into_iter().map(|pod| pod.address).collect();
         shell.links.sweep(&listed);
     }
 }
@@ -296,7 +278,7 @@
     let Some(path) = shell.site.kept_list.clone() else { return };
     loop {
         shell.keep.notified().await;
-        let text = nodes::keep(&shell.engine.borrow().listed());
+        let text = nodes::keep(&shell.listed());
         let path = path.clone();
         let written = tokio::task::spawn_blocking(move || {
             let mut beside = path.clone().into_os_string();
@@ -309,26 +291,12 @@
     }
 }
 
-struct Waiting {
-    ask: Rc<Ask>,
-    answer: oneshot::Sender<Response<Body>>,
-    forwards: Vec<AbortHandle>,
-}
-
-/// What all tasks of one sidecar share. The engine is borrowed for one call at a time and never across an
-/// await.
-pub struct Shell {
+/// The line protocols around the engine, and what all tasks of one sidecar share.
+pub struct Lines {
     pub site: Site,
     pub links: Links,
     pub via: HeaderValue,
     pub timeout_header: HeaderName,
-    began: Instant,
-    engine: RefCell<Engine>,
-    /// Hits that wait for their final answer; the door's limit bounds it.
-    waiting: RefCell<HashMap<HitId, Waiting>>,
-    /// What the ticker sleeps to, and how it is told of something earlier.
-    armed: Cell<Ns>,
-    rearm: Notify,
     keep: Notify,
     nodes_asks: mpsc::Sender<String>,
     desk_asks: mpsc::Sender<String>,
@@ -336,154 +304,78 @@
     stopping: Cell<bool>,
 }
 
-impl Shell {
-    fn now(&self) -> Ns {
-        EPOCH + self.began.elapsed().as_nanos() as Ns
-    }
+pub type Shell = Hub<Lines>;
 
-    /// One call into the engine, then all that it left to do.
-    fn call<T>(self: &Rc<Self>, work: impl FnOnce(&mut Engine, Ns) -> T) -> T {
-        let done = work(&mut self.engine.borrow_mut(), self.now());
-        self.carry_out();
-        done
-    }
+impl Outside for Lines {
+    type Ask = Ask;
+    type Answer = Response<Body>;
 
-    fn carry_out(self: &Rc<Self>) {
-        loop {
-            let effect = self.engine.borrow_mut().effect();
-            let Some(effect) = effect else { break };
-            self.act(effect);
-        }
-        let next = self.engine.borrow().next_wake().unwrap_or(Ns::MAX);
-        if next < self.armed.replace(next) {
-            self.rearm.notify_one();
-        }
+    fn forward(
+        hub: Rc<Shell>,
+        ask: Rc<Ask>,
+        nth: (HitId, u32),
+        pod: PodId,
+        time_out: Ns,
+    ) -> impl Future<Output = ()> + 'static {
+        proxy::forward(hub, ask, nth, pod, time_out)
     }
 
-    fn act(self: &Rc<Self>, effect: Effect) {
-        match effect {
-            Effect::Forward { hit, nth, pod, time_out } => {
-                let mut waiting = self.waiting.borrow_mut();
-                if let Some(waits) = waiting.get_mut(&hit) {
-                    let forward = proxy::forward(self.clone(), waits.ask.clone(), (hit, nth), pod, time_out);
-                    waits.forwards.push(spawn_local(forward).abort_handle());
-                }
-            }
-            Effect::Cancel { hit, nth } => {
-                let waiting = self.waiting.borrow();
-                let task = waiting.get(&hit).and_then(|waits| waits.forwards.get(nth as usize)).cloned();
-                drop(waiting);
-                if let Some(task) = task.filter(|task| !task.is_finished()) {
-                    task.abort();
-                    self.ended((hit, nth), Ended::Cancelled, 0, None, None);
-                }
-            }
-            Effect::Bounce { hit, come_back } => self.answer(hit, proxy::bounced(come_back)),
-            Effect::Error { hit, late } => self.answer(hit, proxy::errored(late)),
-            Effect::Vote { vote, build, stage, voice } => {
-                tracing::info!(vote, build, stage, ?voice, "vote");
-                self.vote(vote, desk::ask_vote(vote, build, stage, voice));
-            }
-            Effect::Probe { probe, pod } => {
-                let shell = self.clone();
-                spawn_local(async move {
-                    let end = proxy::probe(&shell, pod).await;
-                    shell.call(|engine, now| engine.probed(now, probe, end));
-                });
-            }
-            Effect::AskList => self.ask_nodes(nodes::ask_whole()),
-            Effect::WatchList(on) => self.ask_nodes(nodes::ask_watch(on)),
-            Effect::Log(line) => tracing::info!(decision = line, "decided"),
-        }
+    fn bounced(&self, come_back: Ns) -> Response<Body> {
+        proxy::bounced(come_back)
     }
 
-    fn ask_nodes(self: &Rc<Self>, line: String) {
-        if self.nodes_asks.try_send(line).is_err() {
-            // In a task of its own, as the engine may be in the middle of what asked for it.
-            let shell = self.clone();
-            spawn_local(async move { shell.call(|engine, now| engine.list_failed(now)) });
-        }
+    fn errored(&self, late: bool) -> Response<Body> {
+        proxy::errored(late)
     }
 
     /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
-    fn vote(self: &Rc<Self>, vote: u64, line: String) {
-        let sent = self.desk_up.get() && self.desk_asks.try_send(line).is_ok();
-        let (shell, wait) = (self.clone(), Duration::from_nanos(self.site.votes.call_time_out));
+    fn vote(hub: &Rc<Shell>, vote: u64, build: Build, stage: usize, voice: Voice) {
+        let line = desk::ask_vote(vote, build, stage, voice);
+        let sent = hub.desk_up.get() && hub.desk_asks.try_send(line).is_ok();
+        let (hub, wait) = (hub.clone(), Duration::from_nanos(hub.site.votes.call_time_out));
         spawn_local(async move {
             if sent {
                 sleep(wait).await;
             }
             let heard = if sent { Heard::Unknown } else { Heard::Refused };
-            shell.call(|engine, now| engine.voted(now, vote, StageNews { heard, stage: None }));
+            hub.call(|engine, now| engine.voted(now, vote, StageNews { heard, stage: None }));
         });
     }
 
-    /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
-    /// their forwards have ended, else they could pile up forwards past the bound.
-    pub fn is_full(&self) -> bool {
-        self.stopping.get() || self.engine.borrow().held() >= self.site.door.hits
-    }
-
-    pub fn take(self: &Rc<Self>, asked: Asked, ask: Ask, answer: oneshot::Sender<Response<Body>>) -> HitId {
-        let hit = self.engine.borrow_mut().hit(self.now(), asked);
-        let waits = Waiting { ask: Rc::new(ask), answer, forwards: Vec::new() };
-        self.waiting.borrow_mut().insert(hit, waits);
-        self.carry_out();
-        hit
-    }
-
-    /// The client's side of a hit is over, by its answer or without.
-    pub fn left(self: &Rc<Self>, hit: HitId) {
-        if self.waiting.borrow_mut().remove(&hit).is_some() {
-            self.call(|engine, now| engine.left(now, hit));
-        }
+    fn probe(hub: &Rc<Shell>, probe: u64, pod: PodId) {
+        let hub = hub.clone();
+        spawn_local(async move {
+            let end = proxy::probe(&hub, pod).await;
+            hub.call(|engine, now| engine.probed(now, probe, end));
+        });
     }
 
-    fn answer(&self, hit: HitId, response: Response<Body>) {
-        if let Some(waits) = self.waiting.borrow_mut().remove(&hit) {
-            // Where the client has left meanwhile nobody is there to be answered.
-            let _ = waits.answer.send(response);
-        }
+    fn ask_list(hub: &Rc<Shell>) {
+        ask_nodes(hub, nodes::ask_whole());
     }
 
-    pub fn may_go(self: &Rc<Self>, hit: HitId, nth: u32) -> bool {
-        let may = self.engine.borrow_mut().may_go(self.now(), hit, nth);
-        if !may {
-            tracing::debug!(hit, nth, "forward not sent: its pod or build closed while it waited");
-        }
-        may
+    fn watch_list(hub: &Rc<Shell>, on: bool) {
+        ask_nodes(hub, nodes::ask_watch(on));
     }
+}
 
-    pub fn ended(
-        self: &Rc<Self>,
-        (hit, nth): (HitId, u32),
-        end: Ended,
-        took: Ns,
-        load: Option<Load>,
-        response: Option<Response<Body>>,
-    ) {
-        let passed = self.engine.borrow_mut().ended(self.now(), hit, nth, end, took, load);
-        tracing::debug!(hit, nth, ?end, took_us = took / 1_000, "forward ended");
-        if passed {
-            self.answer(hit, response.unwrap_or_else(|| proxy::errored(false)));
-        }
-        self.carry_out();
+fn ask_nodes(hub: &Rc<Shell>, line: String) {
+    if hub.nodes_asks.try_send(line).is_err() {
+        // In a task of its own, as the engine may be in the middle of what asked for it.
+        let hub = hub.clone();
+        spawn_local(async move { hub.call(|engine, now| engine.list_failed(now)) });
     }
+}
 
-    pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
-        self.engine.borrow().address(pod)
+impl Shell {
+    /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
+    /// their forwards have ended, else they could pile up forwards past the bound.
+    pub fn is_full(&self) -> bool {
+        self.stopping.get() || self.look().held() >= self.site.door.hits
     }
 
     pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
-        HeaderValue::from_str(self.engine.borrow().pod_name(pod)?).ok()
-    }
-
-    pub fn glance(&self) -> Glance {
-        self.engine.borrow().glance()
-    }
-
-    pub fn flagged(self: &Rc<Self>, pod: &str, group: &str, ago: Ns) -> bool {
-        self.call(|engine, now| engine.flagged(now, pod, group, ago))
+        HeaderValue::from_str(self.look().pod_name(pod)?).ok()
     }
 }
 
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -491,6 +491,11 @@
         self.desk.hits.len()
     }
 
+    /// Forwards that have not ended.
+    pub fn out(&self) -> usize {
+        self.desk.hits.values().map(|held| held.forwards.iter().flatten().count()).sum()
+    }
+
     pub fn glance(&self) -> Glance {
         let pods = self.desk.entries.iter().flatten().filter(|pod| pod.state == PodState::Running).count();
         Glance { hits: self.desk.hits.len(), pods, stage: self.stage, sums: self.logic.sums() }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod heads;
+pub mod hub;
 mod links;
 mod proxy;
 mod roll;
