A release desk that falls silent is left, however many votes go out to it

Ruled out: votes not cast (they were, each second), the module (it votes on, sums fine), a desk that is down (the other sidecar was answered). At fault: desk.rs followed(): the time for silence was part of the select and began anew with each vote. Now it runs from the last line heard; two missing signs of life are enough. The test fails with the old lines.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -16,12 +16,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::codec::{FramedRead, LinesCodec};
 
 const CONNECT: Duration = Duration::from_secs(1);
-/// A sign of life comes each second.
-const SILENCE: Duration = Duration::from_millis(3200);
+/// A sign of life comes each second: two are missing.
+const SILENCE: Duration = Duration::from_millis(2300);
 /// How long the session at an old address may still bring the answers to its votes.
 const LINGER: Duration = Duration::from_millis(1500);
 /// Lines of the desk are shorter than this, as are ours.
@@ -155,12 +155,15 @@
         .map_err(late("follow"))?
         .map_err(text)?;
     session.asked.push_back((FOLLOW, None));
-    let mut spoke = false;
+    let (mut spoke, mut heard) = (false, Instant::now());
     loop {
         tokio::select! {
-            line = timeout(SILENCE, lines.next()) => {
-                let Some(line) = line.map_err(late("next line"))? else { return Ok(()) };
+            // From the last line on, whatever votes go out meanwhile: a silent desk gets one each second.
+            () = sleep_until(heard + SILENCE) => return Err("no line in time".to_string()),
+            line = lines.next() => {
+                let Some(line) = line else { return Ok(()) };
                 let line = line.map_err(|error| error.to_string())?;
+                heard = Instant::now();
                 hear(session, &line)?;
                 if !spoke {
                     // Only now: a service that takes connections and says nothing gets no votes.
--- a/crates/platform/tests/traps.rs
+++ b/crates/platform/tests/traps.rs
@@ -375,6 +375,9 @@
         let third: Value = serde_json::from_str(&talk.line().await.unwrap()).unwrap();
         assert_eq!(third["params"], call["params"]);
         assert_ne!(third["id"], again["id"]);
+        // No answer and no other word: votes that go out each second do not make it look alive.
+        talk.line().await.unwrap();
+        assert!(talk.ends().await);
     });
 }
 
