Idle connections to pods are closed at the age from which requests on them break

Probe: of requests on kept connections 8% broke at every age up to 100 ms, 46 to 54% beyond 128 ms, whatever the pod and however often the connection was used. So something between forgets connections silently, long before the settings' limit of 30 s. Ruled out: a FIN that we overlook (the socket is asked before each reuse: nothing lay there), single pods. At fault: pods.rs kept each connection for 0.7 of the settings' limit, whatever became of the requests. keep.rs, free of I/O, learns by spans of ages from which age on clearly more requests break than at younger ones; what it learnt fades, so that older ages are tried again.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod desk;
 pub mod door;
+mod keep;
 pub mod list;
 pub mod node;
 pub mod pods;
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -208,6 +208,7 @@
             clients = door.open(),
             links,
             idle_links = idle,
+            keep_ms = pods.keep().as_millis() as u64,
             links_opened = pods.seen.opened.get(),
             refused = door.refused.get(),
             turned_out = door.turned_out.get(),
--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -4,6 +4,7 @@
 //! whether bytes lie unread on a kept connection, `hyper`'s client does not tell (`tests/beneath.rs`).
 
 use crate::config;
+use crate::keep::Keep;
 use crate::node::Shell;
 use bytes::{Buf, Bytes, BytesMut};
 use havenplank::port::{Ended, HitId, Load, Ns, PodId, ProbeEnd};
@@ -54,8 +55,8 @@
 /// A connection to a pod. Dropped, it is closed.
 struct Link {
     stream: TcpStream,
-    /// Used before.
-    kept: bool,
+    /// How long it was idle before its present request; none where that is its first.
+    idle: Option<Duration>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -89,6 +90,7 @@
     /// Bytes of answers over the protocol's bound, those that clients still read included. With none left the
     /// next such answer waits in its socket, up to its forward's time.
     large: Arc<Semaphore>,
+    keep: RefCell<Keep>,
     answer_bytes: usize,
     pub seen: Seen,
 }
@@ -99,8 +101,10 @@
         let places = Arc::new(Semaphore::new(most));
         let large = Arc::new(Semaphore::new((memory / LARGE_PART).min(u32::MAX as usize)));
         let answer_bytes = (memory / ONE_PART).max(BODY_BYTES);
+        // The pod closes it at its own limit, maybe just as we write.
+        let keep = RefCell::new(Keep::new(Instant::now(), rules.idle.mul_f64(0.7)));
         let (idle, seen) = (RefCell::default(), Seen::default());
-        Pods { rules, load, places, most, idle, large, answer_bytes, seen }
+        Pods { rules, load, places, most, idle, large, keep, answer_bytes, seen }
     }
 
     /// Room for an answer of that length; none is needed up to the protocol's bound.
@@ -111,9 +115,15 @@
         self.large.clone().acquire_many_owned(length as u32).await.ok()
     }
 
-    /// How long a connection is kept idle: the pod closes it at its own limit, maybe just as we write.
-    fn keep(&self) -> Duration {
-        self.rules.idle.mul_f64(0.7)
+    /// How long a connection is kept idle.
+    pub fn keep(&self) -> Duration {
+        self.keep.borrow().time()
+    }
+
+    fn used(&self, link: &Link, broke: bool) {
+        if let Some(idle) = link.idle {
+            self.keep.borrow_mut().used(Instant::now(), idle, broke);
+        }
     }
 
     /// Connections open, and idle ones among them.
@@ -123,10 +133,12 @@
     }
 
     fn idle_one(&self, address: SocketAddr) -> Option<Link> {
-        let mut idle = self.idle.borrow_mut();
+        let (keep, mut idle) = (self.keep(), self.idle.borrow_mut());
         let kept = idle.get_mut(&address)?;
-        while let Some((link, since)) = kept.pop() {
-            if since.elapsed() < self.keep() && link.is_clean() {
+        while let Some((mut link, since)) = kept.pop() {
+            let age = since.elapsed();
+            if age < keep && link.is_clean() {
+                link.idle = Some(age);
                 return Some(link);
             }
         }
@@ -143,8 +155,7 @@
 
     /// An idle connection, else a new one; `fresh` wants a new one.
     async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Link, NoLink> {
-        if let Some(mut link) = self.idle_one(address).filter(|_| !fresh) {
-            link.kept = true;
+        if let Some(link) = self.idle_one(address).filter(|_| !fresh) {
             return Ok(link);
         }
         let began = Instant::now();
@@ -165,7 +176,7 @@
         let stream = stream.map_err(|_| NoLink::Pod)?.map_err(|_| NoLink::Pod)?;
         let _ = stream.set_nodelay(true);
         self.seen.opened.set(self.seen.opened.get() + 1);
-        Ok(Link { stream, kept: false, _place: place })
+        Ok(Link { stream, idle: None, _place: place })
     }
 
     fn give_back(&self, address: SocketAddr, link: Link) {
@@ -261,16 +272,24 @@
         match link.stream.write_all(&out).await {
             Ok(()) => break link,
             // A kept one that the pod closed meanwhile; its last byte was never taken.
-            Err(_) if link.kept => fresh = true,
+            Err(_) if link.idle.is_some() => {
+                pods.used(&link, true);
+                fresh = true;
+            }
             Err(_) => return Ended::NoConnection.into(),
         }
     };
     whole.set(true);
     let _out = Out::new(pods);
     let came = match read(pods, &mut link).await {
-        Ok(came) => came,
+        Ok(came) => {
+            pods.used(&link, false);
+            came
+        }
         Err(Spoilt(why)) => {
-            tracing::debug!(hit, nth, pod, kept = link.kept, why, "answer spoilt");
+            pods.used(&link, matches!(why, NOTHING | RESET));
+            let idle_us = link.idle.map(|idle| idle.as_micros() as u64);
+            tracing::debug!(hit, nth, pod, idle_us, why, "answer spoilt");
             return Ended::Reset.into();
         }
     };
@@ -328,11 +347,16 @@
 /// Why an answer cannot be read, or is not whole: it may have run.
 struct Spoilt(&'static str);
 
+/// Not a byte of an answer came.
+const NOTHING: &str = "closed without an answer";
+const RESET: &str = "reset without an answer";
+
 async fn more(link: &mut Link, read: &mut BytesMut) -> Result<(), Spoilt> {
     match link.stream.read_buf(read).await {
-        Ok(0) if read.is_empty() => Err(Spoilt("closed without an answer")),
+        Ok(0) if read.is_empty() => Err(Spoilt(NOTHING)),
         Ok(0) => Err(Spoilt("closed within the answer")),
-        Err(_) => Err(Spoilt("reset")),
+        Err(_) if read.is_empty() => Err(Spoilt(RESET)),
+        Err(_) => Err(Spoilt("reset within the answer")),
         Ok(_) => Ok(()),
     }
 }
