A second copy for a hit that hears nothing for far longer than answers take

Ruled out: hung pods (the same pods answered on other connections), the socket (bytes do not come), a shorter time-out (a heavy hit is as heavy elsewhere: cut short it would fail twice). At fault: logic.rs step(): a forward had the whole target, and nothing was left of it for another. Now one copy goes out beside the first at 2.5 times what nine in ten answers keep, if that lies before the target, few answers are late and retries have room; never for mutating hits. The first to deliver answers, the last to fail gives up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,7 +11,9 @@
 pub use crate::state::Logic;
 use crate::state::*;
 use oorandom::Rand64;
+use std::cell::RefCell;
 use std::cmp::Ordering;
+use std::rc::Rc;
 
 const MS: Ns = 1_000_000;
 const S: Ns = 1_000 * MS;
@@ -345,6 +347,10 @@
     const LEARN: u32 = 30;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
+    /// From how many times what nine in ten answers keep a second copy goes out, and up to which share of
+    /// late answers.
+    const COPY_AFTER: f64 = 2.5;
+    const COPY_CALM: f64 = 0.125;
 
     #[allow(clippy::too_many_arguments)]
     pub fn new(
@@ -503,7 +509,7 @@
         self.taken.add(now);
         self.hits = self.hits.saturating_add(1);
         let group = self.groups[hit.group];
-        let trip = Trip::new(&hit, now + hit.left, now + group.target_latency);
+        let trip = Rc::new(RefCell::new(Trip::new(&hit, now + hit.left, now + group.target_latency)));
         let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
         if (self.limit.out as f64) < self.limit.most * (0.75 + 0.25 * worth) {
             return self.step(host, trip);
@@ -513,64 +519,120 @@
         self.give_up(host, trip);
     }
 
-    fn step(&mut self, host: &mut dyn Host, mut trip: Trip) {
+    fn step(&mut self, host: &mut dyn Host, trip: Rc<RefCell<Trip>>) {
         let now = host.now();
-        let spent = now >= trip.deadline || trip.tried.len() >= self.rules.max_forwards as usize;
-        let chosen = if spent { None } else { self.choose(now, &trip) };
-        let Some((pod, chosen)) = chosen.and_then(|id| self.pods.table.get(id).map(|pod| (id, pod))) else {
-            return self.give_up(host, trip);
-        };
+        let spent = now >= trip.borrow().deadline || self.used_up(&trip.borrow());
+        let chosen = if spent { None } else { self.choose(now, &trip.borrow()) };
+        let Some(pod) = chosen else { return self.give_up(host, trip) };
+        // An earlier time-out does the work twice just when pods are slow; hung ones are told by silence.
+        let (group, left) = (self.groups[trip.borrow().group], trip.borrow().deadline - now);
+        let time_out = left.min(if group.kind == Kind::Mutating { left } else { group.target_latency });
+        self.send(host, &trip, pod, time_out);
+        self.plan_copy(host, &trip, pod);
+    }
+
+    fn used_up(&self, trip: &Trip) -> bool {
+        trip.tried.len() >= self.rules.max_forwards as usize
+    }
+
+    fn send(&mut self, host: &mut dyn Host, trip: &Rc<RefCell<Trip>>, pod: PodId, time_out: Ns) {
+        let now = host.now();
+        let Some(chosen) = self.pods.table.get(pod) else { return };
         let warm = self.pods.warmth(now, &chosen.entry) >= 1.0;
         let away = if self.judge.away { self.pods.table.count_of(self.judge.build) } else { 0 };
         let even = chosen.in_flight * (self.pods.table.count - away) as u32 <= self.limit.out;
-        let sent = Sent { pod, entry: chosen.entry, at: now, warm, even };
-        // An earlier time-out does the work twice just when pods are slow; hung ones are told by silence.
-        let (group, left) = (self.groups[trip.group], trip.deadline - now);
-        let time_out = left.min(if group.kind == Kind::Mutating { left } else { group.target_latency });
+        let first = trip.borrow().tried.is_empty();
+        let sent = Sent { pod, entry: chosen.entry, at: now, warm, even, first };
         self.pods.table.send(now, pod);
         self.limit.out += 1;
-        let (hit, bucket) = (trip.hit, self.exposure.bucket(trip.group));
+        let (hit, bucket) = (trip.borrow().hit, self.exposure.bucket(trip.borrow().group));
         self.exposure.sent(sent.entry.build)[bucket].add(now);
-        trip.tried.push(pod);
+        trip.borrow_mut().tried.push(pod);
+        trip.borrow_mut().out += 1;
+        let trip = trip.clone();
         let then = move |logic: &mut Logic, host: &mut dyn Host, end| logic.ended(host, trip, sent, end);
         host.forward(hit, pod, time_out, Box::new(then));
     }
 
-    fn ended(&mut self, host: &mut dyn Host, mut trip: Trip, sent: Sent, outcome: Outcome) {
+    /// A second copy for a hit whose answer is far later than nine in ten are, while few are late: what is
+    /// silent then is a connection or a pod, not work. It runs beside the first, as a heavy hit is as heavy
+    /// elsewhere; shares the budget of retries; and never waits past the target.
+    fn plan_copy(&mut self, host: &mut dyn Host, trip: &Rc<RefCell<Trip>>, pod: PodId) {
+        let group = trip.borrow().group;
+        let machine = self.pods.table.get(pod).map_or(0, |pod| pod.entry.machine);
+        let usual = self.slowest[group].get(machine).copied().unwrap_or(0.0);
+        let after = (Logic::COPY_AFTER * usual) as Ns;
+        let in_time = host.now().saturating_add(after) < trip.borrow().target_at;
+        let once = trip.borrow().tried.len() == 1 && self.groups[group].kind != Kind::Mutating;
+        if !(self.rules.copies && once && in_time && after > 0) {
+            return;
+        }
+        let (trip, sent_at, entry) =
+            (trip.clone(), host.now(), self.pods.table.get(pod).map(|pod| pod.entry));
+        let then = move |logic: &mut Logic, host: &mut dyn Host, ()| {
+            let now = host.now();
+            let alone =
+                trip.borrow().out == 1 && trip.borrow().tried.len() == 1 && host.open(trip.borrow().hit);
+            let most = Logic::RETRY_PART * logic.taken.most(now) as f64;
+            let calm = logic.limit.late <= Logic::COPY_CALM && (logic.retried.most(now) as f64) < most;
+            let left = trip.borrow().target_at.min(trip.borrow().deadline).saturating_sub(now);
+            if !alone || !calm || left == 0 || logic.used_up(&trip.borrow()) {
+                return;
+            }
+            let first = entry.map(|entry| (sent_at, entry.zone, entry.cell));
+            let before = std::mem::replace(&mut trip.borrow_mut().may_run, first);
+            let chosen = logic.choose(now, &trip.borrow());
+            match chosen {
+                Some(pod) => {
+                    logic.retried.add(now);
+                    logic.send(host, &trip, pod, left);
+                }
+                None => trip.borrow_mut().may_run = before,
+            }
+        };
+        host.wake(after, Box::new(then));
+    }
+
+    fn ended(&mut self, host: &mut dyn Host, trip: Rc<RefCell<Trip>>, sent: Sent, outcome: Outcome) {
         let (now, end, build) = (host.now(), outcome.end, sent.entry.build);
-        let group = self.groups[trip.group];
+        trip.borrow_mut().out -= 1;
+        let group = self.groups[trip.borrow().group];
         let failed = matches!(end, Ended::Error | Ended::TimeOut | Ended::Reset);
-        let (slow, ratio) = self.pace(&trip, &sent, &outcome);
+        let (slow, ratio) = self.pace(&trip.borrow(), &sent, &outcome);
         let scatter = 0.5 + 0.5 * self.chance.rand_float();
         let silent = self.pods.table.get(sent.pod).is_none_or(|pod| self.pods.silent(now, pod));
         self.pods.ended(now, &sent, end, ratio, scatter);
         let waited = if silent { 0 } else { outcome.took };
         self.limit.ended(now, group.target_latency, waited, end == Ended::Delivered);
         // What fails again elsewhere is the hit's own doing: only first forwards are heard.
-        if (failed || end == Ended::Delivered) && trip.tried.len() == 1 {
+        if (failed || end == Ended::Delivered) && sent.first {
             self.evidence(now, &sent, &outcome, group.target_latency, slow, silent);
             self.consider(host);
         }
         let newest = self.stage.is_some_and(|(stage, _)| build >= stage.build);
-        if end == Ended::Delivered && self.exposure.rules.one_way && trip.key != 0 && newest {
-            self.exposure.bound.insert(trip.key);
+        if end == Ended::Delivered && self.exposure.rules.one_way && trip.borrow().key != 0 && newest {
+            self.exposure.bound.insert(trip.borrow().key);
         }
-        if outcome.over || !host.open(trip.hit) {
+        if outcome.over || !host.open(trip.borrow().hit) {
             return;
         }
         let ran = !end.never_ran();
-        if ran && trip.may_run.is_none() {
-            trip.may_run = Some((sent.at, sent.entry.zone, sent.entry.cell));
+        if ran && trip.borrow().may_run.is_none() {
+            trip.borrow_mut().may_run = Some((sent.at, sent.entry.zone, sent.entry.cell));
+        }
+        // The other copy may still deliver, and sees to the hit if it does not.
+        if trip.borrow().out > 0 {
+            return;
         }
-        let late = now >= trip.target_at && group.late_benefit <= 0.0;
-        let never = group.kind == Kind::Mutating && trip.may_run.is_some();
+        let late = now >= trip.borrow().target_at && group.late_benefit <= 0.0;
+        let never = group.kind == Kind::Mutating && trip.borrow().may_run.is_some();
         // Retries are bounded by hits taken, lest a sick fleet be asked more; what never ran costs little.
         let most = Logic::RETRY_PART * if ran { 1.0 } else { 2.0 } * self.taken.most(now) as f64 + 1.0;
         if late || never || self.retried.most(now) as f64 >= most {
             return self.give_up(host, trip);
         }
         self.retried.add(now);
-        trip.shy |= failed && self.cap(build).is_some();
+        trip.borrow_mut().shy |= failed && self.cap(build).is_some();
         self.step(host, trip);
     }
 
@@ -628,7 +690,8 @@
     }
 
     /// At once, whatever time is left: a bounce where a retry by the client can do no harm, else an error.
-    fn give_up(&mut self, host: &mut dyn Host, trip: Trip) {
+    fn give_up(&mut self, host: &mut dyn Host, trip: Rc<RefCell<Trip>>) {
+        let trip = trip.borrow();
         let (group, come_back) = (self.groups[trip.group], self.rules.max_come_back);
         let dropped = |at: Ns| host.now() + come_back < at + group.repeat_window && group.scope == Scope::All;
         let harmless = |(at, ..): (Ns, ZoneId, i64)| group.kind == Kind::Tagged && dropped(at);
--- a/src/state.rs
+++ b/src/state.rs
@@ -371,6 +371,8 @@
     pub deadline: Ns,
     pub target_at: Ns,
     pub tried: Vec<PodId>,
+    /// Its forwards that have no end yet.
+    pub out: u32,
     /// When and where it may have run first.
     pub may_run: Option<(Ns, ZoneId, i64)>,
     /// A build on trial failed it: no further forward there while there is another.
@@ -380,7 +382,7 @@
 impl Trip {
     pub fn new(hit: &Hit, deadline: Ns, target_at: Ns) -> Trip {
         let (tried, may_run, shy) = (Vec::new(), None, false);
-        Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, may_run, shy }
+        Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, out: 0, may_run, shy }
     }
 }
 
@@ -392,6 +394,8 @@
     pub warm: bool,
     /// No more of this instance was in flight there than elsewhere: slowness is not of its own making.
     pub even: bool,
+    /// The hit's first one.
+    pub first: bool,
 }
 
 /// The module's state: its parts, and what only their interplay needs.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -185,7 +185,7 @@
         };
         let rules = ForwardRules {
             max_forwards: 4,
-            copies: false,
+            copies: self.number("copies", 0.0) > 0.0,
             may_cancel: true,
             max_come_back: span("500ms"),
             cross_zone_price: self.number("cross", 0.0),
@@ -336,5 +336,5 @@
     "cold-budget", "exposure-cap", "exposure-restart", "exposure-guarded", "exposure-one-way",
     "exposure-lowered", "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod",
     "judge-blame", "judge-shared", "judge-control", "choice-thin", "cold-thin", "vote-many",
-    "vote-any", "vote-count", "vote-clock", "vote-renewal", "list-asked", "limit", "panic", "retry-budget",
+    "vote-any", "vote-count", "vote-clock", "vote-renewal", "list-asked", "limit", "panic", "retry-budget", "second-copy",
 }
