--- a/src/logic.rs
+++ b/src/logic.rs
@@ -509,7 +509,9 @@
         self.taken.add(now);
         self.hits = self.hits.saturating_add(1);
         let group = self.groups[hit.group];
-        let trip = Rc::new(RefCell::new(Trip::new(&hit, now + hit.left, now + group.target_latency)));
+        // A time left read from a trace may be anything.
+        let until = [hit.left, group.target_latency].map(|span| now.saturating_add(span));
+        let trip = Rc::new(RefCell::new(Trip::new(&hit, until[0], until[1])));
         let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
         if (self.limit.out as f64) < self.limit.most * (0.75 + 0.25 * worth) {
             return self.step(host, trip);
