Clients that ask once and stay no longer hold every place of the others

At fault: door.rs make_room() acted at 45% of the descriptors only, while clients may hold a third at most. Now the one idle the longest closes from four fifths of that third on.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -34,11 +34,13 @@
 const ID_BYTES: usize = 128;
 /// The protocol wants a bad client dealt with within 3 s of connecting.
 const FIRST_HIT: Duration = Duration::from_millis(2500);
+/// So long a connection that asked nothing yet counts as one that is about to.
+const NEW: Duration = Duration::from_millis(200);
 /// From a hit's first byte to its last.
 const READING: Duration = Duration::from_secs(2);
-/// The protocol lets a connection with no hit on it close after 2 s; a client that asks again within this
-/// finds it open.
-const IDLE: Duration = Duration::from_secs(5);
+/// The protocol lets a connection with no hit on it close after 2 s. Clients that ask once and stay hold a
+/// place each, and all clients together have no more than a third of our descriptors.
+const IDLE: Duration = Duration::from_secs(2);
 /// How long new connections go on coming after SIGTERM.
 pub const COMING: Duration = Duration::from_millis(600);
 
@@ -73,6 +75,9 @@
 /// The clients' connections, and the ids of their hits.
 pub struct Door {
     most: usize,
+    /// Connections that asked, from which on those idle the longest go: all clients together hold no more than
+    /// a third of our descriptors, and where clients that stay hold them all the others cannot come.
+    most_asked: usize,
     /// Bounded by `most`; a seat leaves with its connection.
     seats: RefCell<HashMap<u64, Rc<Seat>>>,
     next: Cell<u64>,
@@ -83,9 +88,10 @@
 }
 
 impl Door {
-    pub fn new(most: usize) -> Door {
+    pub fn new(most: usize, most_asked: usize) -> Door {
         Door {
             most,
+            most_asked,
             seats: RefCell::default(),
             next: Cell::new(0),
             ids: RefCell::default(),
@@ -98,17 +104,48 @@
         self.seats.borrow().len()
     }
 
+    /// Connections on which nothing was asked yet, and those among them that began to.
+    pub fn unasked(&self) -> (usize, usize) {
+        let seats = self.seats.borrow();
+        let unasked = seats.values().filter(|seat| !seat.asked.get());
+        unasked.fold((0, 0), |(all, half), seat| (all + 1, half + seat.tap.began().is_some() as usize))
+    }
+
     pub fn serving(&self) -> usize {
         self.seats.borrow().values().filter(|seat| seat.serving.get()).count()
     }
 
+    /// Closes the connection idle the longest where those that asked hold too many.
+    fn thin_out(&self) {
+        let mut seats = self.seats.borrow_mut();
+        if seats.values().filter(|seat| seat.asked.get()).count() < self.most_asked {
+            return;
+        }
+        let idle = seats
+            .iter()
+            .filter(|(_, seat)| seat.asked.get() && !seat.serving.get() && seat.tap.began().is_none());
+        let Some(longest) = idle.min_by_key(|(_, seat)| seat.since.get()).map(|(id, _)| *id) else { return };
+        if let Some(task) = seats.remove(&longest).and_then(|seat| seat.task.borrow_mut().take()) {
+            task.abort();
+        }
+        self.turned_out.set(self.turned_out.get() + 1);
+    }
+
     /// Closes a connection that has no hit on it, so that a full door still takes those who ask: of those
-    /// that never asked the oldest, else the one idle the longest; one in the middle of a head comes last.
+    /// that were silent from the start the oldest, else the one idle the longest since its answer. One that
+    /// came just now is about to ask, and one in the middle of its next hit has begun to: they come last.
     fn make_room(&self) -> bool {
         let mut seats = self.seats.borrow_mut();
         let idle = seats.iter().filter(|(_, seat)| !seat.serving.get());
-        let first =
-            idle.min_by_key(|(_, seat)| (seat.tap.began().is_some(), seat.asked.get(), seat.since.get()));
+        let first = idle.min_by_key(|(_, seat)| {
+            let class = match (seat.asked.get(), seat.tap.began().is_some()) {
+                (false, _) if seat.connected.elapsed() >= NEW => 0,
+                (true, false) => 1,
+                (false, _) => 2,
+                (true, true) => 3,
+            };
+            (class, seat.since.get())
+        });
         let Some(first) = first.map(|(id, _)| *id) else { return false };
         if let Some(task) = seats.remove(&first).and_then(|seat| seat.task.borrow_mut().take()) {
             task.abort();
@@ -124,6 +161,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let door = &shell.door;
+                door.thin_out();
                 if door.open() >= door.most {
                     if !door.make_room() {
                         // Every place has a hit on it; closed unread, the client asks elsewhere.
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -125,7 +125,7 @@
             groups: terms.groups.clone(),
             votes: terms.votes.clone(),
             answer_margin: config.answer_margin,
-            door: Door::new(clients),
+            door: Door::new(clients, config.sockets * 4 / 15),
             pods: Pods::new(config.links, config.load, places - clients, config.memory),
             ballots: Votes::default(),
             stopping: Cell::new(false),
@@ -198,6 +198,7 @@
         }
         let (pods, door) = (&shell.pods, &shell.door);
         let (links, idle) = pods.count();
+        let (unasked, half_asked) = door.unasked();
         let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         tracing::info!(
             hits = shell.look().held(),
@@ -206,6 +207,8 @@
             forwards_on_wire = pods.seen.out.get(),
             sent = pods.seen.sent.get(),
             clients = door.open(),
+            unasked,
+            half_asked,
             links,
             idle_links = idle,
             keep_ms = pods.keep().as_millis() as u64,
--- a/crates/platform/tests/traps.rs
+++ b/crates/platform/tests/traps.rs
@@ -179,6 +179,44 @@
     });
 }
 
+#[test]
+fn a_newcomer_is_not_turned_out_by_the_next_one() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut stayed = Vec::new();
+        for _ in 0..40 {
+            let mut client = rig.client().await;
+            client.say("GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+            assert_eq!(client.answer().await.unwrap().0, 200);
+            stayed.push(client);
+        }
+        let mut first = rig.client().await;
+        let mut more = Vec::new();
+        for _ in 0..10 {
+            more.push(rig.client().await);
+        }
+        first.say("GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+        assert_eq!(first.answer().await.unwrap().0, 200);
+    });
+}
+
+#[test]
+fn clients_that_ask_once_and_stay_do_not_hold_all_places() {
+    test(async {
+        let rig = Rig::new(|whole| whole["limits"]["sockets"] = json!(128)).await;
+        let mut stayed = Vec::new();
+        for _ in 0..40 {
+            let mut client = rig.client().await;
+            client.say("GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+            assert_eq!(client.answer().await.unwrap().0, 200);
+            stayed.push(client);
+        }
+        // Four fifths of a third of 128 are 34, and the door has places for 45: long before it is idle for 2 s.
+        let first = tokio::time::timeout(Duration::from_secs(1), stayed[0].ends()).await;
+        assert!(first.expect("closed at once"));
+    });
+}
+
 /// What a pod sends, and what a client of a mutating hit gets: 503 promises that it never ran.
 #[test]
 fn each_answer_of_a_pod_is_told_rightly() {
