After a reload the old link is heard until the new one speaks, not until its own next line

Cause, found on reading the change again: steady.rs gave every session the same Up, so the next line of the old session counted as the new one's word and ended the old one, and a new address that stays silent left no link at all. Change: one Up for each session, which holds the one before it. The growing, scattered waits, which stood in feeds already, are one type there (Waits) for both. Result: the reload test now has the old link tell two lines before the new one speaks; it failed on the old code.

--- a/crates/feeds/src/follow.rs
+++ b/crates/feeds/src/follow.rs
@@ -16,6 +16,33 @@
 /// A connection that held this long was a good one: the next wait starts short again.
 const HELD: Duration = Duration::from_secs(5);
 
+/// Waits before the next try: each is scattered between half and the whole of a span that doubles, so that
+/// many followers of a service that comes back do not come at once.
+pub struct Waits {
+    chance: Rand64,
+    first: Duration,
+    longest: Duration,
+    /// The span before; none right after a good connection.
+    last: Option<Duration>,
+}
+
+impl Waits {
+    pub fn new(seed: u64, first: Duration, longest: Duration) -> Waits {
+        Waits { chance: Rand64::new(seed as u128), first, longest, last: Some(first) }
+    }
+
+    /// The connection that ended was a good one: the next wait starts short again.
+    pub fn held(&mut self) {
+        self.last = None;
+    }
+
+    pub fn next_wait(&mut self) -> Duration {
+        let span = self.last.map_or(self.first, |last| (last * 2).min(self.longest));
+        self.last = Some(span);
+        span.mul_f64(0.5 + 0.5 * self.chance.rand_float())
+    }
+}
+
 /// What happens on a feed besides its calls.
 pub trait Link<C> {
     fn up(&mut self);
@@ -26,8 +53,7 @@
     fn unsent(&mut self, line: String);
 }
 
-/// Follows a feed until `asks` is closed. Each wait before the next try is scattered between half and the
-/// whole of a span that doubles, so that many followers of a service that comes back do not come at once.
+/// Follows a feed until `asks` is closed, with [`Waits`] between tries.
 pub async fn follow<S: Speech + Default>(
     (feed, address, line_bytes): (&str, SocketAddr, usize),
     name: &str,
@@ -35,15 +61,16 @@
     mut asks: mpsc::Receiver<String>,
     link: &mut impl Link<S::Call>,
 ) {
-    let mut chance = Rand64::new(seed as u128);
-    let mut wait = FIRST_WAIT;
+    let mut waits = Waits::new(seed, FIRST_WAIT, LONGEST_WAIT);
     loop {
         let began = tokio::time::Instant::now();
         let ended = session::<S>((feed, address, line_bytes), name, &mut asks, link).await;
         let Err(why) = ended else { return };
         link.down(&why);
-        wait = if began.elapsed() >= HELD { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        let scattered = sleep(wait.mul_f64(0.5 + 0.5 * chance.rand_float()));
+        if began.elapsed() >= HELD {
+            waits.held();
+        }
+        let scattered = sleep(waits.next_wait());
         tokio::pin!(scattered);
         loop {
             tokio::select! {
--- a/crates/platform/src/steady.rs
+++ b/crates/platform/src/steady.rs
@@ -1,7 +1,7 @@
 //! A connection that is made again whenever it ends, and moved to another address without a gap.
 
-use oorandom::Rand64;
-use std::cell::RefCell;
+use havenplank_feeds::follow::Waits;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,18 +22,23 @@
     }
 }
 
-/// Handed to a session, which says with it that the service speaks.
+/// Handed to one session, which says with it that the service speaks.
 #[derive(Clone)]
 pub struct Up {
+    /// The session at the earlier address.
     before: Rc<RefCell<Option<Task<String>>>>,
-    spoke: Rc<RefCell<bool>>,
+    spoke: Rc<Cell<bool>>,
     linger: Duration,
 }
 
 impl Up {
+    fn new(before: Option<Task<String>>, linger: Duration) -> Up {
+        Up { before: Rc::new(RefCell::new(before)), spoke: Rc::default(), linger }
+    }
+
     /// The service said something: the session at the earlier address is no longer needed.
     pub fn now(&self) {
-        *self.spoke.borrow_mut() = true;
+        self.spoke.set(true);
         if let Some(before) = self.before.borrow_mut().take() {
             let linger = self.linger;
             spawn_local(async move {
@@ -54,12 +59,12 @@
     linger: Duration,
     session: impl Fn(SocketAddr, Up) -> F,
 ) {
-    let mut chance = Rand64::new(seed as u128);
-    let mut wait = FIRST_WAIT;
-    let up = Up { before: Rc::default(), spoke: Rc::default(), linger };
+    let mut waits = Waits::new(seed, FIRST_WAIT, LONGEST_WAIT);
+    let mut before = None;
     loop {
         let address = *at.borrow_and_update();
-        *up.spoke.borrow_mut() = false;
+        // One for each session: what the old one hears must not count as the new one's word.
+        let up = Up::new(before.take(), linger);
         let mut now = Task(spawn_local(session(address, up.clone())));
         let moved = tokio::select! {
             ended = &mut now.0 => {
@@ -74,18 +79,20 @@
                 true
             }
         };
+        before = up.before.borrow_mut().take();
         if moved {
             tracing::info!(what, from = %address, to = %*at.borrow(), "address changed");
-            if !now.0.is_finished() && *up.spoke.borrow() {
-                *up.before.borrow_mut() = Some(now);
+            if up.spoke.get() {
+                before = Some(now);
             }
-            wait = FIRST_WAIT;
+            waits.held();
             continue;
         }
-        wait = if *up.spoke.borrow() { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        let scattered = wait.mul_f64(0.5 + 0.5 * chance.rand_float());
+        if up.spoke.get() {
+            waits.held();
+        }
         tokio::select! {
-            () = sleep(scattered) => {}
+            () = sleep(waits.next_wait()) => {}
             changed = at.changed() => if changed.is_err() { return },
         }
     }
--- a/crates/platform/tests/traps.rs
+++ b/crates/platform/tests/traps.rs
@@ -446,13 +446,18 @@
         let mut new = nodes.accept().await.unwrap();
         assert!(new.message().await.unwrap().0.contains("since=4 "));
         followed(&desk).await;
-        // The old one is still heard until the new one speaks.
-        let other = Peer::new().await.unwrap();
-        let moved = entry("p", other.at().unwrap(), 7, "active");
-        old.say(chunk(&list(5, false, &[moved]))).await.unwrap();
-        assert!(pod.ends().await);
-        client.say(get("i1")).await.unwrap();
-        other.accept().await.unwrap();
+        // The old one is still heard, line after line, until the new one speaks.
+        let [other, third] = [Peer::new().await, Peer::new().await].map(Result::unwrap);
+        for to in [&other, &third] {
+            let moved = entry("p", to.at().unwrap(), 7, "active");
+            old.say(chunk(&list(5, false, &[moved]))).await.unwrap();
+            assert!(pod.ends().await);
+            client.say(get("i1")).await.unwrap();
+            pod = to.accept().await.unwrap();
+            pod.message().await.unwrap();
+            pod.say(OK).await.unwrap();
+            assert_eq!(client.answer().await.unwrap().0, 200);
+        }
         new.say(WATCH.to_string() + &chunk("\n")).await.unwrap();
         assert!(old.ends().await);
     });
