Who keeps a place at the door is decided free of I/O, with tests that need no socket

Cause: door.rs, which owns sockets, also decided who is turned out, after which times, and how descriptors are shared out, and node.rs held the shares; the house puts decisions and their tuned values into modules free of I/O. Change: seats.rs decides from the seats as they stand and the time handed in; the door closes whom it names.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Shell;
 use crate::pods::{Ask, BODY_BYTES, TIME_LEFT};
+use crate::seats::{self, Seat, Shares};
 use crate::tap::Tap;
 use bytes::Bytes;
 use havenplank::port::{GroupId, HitId, Kind, Ns};
@@ -32,67 +33,44 @@
 const HEAD_BYTES: usize = 16 << 10;
 const HEADERS: usize = 64;
 const ID_BYTES: usize = 128;
-/// The protocol wants a bad client dealt with within 3 s of connecting.
-const FIRST_HIT: Duration = Duration::from_millis(2500);
-/// So long a connection that asked nothing yet counts as one that is about to.
-const NEW: Duration = Duration::from_millis(200);
-/// From a hit's first byte to its last.
-const READING: Duration = Duration::from_secs(2);
-/// The protocol lets a connection with no hit on it close after 2 s. Clients that ask once and stay hold a
-/// place each, and all clients together have no more than a third of our descriptors.
-const IDLE: Duration = Duration::from_secs(2);
 /// How long new connections go on coming after SIGTERM.
 pub const COMING: Duration = Duration::from_millis(600);
+/// How often a connection with a hit on it is looked at, and while we stop.
+const LOOKS: Duration = Duration::from_secs(2);
+const STOP_LOOKS: Duration = Duration::from_millis(20);
 
 type Answer = Response<Full<Bytes>>;
 
 /// A client's connection.
-struct Seat {
+struct Client {
     tap: Tap,
-    connected: Instant,
-    /// Since when no hit is on it.
-    since: Cell<Instant>,
-    serving: Cell<bool>,
-    /// Some hit of it was read whole.
-    asked: Cell<bool>,
+    seat: Cell<Seat>,
     task: RefCell<Option<AbortHandle>>,
 }
 
-impl Seat {
-    /// When it closes if nothing more is heard; none while a hit is served.
-    fn closes(&self) -> Option<Instant> {
-        if self.serving.get() {
-            return None;
-        }
-        let patience = match self.tap.began() {
-            Some(began) => began + READING,
-            None => self.since.get() + IDLE,
-        };
-        Some(if self.asked.get() { patience } else { patience.min(self.connected + FIRST_HIT) })
+impl Client {
+    fn seat(&self) -> Seat {
+        Seat { began: self.tap.began(), ..self.seat.get() }
     }
 }
 
 /// The clients' connections, and the ids of their hits.
 pub struct Door {
-    most: usize,
-    /// Connections that asked, from which on those idle the longest go: all clients together hold no more than
-    /// a third of our descriptors, and where clients that stay hold them all the others cannot come.
-    most_asked: usize,
-    /// Bounded by `most`; a seat leaves with its connection.
-    seats: RefCell<HashMap<u64, Rc<Seat>>>,
+    shares: Shares,
+    /// Bounded by the share of clients; one leaves with its connection.
+    clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
-    /// Ids of hits in flight, one a seat at most.
+    /// Ids of hits in flight, one a client at most.
     ids: RefCell<HashSet<HeaderValue>>,
     pub refused: Cell<u64>,
     pub turned_out: Cell<u64>,
 }
 
 impl Door {
-    pub fn new(most: usize, most_asked: usize) -> Door {
+    pub fn new(shares: Shares) -> Door {
         Door {
-            most,
-            most_asked,
-            seats: RefCell::default(),
+            shares,
+            clients: RefCell::default(),
             next: Cell::new(0),
             ids: RefCell::default(),
             refused: Cell::new(0),
@@ -101,57 +79,36 @@
     }
 
     pub fn open(&self) -> usize {
-        self.seats.borrow().len()
+        self.clients.borrow().len()
+    }
+
+    fn seats(&self) -> Vec<(u64, Seat)> {
+        self.clients.borrow().iter().map(|(id, client)| (*id, client.seat())).collect()
     }
 
     /// Connections on which nothing was asked yet, and those among them that began to.
     pub fn unasked(&self) -> (usize, usize) {
-        let seats = self.seats.borrow();
-        let unasked = seats.values().filter(|seat| !seat.asked.get());
-        unasked.fold((0, 0), |(all, half), seat| (all + 1, half + seat.tap.began().is_some() as usize))
+        let (seats, half) = (self.seats(), |seat: &Seat| seat.began.is_some() as usize);
+        let unasked = seats.iter().filter(|(_, seat)| !seat.asked);
+        unasked.fold((0, 0), |(all, begun), (_, seat)| (all + 1, begun + half(seat)))
     }
 
     pub fn serving(&self) -> usize {
-        self.seats.borrow().values().filter(|seat| seat.serving.get()).count()
+        self.clients.borrow().values().filter(|client| client.seat.get().serving).count()
     }
 
-    /// Closes the connection idle the longest where those that asked hold too many.
-    fn thin_out(&self) {
-        let mut seats = self.seats.borrow_mut();
-        if seats.values().filter(|seat| seat.asked.get()).count() < self.most_asked {
-            return;
-        }
-        let idle = seats
-            .iter()
-            .filter(|(_, seat)| seat.asked.get() && !seat.serving.get() && seat.tap.began().is_none());
-        let Some(longest) = idle.min_by_key(|(_, seat)| seat.since.get()).map(|(id, _)| *id) else { return };
-        if let Some(task) = seats.remove(&longest).and_then(|seat| seat.task.borrow_mut().take()) {
+    /// Closes a connection that was chosen to go; whether one was.
+    fn close(&self, chosen: Option<u64>) -> bool {
+        let Some(client) = chosen.and_then(|id| self.clients.borrow_mut().remove(&id)) else { return false };
+        if let Some(task) = client.task.borrow_mut().take() {
             task.abort();
         }
         self.turned_out.set(self.turned_out.get() + 1);
+        true
     }
 
-    /// Closes a connection that has no hit on it, so that a full door still takes those who ask: of those
-    /// that were silent from the start the oldest, else the one idle the longest since its answer. One that
-    /// came just now is about to ask, and one in the middle of its next hit has begun to: they come last.
     fn make_room(&self) -> bool {
-        let mut seats = self.seats.borrow_mut();
-        let idle = seats.iter().filter(|(_, seat)| !seat.serving.get());
-        let first = idle.min_by_key(|(_, seat)| {
-            let class = match (seat.asked.get(), seat.tap.began().is_some()) {
-                (false, _) if seat.connected.elapsed() >= NEW => 0,
-                (true, false) => 1,
-                (false, _) => 2,
-                (true, true) => 3,
-            };
-            (class, seat.since.get())
-        });
-        let Some(first) = first.map(|(id, _)| *id) else { return false };
-        if let Some(task) = seats.remove(&first).and_then(|seat| seat.task.borrow_mut().take()) {
-            task.abort();
-        }
-        self.turned_out.set(self.turned_out.get() + 1);
-        true
+        self.close(seats::turned_out(&self.seats(), Instant::now()))
     }
 }
 
@@ -161,8 +118,8 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let door = &shell.door;
-                door.thin_out();
-                if door.open() >= door.most {
+                door.close(seats::longest_idle(&door.seats(), door.shares));
+                if door.open() >= door.shares.clients {
                     if !door.make_room() {
                         // Every place has a hit on it; closed unread, the client asks elsewhere.
                         drop(stream);
@@ -182,45 +139,41 @@
     }
 }
 
-/// Takes the seat out of the door's table however its task ends.
+/// Takes the client out of the door's table however its task ends.
 struct Seated(Rc<Shell>, u64);
 
 impl Drop for Seated {
     fn drop(&mut self) {
-        self.0.door.seats.borrow_mut().remove(&self.1);
+        self.0.door.clients.borrow_mut().remove(&self.1);
     }
 }
 
 fn seat(shell: &Rc<Shell>, stream: TcpStream, stopped: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
-    let (door, now) = (&shell.door, Instant::now());
+    let door = &shell.door;
     let id = door.next.replace(door.next.get() + 1);
-    let seat = Rc::new(Seat {
+    let client = Rc::new(Client {
         tap: Tap::new(stream),
-        connected: now,
-        since: Cell::new(now),
-        serving: Cell::new(false),
-        asked: Cell::new(false),
+        seat: Cell::new(Seat::new(Instant::now())),
         task: RefCell::default(),
     });
-    door.seats.borrow_mut().insert(id, seat.clone());
+    door.clients.borrow_mut().insert(id, client.clone());
     let seated = Seated(shell.clone(), id);
-    let (shell, own) = (shell.clone(), seat.clone());
+    let (shell, own) = (shell.clone(), client.clone());
     let task = spawn_local(async move {
         connection(&shell, &own, stopped).await;
         drop(seated);
     });
-    *seat.task.borrow_mut() = Some(task.abort_handle());
+    *client.task.borrow_mut() = Some(task.abort_handle());
 }
 
-async fn connection(shell: &Rc<Shell>, seat: &Rc<Seat>, mut stopped: watch::Receiver<bool>) {
+async fn connection(shell: &Rc<Shell>, client: &Rc<Client>, mut stopped: watch::Receiver<bool>) {
     let service = service_fn(|request| {
-        seat.serving.set(true);
-        let served = serve(shell.clone(), seat.clone(), request);
+        client.seat.set(Seat { serving: true, ..client.seat.get() });
+        let served = serve(shell.clone(), client.clone(), request);
         async move {
             let answer = served.await;
-            seat.since.set(Instant::now());
-            seat.serving.set(false);
+            client.seat.set(Seat { since: Instant::now(), serving: false, ..client.seat.get() });
             answer
         }
     });
@@ -228,39 +181,42 @@
         .max_buf_size(HEAD_BYTES)
         .max_headers(HEADERS)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(seat.tap.clone()), service);
+        .serve_connection(TokioIo::new(client.tap.clone()), service);
     tokio::pin!(connection);
     let patience = async {
         loop {
-            match seat.closes() {
+            match client.seat().closes() {
                 Some(at) if at <= Instant::now() => break,
                 Some(at) => sleep_until(at.into()).await,
-                None => sleep(IDLE).await,
+                None => sleep(LOOKS).await,
             }
         }
     };
     tokio::select! {
         // What the client sent beyond an answer that closes is read and dropped first.
-        _ = &mut connection => return seat.tap.drain().await,
+        _ = &mut connection => return client.tap.drain().await,
         () = patience => return,
         _ = stopped.wait_for(|stopped| *stopped) => {}
     }
     // One that never asked is about to: it came just now.
-    if !seat.asked.get() && !seat.serving.get() {
+    if !client.seat().asked && !client.seat().serving {
         tokio::select! {
-            _ = &mut connection => return seat.tap.drain().await,
-            () = sleep_until((seat.connected.max(Instant::now()) + COMING).into()) => {}
+            _ = &mut connection => return client.tap.drain().await,
+            () = sleep(COMING) => {}
         }
     }
     connection.as_mut().graceful_shutdown();
+    // A hit half read is still taken; what is served has its own time.
     let half = async {
-        while seat.serving.get() {
-            sleep(Duration::from_millis(20)).await;
+        while client.seat().serving {
+            sleep(STOP_LOOKS).await;
+        }
+        if let Some(at) = client.seat().closes() {
+            sleep_until(at.into()).await;
         }
-        sleep(READING).await;
     };
     tokio::select! {
-        _ = &mut connection => seat.tap.drain().await,
+        _ = &mut connection => client.tap.drain().await,
         () = half => {}
     }
 }
@@ -326,17 +282,21 @@
     }
 }
 
-async fn serve(shell: Rc<Shell>, seat: Rc<Seat>, request: Request<Incoming>) -> Result<Answer, Infallible> {
-    let began = seat.tap.take_began().unwrap_or_else(Instant::now);
+async fn serve(
+    shell: Rc<Shell>,
+    client: Rc<Client>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let began = client.tap.take_began().unwrap_or_else(Instant::now);
     let stopping = shell.stopping.get();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        seat.asked.set(true);
+        client.seat.set(Seat { asked: true, ..client.seat.get() });
         return Ok(match stopping {
             false => plain(StatusCode::OK, "ready\n"),
             true => and_close(plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")),
         });
     }
-    let (asked, ask, _named) = match read(&shell, &seat, request, began).await {
+    let (asked, ask, _named) = match read(&shell, client.seat(), request, began).await {
         Ok(read) => read,
         Err((status, why)) => {
             tracing::debug!(%status, why = why.trim_end(), "refused");
@@ -344,7 +304,7 @@
             return Ok(and_close(plain(status, why)));
         }
     };
-    seat.asked.set(true);
+    client.seat.set(Seat { asked: true, ..client.seat.get() });
     let spent = began.elapsed().as_nanos() as Ns + shell.answer_margin;
     let asked = Asked { left: asked.left.saturating_sub(spent), ..asked };
     let (answer, answered) = oneshot::channel();
@@ -389,7 +349,7 @@
 /// Reads a hit whole, so that it can be sent again, and refuses what is no hit.
 async fn read(
     shell: &Rc<Shell>,
-    seat: &Seat,
+    seat: Seat,
     request: Request<Incoming>,
     began: Instant,
 ) -> Result<(Asked, Ask, Named), Refused> {
@@ -439,9 +399,7 @@
     let body = if body.is_end_stream() {
         Bytes::new()
     } else {
-        let first = if seat.asked.get() { None } else { Some(seat.connected + FIRST_HIT) };
-        let until = first.map_or(began + READING, |first| first.min(began + READING));
-        match timeout_at(until.into(), Limited::new(body, BODY_BYTES).collect()).await {
+        match timeout_at(seat.read_by(began).into(), Limited::new(body, BODY_BYTES).collect()).await {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod list;
 pub mod node;
 pub mod pods;
+mod seats;
 mod steady;
 mod tap;
 
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -4,6 +4,7 @@
 use crate::desk::Votes;
 use crate::door::{self, Door};
 use crate::pods::{self, Ask, Pods};
+use crate::seats::Shares;
 use crate::{desk, list};
 use bytes::Bytes;
 use havenplank::port::*;
@@ -22,11 +23,6 @@
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::sleep;
 
-/// Descriptors for what is neither a client's connection nor a pod's: log, runtime, listener, node list and
-/// release desk with their successors, and those that close just now.
-const OTHERS: usize = 28;
-/// Part of the rest that clients' connections may take.
-const CLIENTS: f64 = 0.45;
 const BACKLOG: u32 = 1024;
 const BEAT: Duration = Duration::from_millis(20);
 
@@ -117,16 +113,15 @@
     let engine = Engine::new(EPOCH, seed, &terms);
     let listener = listen(config.listen)?;
     let address = listener.local_addr().unwrap_or(config.listen);
-    let places = config.sockets.saturating_sub(OTHERS);
-    let clients = (places as f64 * CLIENTS) as usize;
+    let shares = Shares::of(config.sockets);
     let shell = Hub::new(
         engine,
         Node {
             groups: terms.groups.clone(),
             votes: terms.votes.clone(),
             answer_margin: config.answer_margin,
-            door: Door::new(clients, config.sockets * 4 / 15),
-            pods: Pods::new(config.links, config.load, places - clients, config.memory),
+            door: Door::new(shares),
+            pods: Pods::new(config.links, config.load, shares.pods, config.memory),
             ballots: Votes::default(),
             stopping: Cell::new(false),
         },
