Configurations with absurd limits are refused by field; maxOpen is no bound of connections

Cause, found on reading again: limits.sockets of some 10^18 would have ended the start in a panic of the semaphore, and memory over 68 GB would have wrapped the length of an answer's room; a small memory_mb was raised in silence. maxOpen was taken for connections to one pod, and the page said so: it is the most open hits of an instance, which the door's share of descriptors keeps far lower. Change: both limits have a stated range; maxOpen is not read any more, and what bounds idle connections is the share of pods, as before.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,5 +1,6 @@
 //! The program as users run it: checks, exit codes, and a short day of faults for each of the five rules.
 
+use std::io::{BufRead, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -142,3 +143,91 @@
     assert_eq!(run(&["rules", folder.path().to_str().expect("a path")]).status.code(), Some(1));
     assert_eq!(run(&["--help"]).status.code(), Some(0));
 }
+
+/// The platform's sidecar as a process; what it logs is read line by line.
+struct Sidecar {
+    process: std::process::Child,
+    log: std::io::Lines<std::io::BufReader<std::process::ChildStderr>>,
+    told: String,
+}
+
+impl Sidecar {
+    fn start(file: &Path) -> Sidecar {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_havenplank"));
+        command.arg("platform").env("PROXY_CONFIG", file).stderr(std::process::Stdio::piped());
+        let mut process = command.spawn().expect("the program starts");
+        let log = std::io::BufReader::new(process.stderr.take().expect("its log")).lines();
+        Sidecar { process, log, told: String::new() }
+    }
+
+    /// Reads on to the line that says this; the end of the log without it fails.
+    fn says(&mut self, what: &str) -> String {
+        loop {
+            let line = self.log.next().unwrap_or_else(|| panic!("no {what:?} in {}", self.told));
+            let line = line.expect("text");
+            self.told += &(line.clone() + "\n");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.process.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    fn ends(mut self) -> Option<i32> {
+        let code = self.process.wait().expect("an end").code();
+        for line in self.log.by_ref() {
+            self.told += &(line.expect("text") + "\n");
+        }
+        assert!(!self.told.contains("panicked"), "{}", self.told);
+        code
+    }
+}
+
+#[test]
+fn the_platforms_sidecar_starts_reloads_and_stops_as_its_page_says() {
+    use havenplank_stand::scripted::{configuration, entry};
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("config.json");
+    let unset =
+        Command::new(env!("CARGO_BIN_EXE_havenplank")).arg("platform").env_remove("PROXY_CONFIG").output();
+    let unset = unset.expect("the program runs");
+    assert!(unset.status.code() == Some(64) && said(&unset).contains("PROXY_CONFIG"), "{}", said(&unset));
+    for (text, field) in [(None, "config.json"), (Some("{\"settings\": {}}"), "settings.")] {
+        if let Some(text) = text {
+            std::fs::write(&file, text).expect("written");
+        }
+        let mut refused = Sidecar::start(&file);
+        let line = refused.says("havenplank: ");
+        assert!(line.contains("config.json") && line.contains(field), "{line}");
+        assert_eq!(refused.ends(), Some(64));
+    }
+    let [nodes, desk] = [(); 2].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let [nodes_at, desk_at] = [&nodes, &desk].map(|peer| peer.local_addr().expect("an address"));
+    let whole = configuration(nodes_at, desk_at, &[entry("p", nodes_at, 7, "active")]);
+    std::fs::write(&file, whole.to_string()).expect("written");
+    let mut sidecar = Sidecar::start(&file);
+    sidecar.says("listening");
+    std::fs::write(&file, "{").expect("written");
+    sidecar.signal("HUP");
+    let line = sidecar.says("configuration refused, the old one stays");
+    assert!(line.contains("config.json"), "{line}");
+    // Still the old desk; a vote that is out there when it is told to stop must not keep it from ending well.
+    let (mut talk, _) = desk.accept().expect("a follower");
+    let mut lines = std::io::BufReader::new(talk.try_clone().expect("a second handle")).lines();
+    assert!(lines.next().expect("a line").expect("text").contains("follow"));
+    let news = r#"{"image": 7, "ring": 0, "progress": "canary", "ceiling": 0.5, "lag_ms": 9000}"#;
+    let told = format!(
+        r#"{{"jsonrpc":"2.0","id":0,"result":true}}
+{{"jsonrpc":"2.0","method":"progress","params":{news}}}
+"#
+    );
+    talk.write_all(told.as_bytes()).expect("written");
+    assert!(lines.next().expect("a line").expect("text").contains("castBallot"));
+    sidecar.signal("TERM");
+    sidecar.says("stopped");
+    assert_eq!(sidecar.ends(), Some(0));
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -37,8 +37,6 @@
     pub connect_time: Duration,
     /// After which idle time the pod's machine closes a connection, at the latest.
     pub idle: Duration,
-    /// Open to one pod at once.
-    pub per_pod: usize,
 }
 
 /// Why a configuration was refused: file, field and what was wrong there.
@@ -82,8 +80,13 @@
         let (limits, rules) = (settings.object("limits")?, settings.object("rules")?);
         let machine = f.object("limits")?;
         let sockets = machine.whole("sockets")? as usize;
-        if sockets < 64 {
-            return Err(machine.complain("sockets", "expected 64 at least"));
+        // Above, shares of it would not fit the counters of what may be open.
+        if !(64..=1 << 20).contains(&sockets) {
+            return Err(machine.complain("sockets", "expected 64 to 1048576"));
+        }
+        let memory = machine.whole("memory_mb")?;
+        if !(16..=1 << 16).contains(&memory) {
+            return Err(machine.complain("memory_mb", "expected 16 to 65536"));
         }
         let seed = f.text("seed")?;
         let seed = u64::from_str_radix(seed, 16).map_err(|_| f.complain("seed", "expected 16 hex digits"))?;
@@ -116,13 +119,12 @@
             known: (known.seq, known.pods),
             seed,
             sockets,
-            memory: machine.whole("memory_mb")?.clamp(16, 1 << 20) as usize * 1_000_000,
+            memory: memory as usize * 1_000_000,
             terms,
             load: names.load,
             links: Links {
                 connect_time: Duration::from_nanos(limits.whole("dialTimeoutNs")?),
                 idle: Duration::from_nanos(limits.whole("connIdleNs")?),
-                per_pod: limits.whole_or("maxOpen", u64::MAX)?.clamp(1, 1 << 20) as usize,
             },
             answer_margin: rules.whole_or("answerSlackNs", 0)?,
         })
--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -181,10 +181,7 @@
 
     fn give_back(&self, address: SocketAddr, link: Link) {
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(address).or_default();
-        if kept.len() < self.rules.per_pod {
-            kept.push((link, Instant::now()));
-        }
+        idle.entry(address).or_default().push((link, Instant::now()));
     }
 
     /// Closes idle connections to pods no longer listed, and those that were idle too long or were closed.
