A forward that waits for a connection's place gets the next one that comes free

Cause, found on reading again: with every place for connections to pods in use, a forward waited on the count of places, but a connection that came free went back idle and kept its place, so the wait lasted the whole connect time and ended in nothing sent. Second copies and forwards whose hit is answered can bring it so far; clients alone cannot. Change: while others wait, a connection is closed rather than kept. Chunked answers ask for room for what came and the chunk being read, twice the bound of one, as both are in memory at once. Result: a test with one place, which waits its 5 s out on the old code; at once now.

--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -84,6 +84,8 @@
     load: Vec<String>,
     /// One for each connection, idle ones too.
     places: Arc<Semaphore>,
+    /// Forwards that wait for a place; hits in flight, which the door bounds.
+    waiting: Cell<usize>,
     most: usize,
     /// By address, the last used at the end. Emptied of what was idle too long or is no longer listed.
     idle: RefCell<HashMap<SocketAddr, Vec<(Link, Instant)>>>,
@@ -100,11 +102,12 @@
     pub fn new(rules: config::Links, load: Vec<String>, most: usize, memory: usize) -> Pods {
         let places = Arc::new(Semaphore::new(most));
         let large = Arc::new(Semaphore::new((memory / LARGE_PART).min(u32::MAX as usize)));
-        let answer_bytes = (memory / ONE_PART).max(BODY_BYTES);
+        // Twice as much must fit the semaphore's count of 32 bits.
+        let answer_bytes = (memory / ONE_PART).clamp(BODY_BYTES, 1 << 30);
         // The pod closes it at its own limit, maybe just as we write.
         let keep = RefCell::new(Keep::new(Instant::now(), rules.idle.mul_f64(0.7)));
         let (idle, seen) = (RefCell::default(), Seen::default());
-        Pods { rules, load, places, most, idle, large, keep, answer_bytes, seen }
+        Pods { rules, load, places, waiting: Cell::new(0), most, idle, large, keep, answer_bytes, seen }
     }
 
     /// Room for an answer of that length; none is needed up to the protocol's bound.
@@ -165,11 +168,11 @@
         }
         let place = match place {
             Ok(place) => place,
-            // Those that wait are hits in flight, which the door bounds.
-            Err(_) => timeout(self.rules.connect_time, self.places.clone().acquire_owned())
-                .await
-                .map_err(|_| NoLink::Places)?
-                .map_err(|_| NoLink::Places)?,
+            Err(_) => {
+                let _waits = Counted::new(&self.waiting);
+                let place = timeout(self.rules.connect_time, self.places.clone().acquire_owned()).await;
+                place.map_err(|_| NoLink::Places)?.map_err(|_| NoLink::Places)?
+            }
         };
         let left = self.rules.connect_time.saturating_sub(began.elapsed());
         let stream = timeout(left, TcpStream::connect(address)).await;
@@ -179,7 +182,12 @@
         Ok(Link { stream, idle: None, _place: place })
     }
 
+    /// Keeps a connection for its next request. While others wait for a place it is closed: its place would
+    /// stay taken, and what waits may be for another pod.
     fn give_back(&self, address: SocketAddr, link: Link) {
+        if self.waiting.get() > 0 {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         idle.entry(address).or_default().push((link, Instant::now()));
     }
@@ -194,6 +202,22 @@
     }
 }
 
+/// Counts one for as long as it lives, however that ends.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Counted<'a> {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// How a forward ended, with the answer where there is one.
 pub struct End {
     end: Ended,
@@ -207,23 +231,6 @@
     }
 }
 
-/// Counts a forward that is written whole until it has its end, however that comes.
-struct Out<'a>(&'a Pods);
-
-impl<'a> Out<'a> {
-    fn new(pods: &'a Pods) -> Out<'a> {
-        pods.seen.out.set(pods.seen.out.get() + 1);
-        pods.seen.sent.set(pods.seen.sent.get() + 1);
-        Out(pods)
-    }
-}
-
-impl Drop for Out<'_> {
-    fn drop(&mut self) {
-        self.0.seen.out.set(self.0.seen.out.get() - 1);
-    }
-}
-
 /// Carries one forward out and tells the engine how it ended.
 pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, (hit, nth): (HitId, u32), pod: PodId, time_out: Ns) {
     let began = Instant::now();
@@ -277,7 +284,9 @@
         }
     };
     whole.set(true);
-    let _out = Out::new(pods);
+    // Written whole, with no end yet.
+    let _out = Counted::new(&pods.seen.out);
+    pods.seen.sent.set(pods.seen.sent.get() + 1);
     let came = match read(pods, &mut link).await {
         Ok(came) => {
             pods.used(&link, false);
@@ -443,9 +452,9 @@
         if size > (pods.answer_bytes - body.len()) as u64 {
             return Err(Spoilt("chunks beyond what memory allows"));
         }
-        // How much will come is not told: room for all that may.
+        // How much will come is not told: room for all that may, and for a chunk that is still being read.
         if room.is_none() && body.len() + size as usize > BODY_BYTES {
-            room = pods.room(pods.answer_bytes).await;
+            room = pods.room(2 * pods.answer_bytes).await;
         }
         let (size, end) = (size as usize, head + size as usize + 2);
         // The last one has no data; trailers, which nothing here sends, count as spoilt.
@@ -490,3 +499,30 @@
     let end = ProbeEnd { end, took: began.elapsed().as_nanos() as Ns, load };
     shell.call(|engine, now| engine.probed(now, probe, end));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_place_that_comes_free_goes_to_who_waits_for_it() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let mut peers = Vec::new();
+            for _ in 0..2 {
+                peers.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+            }
+            let [one, two] = [0, 1].map(|n| peers[n].local_addr().unwrap());
+            let [connect_time, idle] = [5, 30].map(Duration::from_secs);
+            let pods = Pods::new(config::Links { connect_time, idle }, Vec::new(), 1, 64_000_000);
+            let link = pods.take(one, false).await.ok().unwrap();
+            let began = Instant::now();
+            let (other, ()) = tokio::join!(pods.take(two, false), async { pods.give_back(one, link) });
+            assert!(other.is_ok() && began.elapsed() < connect_time);
+            assert_eq!((pods.count(), pods.waiting.get()), ((1, 0), 0));
+            // With nobody waiting it is kept.
+            pods.give_back(two, other.ok().unwrap());
+            assert_eq!(pods.count(), (1, 1));
+        });
+    }
+}
