--- a/src/logic.rs
+++ b/src/logic.rs
@@ -525,6 +525,8 @@
         let now = host.now();
         let spent = now >= trip.borrow().deadline || self.used_up(&trip.borrow());
         let chosen = if spent { None } else { self.choose(now, &trip.borrow()) };
+        // A pod that is not in the table could not be sent to, and the hit would be left without an answer.
+        let chosen = chosen.filter(|pod| self.pods.table.get(*pod).is_some());
         let Some(pod) = chosen else { return self.give_up(host, trip) };
         // An earlier time-out does the work twice just when pods are slow; hung ones are told by silence.
         let (group, left) = (self.groups[trip.borrow().group], trip.borrow().deadline - now);
