Both fronts share the frame of a forward, the answers made here and the listener

Cause: the platform's pods, door and node repeated what proxy and daemon had: the frame that runs an exchange against its time, how a forward ended, bounced, errored and plain answers, and a listener of its own for what the library's does. Change: Hub::timed and End, answers.rs for either kind of body, listen and StartError of the sidecar library. The listener's backlog is the runtime's, 1,024 as before.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -6,13 +6,12 @@
 use crate::tap::Tap;
 use bytes::Bytes;
 use havenplank::port::{GroupId, HitId, Kind, Ns};
+use havenplank_sidecar::answers::{self, and_close, errored, plain};
 use havenplank_sidecar::engine::Asked;
 use havenplank_sidecar::heads;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING,
-};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -221,34 +220,11 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// A retry is harmless; when to come back in decimal seconds, just as decided.
+/// When to come back in decimal seconds, just as decided.
 pub fn bounced(come_back: Ns) -> Answer {
-    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "bounced: a retry is harmless\n");
     let (seconds, millis) = (come_back / 1_000_000_000, come_back / 1_000_000 % 1_000);
-    if let Ok(text) = HeaderValue::from_str(&format!("{seconds}.{millis:03}")) {
-        if come_back > 0 {
-            answer.headers_mut().insert(RETRY_AFTER, text);
-        }
-    }
-    answer
-}
-
-pub fn errored(late: bool) -> Answer {
-    match late {
-        true => plain(StatusCode::GATEWAY_TIMEOUT, "errored: out of time\n"),
-        false => plain(StatusCode::BAD_GATEWAY, "errored: it may have run\n"),
-    }
-}
-
-fn and_close(mut answer: Answer) -> Answer {
-    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    answer
+    let text = HeaderValue::from_str(&format!("{seconds}.{millis:03}")).ok();
+    answers::bounced(text.filter(|_| come_back > 0))
 }
 
 /// A hit in flight; dropped before its answer, its client is gone.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,4 +13,5 @@
 mod tap;
 
 pub use config::Config;
-pub use node::{serve, Orders, StartError};
+pub use havenplank_sidecar::StartError;
+pub use node::{serve, Orders};
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -10,6 +10,7 @@
 use havenplank::port::*;
 use havenplank_sidecar::engine::{Engine, EPOCH};
 use havenplank_sidecar::hub::{Hub, Outside};
+use havenplank_sidecar::{answers, listen, StartError};
 use http_body_util::Full;
 use hyper::Response;
 use std::cell::Cell;
@@ -18,20 +19,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::sleep;
 
-const BACKLOG: u32 = 1024;
 const BEAT: Duration = Duration::from_millis(20);
 
-#[derive(Debug, thiserror::Error)]
-pub enum StartError {
-    #[error("listen on {address}: {error}; expected a free address of this machine")]
-    Listen { address: SocketAddr, error: std::io::Error },
-}
-
 /// What a running sidecar is told by whoever started it.
 pub enum Orders {
     /// A new configuration: the addresses of node list and release desk in it hold from now on.
@@ -72,7 +65,7 @@
     }
 
     fn errored(&self, late: bool) -> Response<Full<Bytes>> {
-        door::errored(late)
+        answers::errored(late)
     }
 
     fn vote(hub: &Rc<Shell>, vote: u64, build: Build, stage: usize, voice: Voice) {
@@ -89,16 +82,6 @@
     fn watch_list(_: &Rc<Shell>, _: bool) {}
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    let bound = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bound().map_err(|error| StartError::Listen { address, error })
-}
-
 /// Runs one sidecar on the present thread until it is ordered to stop. Needs a `LocalRuntime` of tokio with
 /// time and I/O. `ready` is called with the address once it listens.
 ///
@@ -111,8 +94,7 @@
 ) -> Result<(), StartError> {
     let Config { terms, seed, .. } = config;
     let engine = Engine::new(EPOCH, seed, &terms);
-    let listener = listen(config.listen)?;
-    let address = listener.local_addr().unwrap_or(config.listen);
+    let (listener, address) = listen(config.listen).await?;
     let shares = Shares::of(config.sockets);
     let shell = Hub::new(
         engine,
--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -7,8 +7,9 @@
 use crate::keep::Keep;
 use crate::node::Shell;
 use bytes::{Buf, Bytes, BytesMut};
-use havenplank::port::{Ended, HitId, Load, Ns, PodId, ProbeEnd};
+use havenplank::port::{Ended, HitId, Ns, PodId, ProbeEnd};
 use havenplank_adapter::door::load_of;
+use havenplank_sidecar::hub::End;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -218,32 +219,13 @@
     }
 }
 
-/// How a forward ended, with the answer where there is one.
-pub struct End {
-    end: Ended,
-    load: Option<Load>,
-    answer: Option<Response<Full<Bytes>>>,
-}
-
-impl From<Ended> for End {
-    fn from(end: Ended) -> End {
-        End { end, load: None, answer: None }
-    }
-}
+type Answer = Response<Full<Bytes>>;
 
 /// Carries one forward out and tells the engine how it ended.
-pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, (hit, nth): (HitId, u32), pod: PodId, time_out: Ns) {
-    let began = Instant::now();
-    let whole = Cell::new(false);
-    let time = Duration::from_nanos(time_out);
-    let end = match timeout(time, exchange(&shell, &ask, (hit, nth), pod, time, &whole)).await {
-        Ok(end) => end,
-        // The connection closed with the exchange: the pod is told that nobody waits.
-        Err(_) if whole.get() => Ended::TimeOut.into(),
-        // The last byte was not written, so the pod cannot have begun.
-        Err(_) => Ended::NotSent.into(),
-    };
-    shell.ended((hit, nth), end.end, began.elapsed().as_nanos() as Ns, end.load, end.answer);
+pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, nth: (HitId, u32), pod: PodId, time_out: Ns) {
+    // Set once the last byte is written: before that the pod cannot have begun.
+    let (whole, time) = (Cell::new(false), Duration::from_nanos(time_out));
+    shell.timed(nth, time, &whole, exchange(&shell, &ask, nth, pod, time, &whole)).await;
 }
 
 async fn exchange(
@@ -253,7 +235,7 @@
     pod: PodId,
     time: Duration,
     whole: &Cell<bool>,
-) -> End {
+) -> End<Answer> {
     let (began, pods) = (Instant::now(), &shell.pods);
     let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
     let mut fresh = false;
@@ -477,7 +459,7 @@
     let (began, pods) = (Instant::now(), &shell.pods);
     let path = if pods.load.is_empty() { "/healthz" } else { "/load" };
     let asked = async {
-        let Some(address) = shell.address(pod) else { return End::from(Ended::NotSent) };
+        let Some(address) = shell.address(pod) else { return End::<Answer>::from(Ended::NotSent) };
         let mut link = match pods.take(address, false).await {
             Ok(link) => link,
             Err(NoLink::Pod) => return Ended::NoConnection.into(),
@@ -495,7 +477,7 @@
         End { end, load: load_of(&pods.load, &came.body).filter(|_| !pods.load.is_empty()), answer: None }
     };
     let ended = timeout(pods.rules.connect_time, asked).await;
-    let End { end, load, .. } = ended.unwrap_or_else(|_| Ended::TimeOut.into());
+    let End { end, load, .. }: End<Answer> = ended.unwrap_or_else(|_| Ended::TimeOut.into());
     let end = ProbeEnd { end, took: began.elapsed().as_nanos() as Ns, load };
     shell.call(|engine, now| engine.probed(now, probe, end));
 }
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -1,7 +1,8 @@
 //! The operators' listener: a look at the state, and wrong answers reported.
 
+use crate::answers::plain;
 use crate::daemon::Shell;
-use crate::proxy::{plain, Body};
+use crate::proxy::Body;
 use havenplank::port::Ns;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The shell of a sidecar: sockets, feeds and time around one engine, on one thread.
 
 use crate::admin;
+use crate::answers;
 use crate::engine::{Engine, EPOCH};
 use crate::hub::{Hub, Outside};
 use crate::links::Links;
@@ -52,7 +53,11 @@
     pub admin: SocketAddr,
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+/// Listens on an address, and tells which it is where the system chose the port.
+///
+/// # Errors
+/// An address that is taken or not this machine's.
+pub async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
     let bound = async {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -325,7 +330,7 @@
     }
 
     fn errored(&self, late: bool) -> Response<Body> {
-        proxy::errored(late)
+        answers::errored(late)
     }
 
     /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
--- a/crates/sidecar/src/hub.rs
+++ b/crates/sidecar/src/hub.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 /// A protocol around the engine: how its effects leave. It decides nothing.
 pub trait Outside: Sized + 'static {
@@ -39,6 +39,19 @@
     fn watch_list(hub: &Rc<Hub<Self>>, on: bool);
 }
 
+/// How a forward ended, with the answer where there is one.
+pub struct End<A> {
+    pub end: Ended,
+    pub load: Option<Load>,
+    pub answer: Option<A>,
+}
+
+impl<A> From<Ended> for End<A> {
+    fn from(end: Ended) -> End<A> {
+        End { end, load: None, answer: None }
+    }
+}
+
 struct Waiting<O: Outside> {
     ask: Rc<O::Ask>,
     answer: oneshot::Sender<O::Answer>,
@@ -221,6 +234,25 @@
         self.carry_out();
     }
 
+    /// Carries one forward out by its protocol's exchange and tells the engine how it ended. `sent` is set once
+    /// the pod may have begun. Where time runs out the exchange is dropped, and its connection with it.
+    pub async fn timed(
+        self: &Rc<Self>,
+        nth: (HitId, u32),
+        time: Duration,
+        sent: &Cell<bool>,
+        exchange: impl Future<Output = End<O::Answer>>,
+    ) {
+        let began = Instant::now();
+        let End { end, load, answer } = match timeout(time, exchange).await {
+            Ok(end) => end,
+            Err(_) if sent.get() => Ended::TimeOut.into(),
+            // The client's time ran out first: nothing was sent, and the pod is not to blame.
+            Err(_) => Ended::NotSent.into(),
+        };
+        self.ended(nth, end, began.elapsed().as_nanos() as Ns, load, answer);
+    }
+
     /// Hits that are owed an answer.
     pub fn owed(&self) -> usize {
         self.waiting.borrow().len()
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 //! listeners, connections to pods, the feeds of node list and release desk. Two of either share nothing.
 
 mod admin;
+pub mod answers;
 pub mod daemon;
 pub mod engine;
 pub mod heads;
@@ -14,4 +15,4 @@
 mod roll;
 pub mod told;
 
-pub use daemon::{serve, Addresses, StartError};
+pub use daemon::{listen, serve, Addresses, StartError};
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -1,14 +1,16 @@
 //! A hit's way: read at the door, taken, forwarded as the engine says, answered once.
 
+use crate::answers::{self, and_close, errored, plain};
 use crate::daemon::Shell;
 use crate::engine::Asked;
 use crate::heads;
+use crate::hub::End;
 use crate::links::Lease;
 use bytes::{Bytes, BytesMut};
-use havenplank::port::{Ended, HitId, Kind, Load, Ns, PodId, ProbeEnd};
+use havenplank::port::{Ended, HitId, Kind, Ns, PodId, ProbeEnd};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, VIA};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, VIA};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -88,31 +90,9 @@
     stream: bool,
 }
 
-/// A final answer that the sidecar makes itself.
-pub fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(Body::from(text));
-    *response.status_mut() = status;
-    response
-}
-
-/// A retry is harmless; whole seconds, as the header has no finer ones, and never later than was decided.
+/// Whole seconds, as the header has no finer ones, and never later than was decided.
 pub fn bounced(come_back: Ns) -> Response<Body> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "bounced: a retry is harmless\n");
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(come_back / 1_000_000_000));
-    response
-}
-
-pub fn errored(late: bool) -> Response<Body> {
-    match late {
-        true => plain(StatusCode::GATEWAY_TIMEOUT, "errored: out of time\n"),
-        false => plain(StatusCode::BAD_GATEWAY, "errored: it may have run\n"),
-    }
-}
-
-/// The rest of the connection is of no use: what is left of the hit on it was not read.
-fn and_close(mut response: Response<Body>) -> Response<Body> {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
+    answers::bounced(Some(HeaderValue::from(come_back / 1_000_000_000)))
 }
 
 /// Told to the engine when the client is gone before its answer.
@@ -207,31 +187,10 @@
     Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream }))
 }
 
-/// How a forward ended, with the answer where there is one.
-struct End {
-    end: Ended,
-    load: Option<Load>,
-    response: Option<Response<Body>>,
-}
-
-impl From<Ended> for End {
-    fn from(end: Ended) -> End {
-        End { end, load: None, response: None }
-    }
-}
-
 /// Carries one forward out and tells the engine how it ended.
-pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, (hit, nth): (HitId, u32), pod: PodId, time_out: Ns) {
-    let began = Instant::now();
-    let sent = Cell::new(false);
-    let time = Duration::from_nanos(time_out);
-    let end = match timeout(time, exchange(&shell, &ask, (hit, nth), pod, time, &sent)).await {
-        Ok(end) => end,
-        Err(_) if sent.get() => Ended::TimeOut.into(),
-        // The client's time ran out first: nothing was sent, and the pod is not to blame.
-        Err(_) => Ended::NotSent.into(),
-    };
-    shell.ended((hit, nth), end.end, began.elapsed().as_nanos() as Ns, end.load, end.response);
+pub async fn forward(shell: Rc<Shell>, ask: Rc<Ask>, nth: (HitId, u32), pod: PodId, time_out: Ns) {
+    let (sent, time) = (Cell::new(false), Duration::from_nanos(time_out));
+    shell.timed(nth, time, &sent, exchange(&shell, &ask, nth, pod, time, &sent)).await;
 }
 
 async fn exchange(
@@ -241,7 +200,7 @@
     pod: PodId,
     time: Duration,
     sent: &Cell<bool>,
-) -> End {
+) -> End<Response<Body>> {
     let began = Instant::now();
     let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
     let mut fresh = false;
@@ -297,12 +256,12 @@
         Body::Rest { first: Some(first).filter(|first| !first.is_empty()), rest: body, lease: Some(lease) }
     } else {
         // Nobody reads on in an answer that goes nowhere: its connection closes with the lease.
-        return End { end, load, response: None };
+        return End { end, load, answer: None };
     };
     if let Some(name) = shell.pod_name(pod) {
         parts.headers.insert(POD, name);
     }
-    End { end, load, response: Some(Response::from_parts(parts, body)) }
+    End { end, load, answer: Some(Response::from_parts(parts, body)) }
 }
 
 /// Reads an answer's body up to `most` bytes, and whether that was all of it.
