--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -172,6 +172,27 @@
         }
     }
 
+    /// What the fleet's bench asks of the one process: the C library linked dynamically, as its own library
+    /// is loaded in front of that, and no other program started, now or before. A child that has been waited
+    /// for shows as page faults of children, one that has not stands in the list.
+    fn is_one_process_linked_dynamically(&self) {
+        let read = |name: &str| {
+            let file = format!("/proc/{}/{name}", self.process.id());
+            std::fs::read_to_string(&file).unwrap_or_else(|error| panic!("{file}: {error}"))
+        };
+        let maps = read("maps");
+        assert!(maps.lines().any(|line| line.contains("/libc.so")), "no C library among {maps}");
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.process.id())).expect("its threads");
+        for task in tasks {
+            let task = task.expect("a thread").file_name();
+            let children = read(&format!("task/{}/children", task.to_string_lossy()));
+            assert_eq!(children.trim(), "", "children of thread {task:?}");
+        }
+        let stat = read("stat");
+        let (_, fields) = stat.rsplit_once(')').expect("a name in brackets");
+        assert_eq!(fields.split_whitespace().nth(8), Some("0"), "page faults of children in {stat}");
+    }
+
     fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.process.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
@@ -227,6 +248,7 @@
     );
     talk.write_all(told.as_bytes()).expect("written");
     assert!(lines.next().expect("a line").expect("text").contains("castBallot"));
+    sidecar.is_one_process_linked_dynamically();
     sidecar.signal("TERM");
     sidecar.says("stopped");
     assert_eq!(sidecar.ends(), Some(0));
