--- a/crates/adapter/src/door.rs
+++ b/crates/adapter/src/door.rs
@@ -279,13 +279,6 @@
     })
 }
 
-/// FNV-1a, so that a key is the same small value in every process.
-fn key_hash(key: &str) -> u64 {
-    let mixed =
-        key.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ b as u64).wrapping_mul(0x0100_0000_01b3));
-    mixed.max(1)
-}
-
 fn row(fields: &Fields) -> Result<Row, String> {
     let state = match fields.text("lifecycle")? {
         "Running" => PodState::Running,
@@ -295,6 +288,7 @@
     };
     let entry = PodEntry {
         pod: 0,
+        mark: 0,
         state,
         build: fields.whole_or("release", 0)?.min(u32::MAX as u64) as Build,
         started: fields.whole_or("startedAtNs", 0)?,
@@ -382,7 +376,7 @@
         let mut entries = Vec::with_capacity(rows.len());
         for row in rows {
             let mut entry = row.entry;
-            entry.pod = door.pod_index(&row.pod);
+            (entry.pod, entry.mark) = (door.pod_index(&row.pod), mark_of(row.pod.as_bytes()));
             entry.zone = place(&mut door.names.zones, &row.zone);
             entry.machine = place(&mut door.names.machines, &row.machine);
             entries.push(entry);
@@ -481,7 +475,7 @@
                 id: 0,
                 group,
                 customer,
-                key: f.maybe_text("entity")?.map_or(0, key_hash),
+                key: f.maybe_text("entity")?.map_or(0, |key| mark_of(key.as_bytes())),
                 left: f.whole("graceNs")?,
                 cost_hint: f.maybe_whole("sizeHintNs")?,
                 repeat: f.flag("repeat")?,
--- a/crates/adapter/src/setup.rs
+++ b/crates/adapter/src/setup.rs
@@ -128,6 +128,7 @@
         },
         votes: VoteRules {
             control,
+            on_needs: trial.whole_or("toAdvance", 0)? as usize,
             back_needs: trial.whole_or("noesNeeded", 1)?.max(1) as usize,
             life: trial.whole("ballotTtlNs")?,
             call_time_out: trial.whole("callTimeoutNs")?,
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -31,7 +31,9 @@
                 return Ok(USAGE);
             }
         };
-        let (name, sockets) = (config.terms.name.clone(), config.sockets);
+        let (name, sockets, votes) =
+            (config.terms.name.clone(), config.sockets, format!("{:?}", config.terms.votes));
+        let instances = config.terms.place.instances;
         let (orders, ordered) = mpsc::channel(ORDERS);
         tokio::task::spawn_local(async move {
             loop {
@@ -51,7 +53,7 @@
                 }
             }
         });
-        let ready = |listen| tracing::info!(name, %listen, sockets, "listening");
+        let ready = |listen| tracing::info!(name, %listen, sockets, instances, votes, "listening");
         serve(config, ordered, ready).await?;
         Ok(0)
     })
--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -234,6 +234,10 @@
     let controls = [("any", Control::Any), ("count", Control::Count), ("clock", Control::Clock)];
     let control = r.choice("control", &controls).unwrap_or(Control::Any);
     let back_needs = r.whole_or("back_needs", 1..=1_000_000, 1) as usize;
+    let on_needs = r.whole_or("on_needs", 0..=1_000_000, 0) as usize;
+    if on_needs > instances.max(1) {
+        r.complain("on_needs", format!("found {on_needs}"), format!("{instances} at most, the instances"));
+    }
     if back_needs > instances.max(1) {
         r.complain(
             "back_needs",
@@ -243,6 +247,7 @@
     }
     VoteRules {
         control,
+        on_needs,
         back_needs,
         life: r.span("life"),
         call_time_out: r.span_or("call_time_out", S),
@@ -322,7 +327,11 @@
             r.complain("name", format!("found {name:?}"), "letters, digits, -, . and _");
         }
         place.instances = r.whole("instances", 1..=1_000_000) as usize;
-        place.rank = r.whole_or("rank", 0..=999_999, 0) as usize;
+        // Which pods it keeps to follows from it: with one number at all sidecars all would keep to the same.
+        place.rank = match place.instances {
+            0 | 1 => r.whole_or("rank", 0..=0, 0),
+            many => r.whole("rank", 0..=many as u64 - 1),
+        } as usize;
         zones = r.texts("zones");
         machines = r.texts_or_none("machines");
         customers = r.texts_or_none("customers");
--- a/crates/settings/tests/script.rs
+++ b/crates/settings/tests/script.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 const WHOLE: &str = r#"
-sidecar(name = given("name", "s"), instances = 3, zones = ["a", "b"], zone = "b", listen = "127.0.0.1:0",
+sidecar(name = given("name", "s"), instances = 3, rank = 2, zones = ["a", "b"], zone = "b", listen = "127.0.0.1:0",
         admin = "127.0.0.1:0")
 pods(drain_grace = "500ms", cold_share = 0.3, warm_up = "4800ms", fall_multiple = 3, fall_window = "2s")
 exposure(window = "6s", free = 3, caps = [0.1, 1])
--- a/crates/sidecar/src/heads.rs
+++ b/crates/sidecar/src/heads.rs
@@ -53,13 +53,6 @@
     !escaped && !inner.is_empty() && inner.len() <= MARK
 }
 
-/// FNV-1a, so that a key is the same small value in every process; never 0, which stands for none.
-pub fn key_hash(key: &[u8]) -> u64 {
-    let mixed =
-        key.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ *b as u64).wrapping_mul(0x0100_0000_01b3));
-    mixed.max(1)
-}
-
 /// Whole microseconds.
 pub fn cost_hint(text: &str) -> Option<Ns> {
     dec_uint::<_, u64, ContextError>.parse(text).ok()?.checked_mul(1_000)
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -7,7 +7,7 @@
 use crate::hub::End;
 use crate::links::Lease;
 use bytes::{Bytes, BytesMut};
-use havenplank::port::{Ended, HitId, Kind, Ns, PodId, ProbeEnd};
+use havenplank::port::{mark_of, Ended, HitId, Kind, Ns, PodId, ProbeEnd};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, VIA};
@@ -157,7 +157,7 @@
     let asked = Asked {
         group,
         customer: text(&site.headers.customer).and_then(|name| site.customers.iter().position(|c| c == name)),
-        key: parts.headers.get(&site.headers.key).map_or(0, |key| heads::key_hash(key.as_bytes())),
+        key: parts.headers.get(&site.headers.key).map_or(0, |key| mark_of(key.as_bytes())),
         // A client may wait less than its path group allows, never longer.
         left: asked_time.flatten().unwrap_or(Ns::MAX).min(rules.client_timeout),
         cost_hint: text(&site.headers.cost_hint).and_then(heads::cost_hint),
--- a/crates/sidecar/src/roll.rs
+++ b/crates/sidecar/src/roll.rs
@@ -1,6 +1,6 @@
 //! The pods by name: which index each has, where it listens and since when it runs.
 
-use havenplank::port::{Ns, PodEntry, PodId, PodState};
+use havenplank::port::{mark_of, Ns, PodEntry, PodId, PodState};
 use havenplank_feeds::lines::MOST_PODS;
 use havenplank_feeds::nodes::Listed;
 use std::collections::HashMap;
@@ -103,10 +103,11 @@
                 _ if listed.age == 0 => LONG_AGO,
                 _ => now.saturating_sub(listed.age).max(LONG_AGO + 2),
             };
+            let mark = mark_of(listed.name.as_bytes());
             let Listed { state, build, cell, size, .. } = listed;
             let forwards_out = slot.as_ref().map_or(0, |known| known.forwards_out);
             *slot = Some(Known { listed, started, forwards_out });
-            entries.push(Some(PodEntry { pod, state, build, started, zone, machine, cell, size }));
+            entries.push(Some(PodEntry { pod, mark, state, build, started, zone, machine, cell, size }));
         }
         entries
     }
--- a/crates/stand/src/day.rs
+++ b/crates/stand/src/day.rs
@@ -94,10 +94,11 @@
 
 /// The values that a settings script is given for a day, apart from names and addresses.
 pub fn given(day: &Day) -> Vec<(String, String)> {
-    let back = part(day.back_needs, day.sidecars);
+    let [on, back] = [day.on_needs, day.back_needs].map(|share| part(share, day.sidecars));
     [
         ("instances", day.sidecars.to_string()),
         ("control", day.control.clone()),
+        ("on_needs", if day.control == "count" { on } else { 0 }.to_string()),
         ("back_needs", if day.control == "any" { 1 } else { back }.to_string()),
         ("zone", day.zones[0].clone()),
     ]
--- a/crates/stand/src/drive.rs
+++ b/crates/stand/src/drive.rs
@@ -309,9 +309,10 @@
     );
     let _ = writeln!(
         out,
-        "votes(control = {:?}, back_needs = {}, life = \"{}ns\", call_time_out = \"{}ns\", calls_per_s = {:?}, \
+        "votes(control = {:?}, on_needs = {}, back_needs = {}, life = \"{}ns\", call_time_out = \"{}ns\", calls_per_s = {:?}, \
          step = \"{}ns\")",
         word(format!("{:?}", votes.control)),
+        votes.on_needs,
         votes.back_needs,
         votes.life,
         votes.call_time_out,
--- a/examples/site.star
+++ b/examples/site.star
@@ -46,6 +46,7 @@
 
 votes(
     control = given("control", "count"),
+    on_needs = int(given("on_needs", "0")),
     back_needs = int(given("back_needs", "1")),
     life = "6s",
     call_time_out = "800ms",
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -234,6 +234,17 @@
     const COLD_PART: f64 = 0.6;
     const SLOW_LEARN: f64 = 0.1;
     const SLOW_FADES: f64 = 5e9;
+    /// Instances that keep to a pod, at least: what so many alike send it strays by their root, a fifth.
+    const KEPT_BY: f64 = 25.0;
+    /// Well pods of a side that an instance keeps to, at least: of fewer the test on a build hears too
+    /// little, as one pod alone puts no more than `ONE_POD` on it.
+    const KEEPS: f64 = 4.0;
+    /// Forwards in flight from one instance to each pod that it keeps to, at most: its bursts must not fill
+    /// one.
+    const BUSY: f64 = 0.125;
+    const BUSY_LEARN: f64 = 0.02;
+    /// Multiples of it spread evenly over any run of numbers, whichever of them share a zone.
+    const GOLDEN: f64 = 0.618_033_988_749_895;
 
     /// The part of its capacity that a pod surely has.
     fn warmth(&self, now: Ns, entry: &PodEntry) -> f64 {
@@ -254,16 +265,49 @@
 
     /// A look at all pods, a few times a second, so that no hit has to look through them. When most of them
     /// look ill, the trouble is not theirs: shunning them would crowd the rest.
-    fn survey(&mut self, now: Ns) {
+    fn survey(&mut self, now: Ns, place: &Place) {
         self.sum_up_warm(now, SLICES);
+        self.keep_to(now, place);
         let well = self.table.running().filter(|pod| self.well(now, pod)).count();
         self.panic = well * 3 < self.table.count;
     }
 
+    /// Hundreds of instances that each open connections to every pod cost the pods more than their hits do.
+    /// So each keeps to a stretch of every side, all sides in the same order at all instances, and its number
+    /// tells where it begins. The stretch goes on past what is ill, and cold pods count for their part.
+    fn keep_to(&mut self, now: Ns, place: &Place) {
+        let all = self.table.count as f64;
+        let wanted = (Pods::KEPT_BY * all / place.instances.max(1) as f64).max(self.busy / Pods::BUSY);
+        let begins = (place.rank as f64 * Pods::GOLDEN).fract();
+        let mut sides = std::mem::take(&mut self.table.sides);
+        for side in &mut sides {
+            let (many, mut good) = (side.pods.len(), 0.0);
+            let enough = (wanted * many as f64 / all).max(Pods::KEEPS);
+            let from = (begins * many as f64) as usize;
+            if enough >= many as f64 {
+                side.own.clone_from(&side.pods);
+                continue;
+            }
+            side.own.clear();
+            for id in (0..many).map(|step| side.ring[(from + step) % many]) {
+                if good >= enough {
+                    break;
+                }
+                side.own.push(id);
+                // One whose illness has merely run out has yet to show that it is well.
+                let well = |pod: &&Pod| pod.strikes < Pods::ILL_AFTER && self.well(now, pod);
+                let well = self.table.get(id).filter(well);
+                good += well.map_or(0.0, |pod| self.warmth(now, &pod.entry));
+            }
+        }
+        self.table.sides = sides;
+    }
+
     /// Whether a cold pod has room. The guide is what warm pods of its machine answer to this instance:
     /// answers, not forwards, since those outrun any capacity when the rest of the fleet is lost or full.
     /// A part under one forward is drawn for, lest those of many instances add up: `luck` is a draw from 0
-    /// to the window's hits for each unit of size that this pod is drawn from.
+    /// to the window's hits for each unit of size that this pod is drawn from. Of a side kept to in part a
+    /// pod hears from fewer instances, and each has more of it.
     fn cold_room(&mut self, now: Ns, id: PodId, luck: f64) -> bool {
         let Some(entry) = self.table.get(id).map(|pod| pod.entry) else { return false };
         let warmth = self.warmth(now, &entry);
@@ -275,7 +319,8 @@
         let carried = self.carried_by(now, entry.machine).unwrap_or_else(least);
         let most = Pods::COLD_PART * self.rules.fall_multiple * warmth * carried * entry.size;
         let sent = self.table.get_mut(id).map_or(0, |pod| pod.sent.most(now)) as f64;
-        sent + 1.0 <= most || (sent < 1.0 && (others.is_empty() || luck * warmth * entry.size < most))
+        sent + 1.0 <= most / self.table.own_part(&entry)
+            || (sent < 1.0 && (others.is_empty() || luck * warmth * entry.size < most))
     }
 
     /// How slow a pod is for its size, and so how much each hit in flight there weighs.
@@ -395,7 +440,7 @@
 
     fn tick(&mut self, host: &mut dyn Host) {
         let now = host.now();
-        self.pods.survey(now);
+        self.pods.survey(now, &self.place);
         let began = self.stage.filter(|_| self.on_trial() && self.exposure.rules.beside).map(|(_, at)| at);
         self.judge.slots(now, began, self.voter.rules.back_needs > 1);
         self.consider(host);
@@ -413,7 +458,7 @@
         self.list_wait = 0;
         let window = || Window::new(self.pods.rules.fall_window, SLICES);
         self.pods.table.apply(whole, entries, window);
-        self.pods.survey(host.now());
+        self.pods.survey(host.now(), &self.place);
         let (table, trial) = (&self.pods.table, self.judge.build);
         self.exposure.sent.retain(|(build, _)| *build >= trial || table.count_of(*build) > 0);
     }
@@ -508,6 +553,7 @@
         self.exposure.taken[bucket].add(now);
         self.taken.add(now);
         self.hits = self.hits.saturating_add(1);
+        self.pods.busy += (self.limit.out as f64 - self.pods.busy) * Pods::BUSY_LEARN;
         let group = self.groups[hit.group];
         // A time left read from a trace may be anything.
         let until = [hit.left, group.target_latency].map(|span| now.saturating_add(span));
@@ -543,8 +589,9 @@
         let now = host.now();
         let Some(chosen) = self.pods.table.get(pod) else { return };
         let warm = self.pods.warmth(now, &chosen.entry) >= 1.0;
-        let away = if self.judge.away { self.pods.table.count_of(self.judge.build) } else { 0 };
-        let even = chosen.in_flight * (self.pods.table.count - away) as u32 <= self.limit.out;
+        let blocked = |side: &&Side| !(self.judge.away && side.build == self.judge.build);
+        let own: usize = self.pods.table.sides.iter().filter(blocked).map(|side| side.own.len()).sum();
+        let even = chosen.in_flight * own as u32 <= self.limit.out;
         let first = trip.borrow().tried.is_empty();
         let sent = Sent { pod, entry: chosen.entry, at: now, warm, even, first };
         self.pods.table.send(now, pod);
--- a/src/port.rs
+++ b/src/port.rs
@@ -136,6 +136,9 @@
     pub control: Control,
     pub life: Ns,
     pub call_time_out: Ns,
+    /// Instances that must stand for on where they are counted; 0 where that is not told.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub on_needs: usize,
     /// Instances that must stand for back.
     pub back_needs: usize,
     /// Calls a second that the platform takes from all instances together.
@@ -217,9 +220,18 @@
     Gone,
 }
 
+/// FNV-1a, so that a key or a name is the same small value in every process; never 0, which stands for none.
+pub fn mark_of(text: &[u8]) -> u64 {
+    let mixed =
+        text.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ *b as u64).wrapping_mul(0x0100_0000_01b3));
+    mixed.max(1)
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct PodEntry {
     pub pod: PodId,
+    /// Its name's [`mark_of`]: the order of pods by it is the same at every instance.
+    pub mark: u64,
     pub state: PodState,
     pub build: Build,
     /// 0 for long ago.
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,10 @@
     pub zone: ZoneId,
     pub build: Build,
     pub pods: Vec<PodId>,
+    /// The same in the order of their marks.
+    pub ring: Vec<PodId>,
+    /// Those of them that this instance keeps to.
+    pub own: Vec<PodId>,
     pub size: f64,
     pub newest: Ns,
 }
@@ -145,8 +149,9 @@
             let entry = &pod.entry;
             let known = self.sides.iter().position(|s| (s.zone, s.build) == (entry.zone, entry.build));
             let at = known.unwrap_or_else(|| {
-                let (zone, build, pods) = (entry.zone, entry.build, Vec::new());
-                self.sides.push(Side { zone, build, pods, size: 0.0, newest: 0 });
+                let (zone, build) = (entry.zone, entry.build);
+                let [pods, ring, own] = [(); 3].map(|()| Vec::new());
+                self.sides.push(Side { zone, build, pods, ring, own, size: 0.0, newest: 0 });
                 self.sides.len() - 1
             });
             let side = &mut self.sides[at];
@@ -154,9 +159,20 @@
             side.size += entry.size;
             side.newest = side.newest.max(entry.started);
         }
+        for side in &mut self.sides {
+            side.ring.clone_from(&side.pods);
+            side.ring.sort_by_key(|id| self.slots[*id].as_ref().map(|pod| pod.entry.mark));
+        }
         self.count = self.sides.iter().map(|side| side.pods.len()).sum();
     }
 
+    /// The part of its side's pods that this instance keeps to; all of them for one that it does not keep to.
+    pub fn own_part(&self, entry: &PodEntry) -> f64 {
+        let side = self.sides.iter().find(|side| (side.zone, side.build) == (entry.zone, entry.build));
+        let own = side.filter(|side| side.own.contains(&entry.pod));
+        own.map_or(1.0, |side| side.own.len() as f64 / side.pods.len() as f64)
+    }
+
     pub fn get(&self, id: PodId) -> Option<&Pod> {
         self.slots.get(id).and_then(Option::as_ref)
     }
@@ -182,7 +198,7 @@
         self.slots.iter().flatten().filter(|pod| pod.runs())
     }
 
-    /// The pod at a point of all sides' weight and one from 0 to 1 of that side, and the mean size there.
+    /// The own pod at a point of all sides' weight and one from 0 to 1 of that side, and the mean size there.
     pub fn draw(&self, sides: &[(usize, f64)], at: [f64; 2]) -> Option<(PodId, f64)> {
         let mut left = at[0];
         let (n, _) = sides.iter().find(|(_, weight)| {
@@ -190,7 +206,7 @@
             left < 0.0
         })?;
         let side = &self.sides[*n];
-        let id = side.pods.get((at[1] * side.pods.len() as f64) as usize)?;
+        let id = side.own.get((at[1] * side.own.len() as f64) as usize)?;
         Some((*id, side.size / side.pods.len() as f64))
     }
 
@@ -326,11 +342,13 @@
     pub carried: Vec<(Window, f64)>,
     /// Most pods looked ill at the last look.
     pub panic: bool,
+    /// Forwards in flight from here that a hit found of late, in the mean.
+    pub busy: f64,
 }
 
 impl Pods {
     pub fn new(rules: PodRules, quiet: Ns) -> Pods {
-        Pods { rules, quiet, table: Table::default(), carried: Vec::new(), panic: false }
+        Pods { rules, quiet, table: Table::default(), carried: Vec::new(), panic: false, busy: 0.0 }
     }
 
     /// Marks the pods whose time to warm up is over and sums up their size by machine.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -73,6 +73,9 @@
         let number = *self.sent.entry(hit).and_modify(|n| *n += 1).or_insert(0);
         self.count("forwards".into());
         self.count(format!("forwards:pod{pod}"));
+        if self.counts[&format!("forwards:pod{pod}")] == 1.0 {
+            self.count("met".into());
+        }
         self.count(format!("forwards:build{}", self.builds[pod]));
         self.forwards.insert((hit, number), (self.now, end, then));
         self.at(wanted.min(limit), Due::Ends(hit, number));
@@ -177,10 +180,11 @@
         let call_time_out = self.span("call", "1200ms");
         let votes = VoteRules {
             control,
+            on_needs: self.number("on_needs", 0.0) as usize,
             back_needs: self.number("back_needs", 1.0) as usize,
             life,
             call_time_out,
-            calls_per_s: 25.0,
+            calls_per_s: self.number("calls_per_s", 25.0),
             step,
         };
         let rules = ForwardRules {
@@ -191,7 +195,11 @@
             cross_zone_price: self.number("cross", 0.0),
         };
         let list = ListRules { must_ask: self.number("ask", 0.0) > 0.0, ask_within: span("10s") };
-        let place = Place { rank: 0, instances: self.number("instances", 1.0) as usize, zone: 0 };
+        let place = Place {
+            rank: self.number("rank", 0.0) as usize,
+            instances: self.number("instances", 1.0) as usize,
+            zone: 0,
+        };
         Logic::new(now, 7, place, groups, rules, pods, exposure, votes, list)
     }
 }
@@ -258,7 +266,17 @@
                 };
                 let started = if pairs.0.contains_key("fresh") { stand.now } else { 0 };
                 let (zone, machine) = (pairs.number("zone", 0.0) as usize, 0);
-                let entry = PodEntry { pod, state, build, started, zone, machine, cell: 0, size: 1.0 };
+                let entry = PodEntry {
+                    pod,
+                    mark: mark_of(words[1].as_bytes()),
+                    state,
+                    build,
+                    started,
+                    zone,
+                    machine,
+                    cell: 0,
+                    size: 1.0,
+                };
                 pods.retain(|known| known.pod != pod);
                 pods.push(entry);
                 logic.as_mut().unwrap().list(&mut stand, false, &[entry]);
@@ -337,5 +355,52 @@
     "exposure-lowered", "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod",
     "judge-blame", "judge-shared", "judge-control", "choice-thin", "cold-thin", "vote-many",
     "vote-any", "vote-count", "vote-clock", "vote-renewal", "list-asked", "limit", "panic", "retry-budget",
-    "second-copy",
+    "second-copy", "kept-part",
+}
+
+/// Two hundred instances that share nothing, over eighty pods: each keeps to a few, all pods get about as much, and
+/// one that starts cold is not pushed over by all of them together.
+#[test]
+fn many_instances_keep_to_a_few_pods_each_and_load_all_evenly() {
+    let (instances, pods) = (200, 80);
+    let entry = |pod: PodId, started: Ns| {
+        let mark = mark_of(format!("pod-{pod}").as_bytes());
+        let (state, cell, size) = (PodState::Running, 0, 1.0);
+        PodEntry { pod, mark, state, build: 1, started, zone: 0, machine: 0, cell, size }
+    };
+    let (mut total, mut cold) = (vec![0.0; pods], 0.0);
+    for rank in 0..instances {
+        let (instances, rank) = (instances.to_string(), rank.to_string());
+        let setup = Pairs(HashMap::from([("instances", instances.as_str()), ("rank", rank.as_str())]));
+        let mut stand = Stand { now: span("1000s"), ..Stand::default() };
+        (stand.acts, stand.builds) = (vec!["ok:20ms".into(); pods + 1], vec![1; pods + 1]);
+        let mut logic = setup.logic(stand.now, vec![setup.group()]);
+        logic.begin(&mut stand);
+        let warm: Vec<PodEntry> = (0..pods).map(|pod| entry(pod, 0)).collect();
+        logic.list(&mut stand, true, &warm);
+        for n in 0..80 {
+            let (group, customer, key, left) = (0, None, 0, span("2s"));
+            let hit = Hit { id: n, group, customer, key, left, cost_hint: None, repeat: false };
+            let time = stand.now + n * span("100ms");
+            stand.at(time, Due::Arrives(hit));
+        }
+        let until = stand.now + span("7s");
+        play(&mut stand, &mut logic, until);
+        let sent =
+            |stand: &Stand, pod| stand.counts.get(&format!("forwards:pod{pod}")).copied().unwrap_or(0.0);
+        let met = (0..pods).filter(|pod| sent(&stand, *pod) > 0.0).count();
+        assert!((4..=14).contains(&met), "instance {rank} met {met} pods");
+        (0..pods).for_each(|pod| total[pod] += sent(&stand, pod));
+        let newcomer = entry(pods, stand.now);
+        logic.list(&mut stand, false, &[newcomer]);
+        let until = stand.now + span("1s");
+        play(&mut stand, &mut logic, until);
+        cold += sent(&stand, pods);
+    }
+    let mean = total.iter().sum::<f64>() / pods as f64;
+    let most = total.iter().copied().fold(0.0, f64::max);
+    let least = total.iter().copied().fold(f64::MAX, f64::min);
+    assert!(least > 0.6 * mean && most < 1.4 * mean, "{least} to {most} of {mean}");
+    // Warm pods answer 25 a second: 2.0 times a cold one's share of it, 0.3 to 0.5, is what it bears.
+    assert!(cold > 0.0 && cold <= 2.0 * 0.3 * 25.0, "{cold} to the cold pod in its first second");
 }
