--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod logic;
 pub mod port;
 mod state;
+mod tail;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,6 +10,7 @@
 use crate::port::*;
 pub use crate::state::Logic;
 use crate::state::*;
+use crate::tail::part_of_chance;
 use oorandom::Rand64;
 use std::cell::RefCell;
 use std::cmp::Ordering;
@@ -65,19 +66,7 @@
     /// likelier together (the binomial's tail): less where any one decides, by
     /// the logarithm only, as all see the same pods; more, up to beta, where many must agree.
     fn bounds(instances: usize, needed: usize) -> (f64, f64) {
-        let (mut part, mut above) = (0.0, Judge::BETA);
-        for _ in 0..40 {
-            let middle: f64 = 0.5 * (part + above);
-            // The chance that fewer than needed are false, term by term.
-            let (mut term, mut fewer) = (instances as f64 * (1.0 - middle).ln(), 0.0);
-            for n in 0..needed {
-                fewer += term.exp();
-                let ways = (instances - n) as f64 / (n + 1) as f64;
-                term += (ways * middle / (1.0 - middle)).ln();
-            }
-            let rare = 1.0 - fewer <= Judge::ALPHA;
-            (part, above) = if rare { (middle, above) } else { (part, middle) };
-        }
+        let part = part_of_chance(instances, needed, Judge::ALPHA, Judge::BETA);
         let alpha = part.clamp(Judge::ALPHA / (1.0 + (instances as f64).ln()), Judge::BETA);
         ((Judge::BETA / (1.0 - alpha)).ln(), ((1.0 - Judge::BETA) / alpha).ln())
     }
