A part of the sidecars takes a trial's forwards where each would see too few; fellowship begun

Logic::seat lets a part sit, by number and build, each drawing the build as often as the cap leaves room; the total stays with the pods' size, and alpha follows the smaller number. Also crates/fellows, not used by the program yet: membership by SWIM and Lifeguard, and a simulated network to test it.

--- /dev/null
+++ b/crates/fellows/src/node.rs
@@ -0,0 +1,171 @@
+//! Decision and codec together: datagrams in, datagrams out. The shell and the simulated network both drive this.
+
+use crate::swim::{Effect, Event, Fellows, News, Rules, Talk};
+use crate::wire::{self, Counts, Key, Letter, Life, Refused, Seen};
+use crate::Ns;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// The kind of the fellowship's own messages; other packages take theirs from 2 on.
+pub const TALK: u8 = 1;
+
+/// What has happened since the last look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Happened {
+    Told(Event),
+    /// A message of another package, from a fellow that lives.
+    Came {
+        from: Life,
+        kind: u8,
+        body: Vec<u8>,
+    },
+}
+
+pub struct Node {
+    fellows: Fellows,
+    keys: Vec<Key>,
+    count: u64,
+    /// By name, the counts of its present life. Rows leave with the fellow.
+    seen: BTreeMap<String, (u64, Seen)>,
+    /// Kinds of other packages that are read here.
+    kinds: Vec<u8>,
+    pub refused: Counts,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub came: u64,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+    happened: VecDeque<Happened>,
+}
+
+impl Node {
+    /// The first key seals, all open; there must be one.
+    pub fn new(now: Ns, seed: u64, me: News, seeds: Vec<SocketAddr>, rules: Rules, keys: Vec<Key>) -> Node {
+        Node {
+            fellows: Fellows::new(now, seed, me, seeds, rules),
+            keys,
+            count: 0,
+            seen: BTreeMap::new(),
+            kinds: Vec::new(),
+            refused: Counts::default(),
+            sent: 0,
+            sent_bytes: 0,
+            came: 0,
+            out: VecDeque::new(),
+            happened: VecDeque::new(),
+        }
+    }
+
+    /// Reads messages of this kind from now on; of others they are counted and passed over.
+    pub fn reads(&mut self, kind: u8) {
+        self.kinds.push(kind);
+    }
+
+    pub fn fellows(&self) -> &Fellows {
+        &self.fellows
+    }
+
+    /// Keys read anew. An empty list is passed over: a fellowship without a key would be none.
+    pub fn rekey(&mut self, keys: Vec<Key>) {
+        if !keys.is_empty() {
+            self.keys = keys;
+        }
+    }
+
+    pub fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.out.pop_front()
+    }
+
+    pub fn happened(&mut self) -> Option<Happened> {
+        self.happened.pop_front()
+    }
+
+    pub fn next_wake(&self) -> Option<Ns> {
+        self.fellows.next_wake()
+    }
+
+    pub fn wake(&mut self, now: Ns) {
+        self.fellows.wake(now);
+        self.carry_out();
+        let fellows = &self.fellows;
+        self.seen.retain(|name, _| fellows.get(name).is_some());
+    }
+
+    pub fn leave(&mut self) {
+        self.fellows.leave();
+        self.carry_out();
+    }
+
+    /// Sends a message of another package to a fellow that lives; false where none of that life is known or it is
+    /// too long.
+    pub fn send(&mut self, to: &Life, kind: u8, body: Vec<u8>) -> bool {
+        let Some(news) = self.fellows.get(&to.name).filter(|news| news.who == *to) else { return false };
+        let at = news.at;
+        self.seal(to.clone(), at, kind, body)
+    }
+
+    /// One datagram that came, from wherever.
+    pub fn heard(&mut self, now: Ns, bytes: &[u8]) {
+        self.came += 1;
+        if let Err(why) = self.take(now, bytes) {
+            self.refused.add(why);
+        }
+        self.carry_out();
+    }
+
+    fn take(&mut self, now: Ns, bytes: &[u8]) -> Result<(), Refused> {
+        let Letter { from, to, count, kind, body } = wire::open(&self.keys, bytes)?;
+        let me = &self.fellows.me().who;
+        let hello = to.name.is_empty() && kind == TALK;
+        if from == *me || !(hello || to == *me) {
+            return Err(Refused::NotForUs);
+        }
+        let known = self.fellows.get(&from.name);
+        if known.is_some_and(|news| from.life < news.who.life) {
+            return Err(Refused::OldLife);
+        }
+        if known.is_some_and(|news| news.who == from) {
+            let row = self.seen.entry(from.name.clone()).or_default();
+            if row.0 != from.life {
+                *row = (from.life, Seen::default());
+            }
+            if !row.1.first(count) {
+                return Err(Refused::Repeated);
+            }
+        }
+        if kind == TALK {
+            let talk: Talk = postcard::from_bytes(&body).map_err(|_| Refused::Unreadable)?;
+            if hello && !matches!(talk, Talk::Hello { .. }) {
+                return Err(Refused::NotForUs);
+            }
+            return self.fellows.heard(now, &from, talk).then_some(()).ok_or(Refused::Stranger);
+        }
+        if !self.kinds.contains(&kind) {
+            return Err(Refused::UnknownKind);
+        }
+        let lives = self.fellows.living().any(|news| news.who == from);
+        lives.then(|| self.happened.push_back(Happened::Came { from, kind, body })).ok_or(Refused::Stranger)
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(effect) = self.fellows.effect() {
+            match effect {
+                Effect::Say { to, at, talk } => {
+                    if let Ok(body) = postcard::to_stdvec(&talk) {
+                        self.seal(to, at, TALK, body);
+                    }
+                }
+                Effect::Told(event) => self.happened.push_back(Happened::Told(event)),
+            }
+        }
+    }
+
+    fn seal(&mut self, to: Life, at: SocketAddr, kind: u8, body: Vec<u8>) -> bool {
+        self.count += 1;
+        let letter = Letter { from: self.fellows.me().who.clone(), to, count: self.count, kind, body };
+        let Some(bytes) = wire::seal(&self.keys[0], &letter) else { return false };
+        self.sent += 1;
+        self.sent_bytes += bytes.len() as u64;
+        self.out.push_back((at, bytes));
+        true
+    }
+}
--- /dev/null
+++ b/crates/fellows/tests/simulated.rs
@@ -0,0 +1,226 @@
+//! The fellowship over the simulated network: the same code as on sockets, by seed, without a sleep.
+
+use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::swim::{Event, News, Rules, State};
+use havenplank_fellows::wire::{Key, Life, Refused};
+use havenplank_stand::net::{Clock, Id, Net, Ns, Part, Weather};
+use std::net::SocketAddr;
+
+const S: Ns = 1_000_000_000;
+
+struct Fellow {
+    node: Node,
+    told: Vec<(Ns, Event)>,
+    /// Datagrams that came, to be played again.
+    came: Vec<Vec<u8>>,
+}
+
+impl Part for Fellow {
+    fn heard(&mut self, now: Ns, bytes: &[u8]) {
+        self.came.push(bytes.to_vec());
+        self.node.heard(now, bytes);
+        self.look(now);
+    }
+    fn wake(&mut self, now: Ns) {
+        self.node.wake(now);
+        self.look(now);
+    }
+    fn next_wake(&self) -> Option<Ns> {
+        self.node.next_wake()
+    }
+    fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.node.datagram()
+    }
+}
+
+impl Fellow {
+    fn new(now: Ns, at: SocketAddr, name: &str, life: u64, key: u8) -> Fellow {
+        let who = Life { name: name.into(), life };
+        let me = News { who, at, zone: "z".into(), round: 0, state: State::Lives };
+        let seeds = vec![Net::<Fellow>::address(0)];
+        let seed =
+            u64::from(key) << 32 | at.ip().to_string().bytes().fold(life, |sum, byte| sum * 31 + byte as u64);
+        let node = Node::new(now, seed, me, seeds, Rules::default(), vec![Key::new([key; 32])]);
+        Fellow { node, told: Vec::new(), came: Vec::new() }
+    }
+
+    fn look(&mut self, now: Ns) {
+        while let Some(happened) = self.node.happened() {
+            if let Happened::Told(event) = happened {
+                self.told.push((now, event));
+            }
+        }
+    }
+
+    fn names(&self) -> Vec<String> {
+        self.node.fellows().living().map(|news| news.who.name.clone()).collect()
+    }
+
+    fn lost(&self) -> usize {
+        self.told.iter().filter(|(_, event)| matches!(event, Event::Lost(_))).count()
+    }
+}
+
+fn name(id: Id) -> String {
+    format!("s-{id:04}")
+}
+
+fn fleet(many: usize, seed: u64, weather: Weather) -> Net<Fellow> {
+    let mut net = Net::new(seed, weather);
+    for id in 0..many {
+        // Clocks that never agree: other starts, and up to a thousandth fast or slow.
+        let clock = Clock { began: id as Ns * 77 * S, drift_ppm: (id as i64 % 3 - 1) * 1_000 };
+        net.join(clock, |now, at| Fellow::new(now, at, &name(id), 1, 7));
+    }
+    net
+}
+
+/// Whether each of these knows all of these and nobody else.
+fn agree(net: &Net<Fellow>, ids: &[Id]) -> bool {
+    let all: Vec<String> = ids.iter().map(|id| name(*id)).collect();
+    ids.iter().all(|id| {
+        let others: Vec<String> = all.iter().filter(|other| **other != name(*id)).cloned().collect();
+        net.part(*id).is_some_and(|part| part.names() == others)
+    })
+}
+
+#[test]
+fn all_meet_through_one_address_and_nobody_is_lost_while_a_tenth_of_all_datagrams_is() {
+    let mut lost = 0;
+    for seed in 0..8 {
+        let mut net = fleet(16, seed, Weather { loss: 0.1, repeat: 0.05, delay: (100_000, 30_000_000) });
+        net.run(20 * S, |_, _| {});
+        let all: Vec<Id> = net.ids().collect();
+        assert!(agree(&net, &all), "seed {seed}: {:?}", net.part(3).map(Fellow::names));
+        net.run(120 * S, |_, _| {});
+        assert!(agree(&net, &all), "seed {seed}");
+        lost += net.ids().map(|id| net.part(id).unwrap().lost()).sum::<usize>();
+    }
+    assert_eq!(lost, 0);
+}
+
+#[test]
+fn a_dead_fellow_is_gone_at_all_others_and_its_next_life_is_another() {
+    for seed in 0..8 {
+        let mut net = fleet(24, seed, Weather { loss: 0.05, ..Weather::default() });
+        net.run(20 * S, |_, _| {});
+        let old = net.part(5).unwrap().came.clone();
+        net.kill(5);
+        net.run(50 * S, |_, _| {});
+        let others: Vec<Id> = net.ids().filter(|id| *id != 5).collect();
+        assert!(agree(&net, &others), "seed {seed}");
+        net.restart(5, |now, at| Fellow::new(now, at, &name(5), 2, 7));
+        net.run(70 * S, |_, _| {});
+        let all: Vec<Id> = net.ids().collect();
+        assert!(agree(&net, &all), "seed {seed}");
+        for id in &others {
+            assert_eq!(net.part(*id).unwrap().node.fellows().get(&name(5)).unwrap().who.life, 2);
+        }
+        // What was sent to its first life, played to the second, changes nothing.
+        let now = net.own_time(5);
+        let part = net.part_mut(5).unwrap();
+        let (told, before) = (part.told.len(), part.node.refused.total());
+        old.iter().for_each(|bytes| part.heard(now, bytes));
+        assert_eq!((part.told.len(), part.node.refused.total() - before), (told, old.len() as u64));
+    }
+}
+
+#[test]
+fn a_paused_fellow_is_lost_comes_back_by_itself_and_blames_nobody() {
+    let mut net = fleet(12, 3, Weather::default());
+    net.run(20 * S, |_, _| {});
+    net.pause(4);
+    net.run(80 * S, |_, _| {});
+    let others: Vec<Id> = net.ids().filter(|id| *id != 4).collect();
+    assert!(agree(&net, &others));
+    net.unpause(4);
+    net.run(100 * S, |_, _| {});
+    let all: Vec<Id> = net.ids().collect();
+    assert!(agree(&net, &all), "{:?}", net.part(4).map(Fellow::names));
+    let blamed = |id: &Id| {
+        net.part(*id).unwrap().told.iter().any(|(_, event)| match event {
+            Event::Lost(who) | Event::Suspected(who) => who.name != name(4),
+            _ => false,
+        })
+    };
+    assert!(!others.iter().any(blamed), "somebody else was suspected");
+    let woken = &net.part(4).unwrap().told;
+    assert!(!woken.iter().any(|(_, event)| matches!(event, Event::Lost(_))), "{woken:?}");
+}
+
+#[test]
+fn halves_that_were_cut_off_from_each_other_find_together_again() {
+    for seed in 0..4 {
+        let mut net = fleet(10, seed, Weather::default());
+        net.run(20 * S, |_, _| {});
+        let (one, two): (Vec<Id>, Vec<Id>) = net.ids().partition(|id| *id < 5);
+        net.split(&[&one, &two]);
+        net.run(100 * S, |_, _| {});
+        assert!(agree(&net, &one) && agree(&net, &two), "seed {seed}");
+        net.heal();
+        net.run(130 * S, |_, _| {});
+        let all: Vec<Id> = net.ids().collect();
+        assert!(agree(&net, &all), "seed {seed}: {:?}", net.part(0).map(Fellow::names));
+    }
+}
+
+#[test]
+fn strangers_forgers_and_repeats_get_no_word_in() {
+    let mut net = fleet(6, 1, Weather::default());
+    // One with another key, under a name that is free and one that is not.
+    for life in [1, 9] {
+        let id = net.ids().count();
+        let taken = if life == 1 { name(id) } else { name(2) };
+        net.join(Clock::default(), |now, at| Fellow::new(now, at, &taken, life, 8));
+    }
+    net.run(30 * S, |_, _| {});
+    let all: Vec<Id> = (0..6).collect();
+    assert!(agree(&net, &all));
+    assert!(net.part(0).unwrap().node.refused.of(Refused::BadSum) > 5);
+    // Everything that 0 ever heard, again, minutes later, and to another than it was for.
+    net.run(300 * S, |_, _| {});
+    let old = net.part(0).unwrap().came.clone();
+    for id in [0, 1] {
+        let now = net.own_time(id);
+        let part = net.part_mut(id).unwrap();
+        let told = part.told.len();
+        old.iter().for_each(|bytes| part.heard(now, bytes));
+        assert_eq!(part.told.len(), told);
+        while part.datagram().is_some() {}
+    }
+    assert!(net.part(0).unwrap().node.refused.of(Refused::Repeated) > 100);
+    assert!(net.part(1).unwrap().node.refused.of(Refused::NotForUs) > 100);
+    net.run(330 * S, |_, _| {});
+    assert!(agree(&net, &all));
+}
+
+#[test]
+fn a_new_key_comes_in_without_a_stop() {
+    let mut net = fleet(6, 2, Weather::default());
+    net.run(20 * S, |_, _| {});
+    let (old, new) = (Key::new([7; 32]), Key::new([9; 32]));
+    for keys in [vec![old.clone(), new.clone()], vec![new.clone(), old], vec![new]] {
+        for id in 0..6 {
+            net.part_mut(id).unwrap().node.rekey(keys.clone());
+            net.run(net.now() + 3 * S, |_, _| {});
+        }
+    }
+    net.run(net.now() + 60 * S, |_, _| {});
+    let all: Vec<Id> = net.ids().collect();
+    assert!(agree(&net, &all));
+    assert_eq!(net.ids().map(|id| net.part(id).unwrap().lost()).sum::<usize>(), 0);
+}
+
+#[test]
+fn what_each_sends_stays_flat_as_the_fleet_grows() {
+    let each = |many: usize| {
+        let mut net = fleet(many, 1, Weather::default());
+        net.run(40 * S, |_, _| {});
+        let (sent, bytes) = (net.carried, net.carried_bytes);
+        net.run(60 * S, |_, _| {});
+        let a_second = |all: u64| all as f64 / many as f64 / 20.0;
+        (a_second(net.carried - sent), a_second(net.carried_bytes - bytes))
+    };
+    let (few, many) = (each(4), each(96));
+    assert!(many.0 < 1.2 * few.0 && many.1 < 2.0 * few.1, "{few:?} to {many:?}");
+}
--- /dev/null
+++ b/crates/stand/src/net.rs
@@ -0,0 +1,332 @@
+//! A simulated network of datagrams between deciding parts: loss, delay, repeats, cuts, pauses, drift, restarts.
+//!
+//! Nothing here sleeps or opens a socket: time is a number, chance comes from a seed, and the same seed plays the
+//! same run. The parts are the very ones that the shells drive over sockets.
+
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+pub type Ns = u64;
+/// Which part, in the order of joining.
+pub type Id = usize;
+
+/// Datagrams that wait at a paused part, at most; a socket's buffer drops what comes after.
+const BUFFER: usize = 512;
+
+/// A deciding part with its codec. Times are on its own clock.
+pub trait Part {
+    fn heard(&mut self, now: Ns, bytes: &[u8]);
+    fn wake(&mut self, now: Ns);
+    fn next_wake(&self) -> Option<Ns>;
+    fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)>;
+}
+
+/// What the network does to datagrams.
+#[derive(Clone, Debug)]
+pub struct Weather {
+    /// Share of datagrams lost, and share that comes twice.
+    pub loss: f64,
+    pub repeat: f64,
+    /// How long one is under way, at least and at most.
+    pub delay: (Ns, Ns),
+}
+
+impl Default for Weather {
+    fn default() -> Weather {
+        Weather { loss: 0.0, repeat: 0.0, delay: (100_000, 400_000) }
+    }
+}
+
+/// A part's own clock: where it stood at the start, and by how many millionths it runs fast.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    pub began: Ns,
+    pub drift_ppm: i64,
+}
+
+impl Clock {
+    fn own(&self, time: Ns) -> Ns {
+        self.began + (time as i128 * (1_000_000 + self.drift_ppm as i128) / 1_000_000) as Ns
+    }
+
+    /// The first moment at which the part's clock shows at least this.
+    fn when(&self, own: Ns) -> Ns {
+        let rate = 1_000_000 + self.drift_ppm as i128;
+        let ran = own.saturating_sub(self.began) as i128;
+        ((ran * 1_000_000 + rate - 1) / rate) as Ns
+    }
+}
+
+struct Place<P> {
+    part: Option<P>,
+    at: SocketAddr,
+    clock: Clock,
+    paused: bool,
+    buffer: VecDeque<Vec<u8>>,
+}
+
+pub struct Net<P> {
+    now: Ns,
+    places: Vec<Place<P>>,
+    by_address: BTreeMap<SocketAddr, Id>,
+    /// Datagrams under way, by when they arrive.
+    flying: BTreeMap<(Ns, u64), (Id, Vec<u8>)>,
+    flown: u64,
+    pub weather: Weather,
+    /// One-way cuts: from the first nothing reaches the second.
+    cut: BTreeSet<(Id, Id)>,
+    chance: Rand64,
+    pub carried: u64,
+    pub carried_bytes: u64,
+    pub lost: u64,
+}
+
+impl<P: Part> Net<P> {
+    pub fn new(seed: u64, weather: Weather) -> Net<P> {
+        Net {
+            now: 0,
+            places: Vec::new(),
+            by_address: BTreeMap::new(),
+            flying: BTreeMap::new(),
+            flown: 0,
+            weather,
+            cut: BTreeSet::new(),
+            chance: Rand64::new(seed as u128),
+            carried: 0,
+            carried_bytes: 0,
+            lost: 0,
+        }
+    }
+
+    /// The address of the nth part, for whoever must name it before it joins.
+    pub fn address(id: Id) -> SocketAddr {
+        SocketAddr::from(([10, (id >> 16) as u8, (id >> 8) as u8, id as u8], 7_000))
+    }
+
+    pub fn now(&self) -> Ns {
+        self.now
+    }
+
+    pub fn own_time(&self, id: Id) -> Ns {
+        self.places[id].clock.own(self.now)
+    }
+
+    pub fn join(&mut self, clock: Clock, make: impl FnOnce(Ns, SocketAddr) -> P) -> Id {
+        let (id, at) = (self.places.len(), Self::address(self.places.len()));
+        let part = Some(make(clock.own(self.now), at));
+        self.places.push(Place { part, at, clock, paused: false, buffer: VecDeque::new() });
+        self.by_address.insert(at, id);
+        id
+    }
+
+    pub fn part(&self, id: Id) -> Option<&P> {
+        self.places[id].part.as_ref()
+    }
+
+    pub fn part_mut(&mut self, id: Id) -> Option<&mut P> {
+        self.places[id].part.as_mut()
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = Id> + use<P> {
+        0..self.places.len()
+    }
+
+    /// The part is gone at once, with what lay in its buffer.
+    pub fn kill(&mut self, id: Id) {
+        self.places[id].part = None;
+        self.places[id].buffer.clear();
+    }
+
+    pub fn restart(&mut self, id: Id, make: impl FnOnce(Ns, SocketAddr) -> P) {
+        let own = self.own_time(id);
+        let place = &mut self.places[id];
+        place.part = Some(make(own, place.at));
+        place.paused = false;
+    }
+
+    /// Nothing runs in it until it is woken; what comes meanwhile waits, up to a buffer's worth.
+    pub fn pause(&mut self, id: Id) {
+        self.places[id].paused = true;
+    }
+
+    pub fn unpause(&mut self, id: Id) {
+        self.places[id].paused = false;
+        let own = self.own_time(id);
+        // As a loop does on waking: timers first, then what lies in the socket.
+        if let Some(part) = &mut self.places[id].part {
+            part.wake(own);
+        }
+        while let Some(bytes) = self.places[id].buffer.pop_front() {
+            if let Some(part) = &mut self.places[id].part {
+                part.heard(own, &bytes);
+            }
+        }
+        self.post(id);
+    }
+
+    /// Cuts one way.
+    pub fn cut(&mut self, from: Id, to: Id) {
+        self.cut.insert((from, to));
+    }
+
+    /// Cuts both ways between every two of different groups; parts in no group reach all.
+    pub fn split(&mut self, groups: &[&[Id]]) {
+        for (n, group) in groups.iter().enumerate() {
+            for other in groups.iter().skip(n + 1) {
+                for (a, b) in group.iter().flat_map(|a| other.iter().map(move |b| (*a, *b))) {
+                    self.cut.extend([(a, b), (b, a)]);
+                }
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Plays on to a moment. `look` is called after each step with the part that moved.
+    pub fn run(&mut self, until: Ns, mut look: impl FnMut(&mut Net<P>, Id)) {
+        while let Some((time, next)) = self.next().filter(|(time, _)| *time <= until) {
+            self.now = self.now.max(time);
+            let moved = match next {
+                Some(id) => {
+                    let own = self.own_time(id);
+                    if let Some(part) = &mut self.places[id].part {
+                        part.wake(own);
+                    }
+                    id
+                }
+                None => self.arrive(),
+            };
+            self.post(moved);
+            look(self, moved);
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// What comes next: a part's wake, or a datagram where that is due no later.
+    fn next(&self) -> Option<(Ns, Option<Id>)> {
+        let awake = self.places.iter().enumerate().filter(|(_, place)| !place.paused);
+        let due = |(id, place): (Id, &Place<P>)| {
+            let own = place.part.as_ref()?.next_wake()?;
+            Some((place.clock.when(own).max(self.now), Some(id)))
+        };
+        let wake = awake.filter_map(due).min_by_key(|(time, id)| (*time, *id));
+        let flying = self.flying.keys().next().map(|(time, _)| (*time, None));
+        match (wake, flying) {
+            (Some(wake), Some(flying)) => Some(if flying.0 <= wake.0 { flying } else { wake }),
+            (wake, flying) => wake.or(flying),
+        }
+    }
+
+    fn arrive(&mut self) -> Id {
+        let Some((_, (to, bytes))) = self.flying.pop_first() else { return 0 };
+        let own = self.own_time(to);
+        let place = &mut self.places[to];
+        match &mut place.part {
+            Some(_) if place.paused && place.buffer.len() < BUFFER => place.buffer.push_back(bytes),
+            Some(part) if !place.paused => part.heard(own, &bytes),
+            _ => self.lost += 1,
+        }
+        to
+    }
+
+    /// Takes what a part has to send and puts it on its way.
+    pub fn post(&mut self, from: Id) {
+        while let Some((at, bytes)) = self.places[from].part.as_mut().and_then(Part::datagram) {
+            self.carried += 1;
+            self.carried_bytes += bytes.len() as u64;
+            let to = self.by_address.get(&at).copied().filter(|to| !self.cut.contains(&(from, *to)));
+            let Some(to) = to.filter(|_| self.chance.rand_float() >= self.weather.loss) else {
+                self.lost += 1;
+                continue;
+            };
+            let copies = 1 + (self.chance.rand_float() < self.weather.repeat) as usize;
+            for _ in 0..copies {
+                let (least, most) = self.weather.delay;
+                let delay = self.chance.rand_range(least..most.max(least) + 1);
+                self.flown += 1;
+                self.flying.insert((self.now + delay, self.flown), (to, bytes.clone()));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Sends its own number to a partner each second and keeps what comes.
+    struct Caller {
+        to: SocketAddr,
+        next: Ns,
+        out: VecDeque<(SocketAddr, Vec<u8>)>,
+        came: Vec<(Ns, u8)>,
+        says: u8,
+    }
+
+    impl Part for Caller {
+        fn heard(&mut self, now: Ns, bytes: &[u8]) {
+            self.came.push((now, bytes[0]));
+        }
+        fn wake(&mut self, now: Ns) {
+            while self.next <= now {
+                self.out.push_back((self.to, vec![self.says]));
+                self.next += 1_000_000_000;
+            }
+        }
+        fn next_wake(&self) -> Option<Ns> {
+            Some(self.next)
+        }
+        fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+            self.out.pop_front()
+        }
+    }
+
+    fn pair(weather: Weather) -> Net<Caller> {
+        let mut net = Net::new(3, weather);
+        for n in 0..2 {
+            let to = Net::<Caller>::address(1 - n);
+            let clock = Clock { began: 5_000_000_000 * n as Ns, drift_ppm: 100_000 * n as i64 };
+            net.join(clock, |now, _| Caller {
+                to,
+                next: now,
+                out: VecDeque::new(),
+                came: vec![],
+                says: n as u8,
+            });
+        }
+        net
+    }
+
+    #[test]
+    fn faults_do_what_they_say_and_a_seed_plays_the_same_run() {
+        let second = 1_000_000_000;
+        let play = || {
+            let mut net = pair(Weather { loss: 0.3, repeat: 0.2, ..Weather::default() });
+            net.run(100 * second, |_, _| {});
+            [0, 1].map(|id| net.part(id).unwrap().came.clone())
+        };
+        assert_eq!(play(), play());
+        let mut net = pair(Weather::default());
+        net.run(100 * second, |_, _| {});
+        let came = |net: &Net<Caller>, id: Id| net.part(id).unwrap().came.len();
+        // The second one's clock runs a tenth fast.
+        assert_eq!((came(&net, 0), came(&net, 1)), (111, 101));
+        net.cut(0, 1);
+        net.run(110 * second, |_, _| {});
+        assert_eq!((came(&net, 0), came(&net, 1)), (122, 101));
+        net.heal();
+        net.pause(1);
+        net.run(120 * second, |_, _| {});
+        assert_eq!((came(&net, 0), came(&net, 1)), (122, 101));
+        net.unpause(1);
+        // It hears at once what lay there, and says late what was due.
+        net.run(121 * second, |_, _| {});
+        assert_eq!((came(&net, 0), came(&net, 1)), (134, 112));
+        net.kill(1);
+        net.run(130 * second, |_, _| {});
+        assert!(net.lost >= 9);
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,9 +62,8 @@
     const SETTLES: Ns = 2 * S;
 
     /// Wald's bounds on the sum: on below the first, back above the second. Alpha is that of the platform's
-    /// verdict, so each of many instances gets the part by which as many false ones as move it are no
-    /// likelier together (the binomial's tail): less where any one decides, by
-    /// the logarithm only, as all see the same pods; more, up to beta, where many must agree.
+    /// verdict, so each of many instances gets the part by which as many false ones as move it are no likelier
+    /// (the binomial's tail): less where any one decides, by the logarithm only; up to beta where many must.
     fn bounds(instances: usize, needed: usize) -> (f64, f64) {
         let part = part_of_chance(instances, needed, Judge::ALPHA, Judge::BETA);
         let alpha = part.clamp(Judge::ALPHA / (1.0 + (instances as f64).ln()), Judge::BETA);
@@ -291,13 +290,10 @@
         for side in &mut sides {
             let (many, mut good) = (side.pods.len(), 0.0);
             let enough = (wanted * many as f64 / all).max(Pods::KEEPS);
-            let from = (begins * many as f64) as usize;
-            if enough >= many as f64 {
-                side.own.clone_from(&side.pods);
-                continue;
-            }
+            let part = (begins * many as f64) as usize;
+            let (order, from) = if enough < many as f64 { (&side.ring, part) } else { (&side.pods, 0) };
             side.own.clear();
-            for id in (0..many).map(|step| side.ring[(from + step) % many]) {
+            for id in (0..many).map(|step| order[(from + step) % many]) {
                 if good >= enough {
                     break;
                 }
@@ -451,6 +447,7 @@
         self.pods.survey(now, &self.place);
         let began = self.stage.filter(|_| self.on_trial() && self.exposure.rules.beside).map(|(_, at)| at);
         self.judge.slots(now, began, self.voter.rules.back_needs > 1);
+        self.seat(now);
         self.consider(host);
         if now >= self.exposure.weighed + S {
             if !self.on_trial() {
@@ -462,6 +459,21 @@
         host.wake(TICK, Box::new(|logic, host, ()| logic.tick(host)));
     }
 
+    /// A thin share at each of many tells none of them enough, and a bad build stays. So a part of them takes
+    /// the trial's forwards, each as many more as the cap and its memory leave room for, and the rest none:
+    /// as many reach the pods, and fewer hear more of them. Who sits goes by number and build.
+    fn seat(&mut self, now: Ns) {
+        let (many, needed, build) = (self.place.instances, self.voter.rules.back_needs, self.judge.build);
+        let share = self.pods.table.part_of(build);
+        let cap = self.cap(build).filter(|_| self.on_trial() && needed > 1 && share > 0.0);
+        let room = cap.map(|cap| Exposure::START * self.exposure.share(now, cap));
+        let part = room.map_or(1.0, |room| share / room.clamp(share, Judge::MEMORY_SHARE.max(share)));
+        let part = part.max((2.0 * needed as f64 / many as f64).min(1.0));
+        let seat = ((self.place.rank + build as usize * many) as f64 * Pods::GOLDEN).fract();
+        self.judge.lift = (seat < part) as u8 as f64 * ((1.0 - share) / (part - share).max(1e-9)).max(1.0);
+        self.judge.bounds = Judge::bounds(((many as f64 * part) as usize).max(needed), needed);
+    }
+
     pub fn list(&mut self, host: &mut dyn Host, whole: bool, entries: &[PodEntry]) {
         self.list_wait = 0;
         let window = || Window::new(self.pods.rules.fall_window, SLICES);
@@ -529,8 +541,7 @@
         let voice = self.voter.wanted(now, &self.judge, stage.phase, now.saturating_sub(newest));
         let want = (stage.build, stage.stage, voice);
         let stands = self.voter.standing;
-        // Where the desk takes too few calls for as many to stand as a stage needs, those would only keep
-        // votes for back from being heard.
+        // Those that can move nothing would only keep votes for back from being heard.
         let voice = if voice == Voice::On && !self.voter.can_move() { Voice::None } else { voice };
         let idle = voice == Voice::None && stands.is_none_or(|(.., voice)| voice != Voice::Hold);
         let early = now < self.voter.again_at && (stands.is_none() || stands == Some(want));
@@ -538,8 +549,8 @@
             return;
         }
         self.voter.calling = true;
-        let (build, stage_no, sums) = (stage.build, stage.stage, self.sums());
-        host.log(&format!("vote {voice:?} build {build} stage {stage_no} sums {sums:.2?}"));
+        let (Stage { build, stage: number, .. }, sums) = (stage, self.sums());
+        host.log(&format!("vote {voice:?} build {build} stage {number} sums {sums:.2?}"));
         let then = move |logic: &mut Logic, host: &mut dyn Host, news: StageNews| {
             logic.voter.calling = false;
             let counted = news.heard == Heard::Counted;
@@ -600,8 +611,7 @@
         let now = host.now();
         let Some(chosen) = self.pods.table.get(pod) else { return };
         let warm = self.pods.warmth(now, &chosen.entry) >= 1.0;
-        let blocked = |side: &&Side| !(self.judge.away && side.build == self.judge.build);
-        let own: usize = self.pods.table.sides.iter().filter(blocked).map(|side| side.own.len()).sum();
+        let own = self.pods.table.own_but(self.judge.away.then_some(self.judge.build));
         let even = chosen.in_flight * own as u32 <= self.limit.out;
         let first = trip.borrow().tried.is_empty();
         let sent = Sent { pod, entry: chosen.entry, at: now, warm, even, first };
@@ -804,7 +814,8 @@
         let trial = trial.max_by_key(|(build, _)| *build);
         // The part in use is a wish, the cap is the rule: with no other pods the whole of it may be used.
         let others = open.iter().any(|(.., cap)| cap.is_none());
-        let part = if others { self.exposure.part * !self.judge.away as u8 as f64 } else { 1.0 };
+        let sits = !self.judge.away && self.judge.lift > 0.0;
+        let part = if others { self.exposure.part * sits as u8 as f64 } else { 1.0 };
         let trial = trial.filter(|(build, cap)| self.exposure.room(now, *build, trip.group, *cap, part));
         let trial = trial.filter(|_| !(trip.shy && others)).map(|(build, _)| build);
         open.retain(|(_, build, cap)| cap.is_none() || trial == Some(*build));
@@ -834,7 +845,8 @@
         let [new, old] = [new, old].map(|sides| sides.iter().map(|side| side.size).sum::<f64>());
         let part = (1.0 - new / old.max(1e-9)).max(Logic::STAYS);
         let stays = if self.exposure.rules.beside { part } else { 1.0 };
-        let weigh = |n: &usize| (*n, sides[*n].size * if sides[*n].build == newest { 1.0 } else { stays });
+        let lift = if newest == self.judge.build { self.judge.lift.max(1.0) } else { 1.0 };
+        let weigh = |n: &usize| (*n, sides[*n].size * if sides[*n].build == newest { lift } else { stays });
         let near = |(n, _): &(usize, f64)| sides[*n].zone == self.place.zone;
         let (near, away): (Vec<_>, Vec<_>) = open.iter().map(weigh).partition(near);
         let mut best: Option<(PodId, f64)> = None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,6 +214,17 @@
         self.sides_of(build).map(|side| side.newest).max()
     }
 
+    /// How many pods this instance keeps to, those of one build left out where it is told.
+    pub fn own_but(&self, build: Option<Build>) -> usize {
+        self.sides.iter().filter(|side| Some(side.build) != build).map(|side| side.own.len()).sum()
+    }
+
+    /// What a build's running pods are listed to carry, as a part of what all of them are; 0 with none.
+    pub fn part_of(&self, build: Build) -> f64 {
+        let all: f64 = self.sides.iter().map(|side| side.size).sum();
+        self.sides_of(build).map(|side| side.size).sum::<f64>() / all.max(1e-9)
+    }
+
     pub fn count_of(&self, build: Build) -> usize {
         self.sides_of(build).map(|side| side.pods.len()).sum()
     }
@@ -236,6 +247,8 @@
     /// On below the first, back above the second.
     pub bounds: (f64, f64),
     pub build: Build,
+    /// By how much this instance draws the build on trial more often than its size says; 0 where others do.
+    pub lift: f64,
     pub share: Share,
     pub outcomes: u32,
     /// Failures of its own that a forward to an earlier build made.
@@ -262,6 +275,7 @@
         Judge {
             bounds,
             build,
+            lift: 1.0,
             share,
             outcomes,
             own_rate,
@@ -317,6 +331,13 @@
         Exposure { rules, started: now, taken, sent, part, weighed: now, bound }
     }
 
+    /// What a cap and the free forwards together are of the hits taken in a window.
+    pub fn share(&mut self, now: Ns, cap: f64) -> f64 {
+        let taken: u32 = self.taken.iter_mut().map(|window| window.least(now)).sum();
+        let free = if now - self.started <= self.rules.window { 0.0 } else { self.rules.free };
+        cap + free / taken.max(1) as f64
+    }
+
     /// The window that hits of a path group are counted in.
     pub fn bucket(&self, group: GroupId) -> usize {
         group * self.rules.per_group as usize
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -404,3 +404,58 @@
     // Warm pods answer 25 a second: 2.0 times a cold one's share of it, 0.3 to 0.5, is what it bears.
     assert!(cold > 0.0 && cold <= 2.0 * 0.3 * 25.0, "{cold} to the cold pod in its first second");
 }
+
+/// Two hundred instances with a build on trial on eight of eighty pods: a part of them takes its forwards, as many in
+/// all as its size says, and each of those hears far more of it than a share of its own would tell.
+#[test]
+fn of_many_instances_a_part_takes_the_forwards_of_a_trial() {
+    let (many, pods) = (200, 80);
+    let (mut sitting, mut total, mut new, mut most) = (0, 0.0, 0.0, 0.0f64);
+    for rank in 0..many {
+        let (instances, rank) = (many.to_string(), rank.to_string());
+        let setup = HashMap::from([
+            ("instances", instances.as_str()),
+            ("rank", rank.as_str()),
+            ("control", "count"),
+            ("back_needs", "16"),
+        ]);
+        let setup = Pairs(setup);
+        let mut stand = Stand { now: span("1000s"), ..Stand::default() };
+        (stand.acts, stand.builds) = (vec!["ok:20ms".into(); pods], vec![1; pods]);
+        stand.builds[..8].fill(2);
+        let mut logic = setup.logic(stand.now, vec![setup.group()]);
+        logic.begin(&mut stand);
+        let entries: Vec<PodEntry> = (0..pods)
+            .map(|pod| PodEntry {
+                pod,
+                mark: mark_of(format!("pod-{pod}").as_bytes()),
+                state: PodState::Running,
+                build: if pod < 8 { 2 } else { 1 },
+                started: 0,
+                zone: 0,
+                machine: 0,
+                cell: 0,
+                size: 1.0,
+            })
+            .collect();
+        logic.list(&mut stand, true, &entries);
+        let news = Stage { build: 2, stage: 0, phase: Phase::Trial, cap: 0.17, age: 0 };
+        logic.news(&mut stand, news);
+        for n in 0..100 {
+            let (group, customer, key, left) = (0, None, 0, span("2s"));
+            let hit = Hit { id: n, group, customer, key, left, cost_hint: None, repeat: false };
+            let time = stand.now + n * span("200ms");
+            stand.at(time, Due::Arrives(hit));
+        }
+        let until = stand.now + span("21s");
+        play(&mut stand, &mut logic, until);
+        let sent = |build| stand.counts.get(&format!("forwards:build{build}")).copied().unwrap_or(0.0);
+        sitting += (sent(2) > 0.0) as usize;
+        total += sent(1) + sent(2);
+        new += sent(2);
+        most = most.max(sent(2) / (sent(1) + sent(2)));
+    }
+    assert!((33..=140).contains(&sitting), "{sitting} of {many} met the build");
+    assert!((0.07..=0.115).contains(&(new / total)), "{} of all forwards", new / total);
+    assert!(most > 0.16 && most < 0.4, "{most} at the one that met it most");
+}
