--- /dev/null
+++ b/crates/cli/src/fellow.rs
@@ -0,0 +1,133 @@
+//! `havenplank fellow`: one member of the fellowship by itself, to try its network and key before sidecars use it.
+
+use anyhow::Context;
+use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::shell::Talker;
+use havenplank_fellows::swim::{Event, News, Rules, State};
+use havenplank_fellows::wire::{Key, Life, NAME};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::runtime::LocalOptions;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::interval;
+
+#[derive(clap::Args)]
+pub struct Fellow {
+    /// Its name in the fellowship, 1 to 64 bytes.
+    #[arg(long)]
+    name: String,
+    #[arg(long, default_value = "")]
+    zone: String,
+    /// UDP address to bind.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Where others reach it; the bound address where left out.
+    #[arg(long)]
+    advertise: Option<SocketAddr>,
+    /// Address of a fellow to begin with; several may be given.
+    #[arg(long = "meet")]
+    meet: Vec<SocketAddr>,
+    /// File with the fellowship's keys, read again at SIGHUP.
+    #[arg(long)]
+    keys: PathBuf,
+    /// Time between two questions.
+    #[arg(long, default_value = "500ms")]
+    period: humantime::Duration,
+}
+
+fn keys(file: &PathBuf) -> anyhow::Result<Vec<Key>> {
+    let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+    Key::read(&text).with_context(|| file.display().to_string())
+}
+
+/// A number that grows with each start under a name.
+fn life() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64)
+}
+
+pub fn fellow(args: Fellow) -> anyhow::Result<u8> {
+    let period = Duration::from(args.period);
+    let wrong = [
+        (args.name.is_empty() || args.name.len() > NAME, "--name: expected 1 to 64 bytes"),
+        (args.zone.len() > NAME, "--zone: expected 64 bytes at most"),
+        (!(10..=60_000).contains(&period.as_millis()), "--period: expected 10ms to 60s"),
+    ];
+    if let Some((_, why)) = wrong.iter().find(|(wrong, _)| *wrong) {
+        eprintln!("havenplank: {why}");
+        return Ok(crate::USAGE);
+    }
+    let read = match keys(&args.keys) {
+        Ok(read) => read,
+        Err(why) => {
+            eprintln!("havenplank: {why:#}");
+            return Ok(crate::USAGE);
+        }
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+        let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+        let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
+        let (period, who) = (period.as_nanos() as u64, Life { name: args.name.clone(), life: life() });
+        let rules = Rules { period, answer: period * 3 / 10, ..Rules::default() };
+        let talker = Talker::bind(args.listen, |now, bound| {
+            let at = args.advertise.unwrap_or(bound);
+            let me = News { who, at, zone: args.zone.clone(), round: 0, state: State::Lives };
+            let seed = me.who.life ^ u64::from(bound.port()) << 48;
+            Node::new(now, seed, me, args.meet.clone(), rules, read)
+        });
+        let talker = talker.await.with_context(|| args.listen.to_string())?;
+        tracing::info!(name = args.name, listen = %talker.at()?, "fellow listening");
+        tokio::task::spawn_local(talker.clone().run(|_, happened| tell(happened)));
+        let mut beat = interval(Duration::from_secs(1));
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => match keys(&args.keys) {
+                    Ok(read) => {
+                        tracing::info!(keys = read.len(), "keys read again");
+                        talker.call(|node, _| node.rekey(read));
+                    }
+                    Err(why) => tracing::warn!(why = format!("{why:#}"), "keys refused, the old ones stay"),
+                },
+                _ = beat.tick() => state(&talker),
+            }
+        }
+        talker.call(|node, _| node.leave());
+        tracing::info!("fellow left");
+        Ok(0)
+    })
+}
+
+fn tell(happened: Happened) {
+    let Happened::Told(event) = happened else { return };
+    let (what, Life { name, life }) = match event {
+        Event::Joined(who) => ("fellow joined", who),
+        Event::Suspected(who) => ("fellow suspected", who),
+        Event::Cleared(who) => ("fellow cleared", who),
+        Event::Lost(who) => ("fellow lost", who),
+        Event::Left(who) => ("fellow left us", who),
+        Event::Reborn(who) => ("own life was behind and is newer now", who),
+    };
+    tracing::info!(fellow = name, life, "{what}");
+}
+
+/// Once a second, what this one believes beside what came over the wire.
+fn state(talker: &Rc<Talker>) {
+    talker.call(|node, _| {
+        let living: Vec<&str> = node.fellows().living().map(|news| news.who.name.as_str()).collect();
+        tracing::info!(
+            living = living.join(","),
+            slowness = node.fellows().slowness(),
+            sent = node.sent,
+            sent_bytes = node.sent_bytes,
+            came = node.came,
+            refused = node.refused.total(),
+            "state"
+        );
+    });
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod bench_trace;
 mod day;
+mod fellow;
 mod platform;
 mod serve;
 mod traces;
@@ -51,6 +52,8 @@
     },
     /// Run a sidecar on the operators' platform, by the file that PROXY_CONFIG names.
     Platform,
+    /// Run one member of the fellowship by itself, to try its network and key.
+    Fellow(fellow::Fellow),
     /// Check a settings script and print every mistake in it.
     Check {
         settings: PathBuf,
@@ -120,8 +123,8 @@
             return if error.use_stderr() { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
         }
     };
-    let usual =
-        if matches!(args.command, Command::Serve { .. } | Command::Platform) { "info" } else { "warn" };
+    let runs = matches!(args.command, Command::Serve { .. } | Command::Platform | Command::Fellow(_));
+    let usual = if runs { "info" } else { "warn" };
     let filter = tracing_subscriber::EnvFilter::try_new(args.log.as_deref().unwrap_or(usual));
     let filter = match filter {
         Ok(filter) => filter,
@@ -153,6 +156,7 @@
             None => Ok(USAGE),
         },
         Command::Platform => platform::platform(),
+        Command::Fellow(args) => fellow::fellow(args),
         Command::Check { settings, given } => match settings_of(&settings, &given)? {
             Some(site) => {
                 println!("{}: {} path groups, no mistakes", settings.display(), site.groups.len());
--- a/crates/fellows/src/shell.rs
+++ b/crates/fellows/src/shell.rs
@@ -69,15 +69,15 @@
             let due = self.node.borrow().next_wake().map(|at| self.began + Duration::from_nanos(at));
             let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(3_600));
             tokio::select! {
-                // What lies in the socket first: an answer that came in time must not count as late.
-                biased;
-                _ = self.socket.readable() => self.read(&mut bytes),
-                () = sleep_until(due.into()) => {
-                    let now = self.now();
-                    self.node.borrow_mut().wake(now);
-                }
+                _ = self.socket.readable() => {}
+                () = sleep_until(due.into()) => {}
                 () = self.rearm.notified() => {}
             }
+            // What lies in the socket first: an answer that came in time must not count as late. But only a turn's
+            // worth, lest a flood keep the timers from their due.
+            self.read(&mut bytes);
+            let now = self.now();
+            self.node.borrow_mut().wake(now);
             self.flush();
             loop {
                 let happened = self.node.borrow_mut().happened();
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod nodes;
 pub mod notation;
 pub mod pod;
+pub mod relay;
 pub mod scripted;
--- /dev/null
+++ b/crates/stand/src/relay.rs
@@ -0,0 +1,149 @@
+//! Relays of datagrams between processes on loopback: what a network does to them, without any privilege.
+//!
+//! Each process tells others the address of its relay and gets from there what is meant for it. Who sent a datagram
+//! shows from its source, so that every direction between two processes can be cut, slowed or thinned by itself.
+
+use oorandom::Rand64;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const LONGEST: usize = 65_536;
+/// Datagrams that are held back at once, at most; what comes on top is lost.
+const HELD: usize = 10_000;
+
+/// What happens to datagrams that are not cut.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    /// Share lost, and share that comes twice.
+    pub loss: f64,
+    pub repeat: f64,
+    /// Each waits up to this long, by chance, and so overtakes others.
+    pub delay: Duration,
+}
+
+struct Table {
+    /// Which process a source address belongs to, and where each has its own socket.
+    sources: HashMap<SocketAddr, usize>,
+    targets: Vec<Option<SocketAddr>>,
+    cut: HashSet<(usize, usize)>,
+    weather: Weather,
+    chance: Rand64,
+    held: usize,
+    carried: u64,
+    lost: u64,
+}
+
+/// The relays of a group of processes, one each, numbered from 0.
+pub struct Relays {
+    table: Rc<RefCell<Table>>,
+    at: Vec<SocketAddr>,
+}
+
+impl Relays {
+    /// Needs a `LocalSet` or `LocalRuntime`; the relays end with it.
+    ///
+    /// # Errors
+    /// No sockets to be had.
+    pub async fn bind(many: usize, seed: u64) -> io::Result<Relays> {
+        let table = Table {
+            sources: HashMap::new(),
+            targets: vec![None; many],
+            cut: HashSet::new(),
+            weather: Weather::default(),
+            chance: Rand64::new(seed as u128),
+            held: 0,
+            carried: 0,
+            lost: 0,
+        };
+        let (table, mut at) = (Rc::new(RefCell::new(table)), Vec::new());
+        for to in 0..many {
+            let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
+            at.push(socket.local_addr()?);
+            spawn_local(relay(table.clone(), socket, to));
+        }
+        Ok(Relays { table, at })
+    }
+
+    /// What others must be told as the address of a process.
+    pub fn at(&self, id: usize) -> SocketAddr {
+        self.at[id]
+    }
+
+    /// Where a process has its own socket now; a later life of it may have another.
+    pub fn serves(&self, id: usize, own: SocketAddr) {
+        let mut table = self.table.borrow_mut();
+        table.sources.retain(|_, known| *known != id);
+        table.sources.insert(own, id);
+        table.targets[id] = Some(own);
+    }
+
+    /// From the first nothing reaches the second.
+    pub fn cut(&self, from: usize, to: usize) {
+        self.table.borrow_mut().cut.insert((from, to));
+    }
+
+    /// Both ways, between one and all others.
+    pub fn isolate(&self, id: usize) {
+        for other in (0..self.at.len()).filter(|other| *other != id) {
+            self.cut(id, other);
+            self.cut(other, id);
+        }
+    }
+
+    pub fn heal(&self) {
+        self.table.borrow_mut().cut.clear();
+    }
+
+    pub fn weather(&self, weather: Weather) {
+        self.table.borrow_mut().weather = weather;
+    }
+
+    /// Datagrams carried and lost so far.
+    pub fn counts(&self) -> (u64, u64) {
+        let table = self.table.borrow();
+        (table.carried, table.lost)
+    }
+}
+
+async fn relay(table: Rc<RefCell<Table>>, socket: Rc<UdpSocket>, to: usize) {
+    let mut bytes = vec![0; LONGEST];
+    loop {
+        // An error tells of an earlier datagram that found nobody.
+        let Ok((length, source)) = socket.recv_from(&mut bytes).await else { continue };
+        let (target, copies, delay) = {
+            let mut table = table.borrow_mut();
+            let from = table.sources.get(&source).copied();
+            let through = from.filter(|from| !table.cut.contains(&(*from, to))).and(table.targets[to]);
+            let lost = table.chance.rand_float() < table.weather.loss || table.held >= HELD;
+            let Some(target) = through.filter(|_| !lost) else {
+                table.lost += 1;
+                continue;
+            };
+            table.carried += 1;
+            let copies = 1 + (table.chance.rand_float() < table.weather.repeat) as usize;
+            let delays: Vec<Duration> =
+                (0..copies).map(|_| table.weather.delay.mul_f64(table.chance.rand_float())).collect();
+            table.held += copies;
+            (target, copies, delays)
+        };
+        let all = bytes[..length].to_vec();
+        for delay in delay.into_iter().take(copies) {
+            let (table, socket, all) = (table.clone(), socket.clone(), all.clone());
+            let send = async move {
+                if !delay.is_zero() {
+                    sleep(delay).await;
+                }
+                let _ = socket.send_to(&all, target).await;
+                table.borrow_mut().held -= 1;
+            };
+            spawn_local(send);
+        }
+    }
+}
