A failed check of the platform's process ends it, instead of leaving it to hold the output open

Seen: with the program linked statically the new check failed, and the sidecar it had started lived on and kept the test's output open for whoever read it. It is ended on drop now.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -208,6 +208,14 @@
     }
 }
 
+impl Drop for Sidecar {
+    /// Where a check fails it must not live on: whoever reads the test's output would wait for it.
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
 #[test]
 fn the_platforms_sidecar_starts_reloads_and_stops_as_its_page_says() {
     use havenplank_stand::scripted::{configuration, entry};
