A long name or a largest number from a fellow ends no sidecar; bounds said where they hold

Cause, found in a reread: wire::room subtracted lengths, so an Ask naming a fellow of over 1,000 bytes underflowed; a life, round, term or version at its largest overflowed when raised. Both need the fellowship's key. They saturate now, and a name over 64 bytes is passed over; the test of wire::room fails without it. Behaviour otherwise as before: all tests pass.

--- a/crates/fellows/src/swim.rs
+++ b/crates/fellows/src/swim.rs
@@ -457,7 +457,7 @@
     }
 
     fn ask_for(&mut self, now: Ns, asker: &Life, nonce: u64, who: Life, at: SocketAddr) {
-        if self.waits.len() >= WAITING {
+        if self.waits.len() >= WAITING || who.name.len() > crate::wire::NAME {
             return;
         }
         let (own, about) = (self.nonce(), self.pack(&who));
@@ -644,7 +644,7 @@
 
     fn learn_of_us(&mut self, news: News) {
         if news.who.life > self.me.who.life {
-            self.me.who.life = news.who.life + 1;
+            self.me.who.life = news.who.life.saturating_add(1);
             self.me.round = 0;
             let us = self.me.who.clone();
             return self.told(Event::Reborn(us));
@@ -653,7 +653,7 @@
             matches!(news.state, State::Suspected(_) | State::Gone) && self.me.state == State::Lives;
         if news.who.life == self.me.who.life && refutes && news.round >= self.me.round {
             // Our own pings and answers carry it from now on.
-            self.me.round = news.round + 1;
+            self.me.round = news.round.saturating_add(1);
             self.slower(1);
         }
     }
--- a/crates/fellows/src/wire.rs
+++ b/crates/fellows/src/wire.rs
@@ -122,7 +122,8 @@
 /// How many bytes of body a letter between these two may carry.
 pub fn room(from: &Life, to: &Life) -> usize {
     // Two names and lives, count, kind, lengths: each integer takes ten bytes at most.
-    LONGEST - SUM - 1 - from.name.len() - to.name.len() - 7 * 10
+    let round = SUM + 1 + from.name.len() + to.name.len() + 7 * 10;
+    LONGEST.saturating_sub(round)
 }
 
 /// `None` for a letter that would not fit a datagram.
@@ -217,6 +218,8 @@
         assert_eq!(open(&[Key::new([8; 32])], &bytes), Err(Refused::BadSum));
         assert_eq!(open(keys, &vec![1; LONGEST + 1]), Err(Refused::TooLong));
         assert_eq!(seal(&key, &letter(vec![0; LONGEST])), None);
+        // A name from the wire may be longer than any of ours: no room, and no panic.
+        assert_eq!(room(&letter(vec![]).from, &Life { name: "n".repeat(LONGEST), life: 1 }), 0);
         let most = room(&letter(vec![]).from, &letter(vec![]).to);
         assert!(seal(&key, &letter(vec![0; most])).is_some());
     }
--- a/crates/takeover/src/hold.rs
+++ b/crates/takeover/src/hold.rs
@@ -118,9 +118,11 @@
     rules: Rules,
     /// Work in hand here; leaves when all guardians know its answer, or its time and `Rules::keep` are over.
     held: BTreeMap<Mark, Held>,
-    /// Others' work; leaves `Rules::keep` after its time is up.
+    /// Others' work; leaves `Rules::keep` after its time is up. What was in hand here stays in it as well, so that it
+    /// holds `Rules::most_kept` and as many more as `Rules::most_held`.
     kept: BTreeMap<Mark, Kept>,
-    /// Work that is waited for; leaves with its answer, or when its client's time is up.
+    /// Work that is waited for; leaves with its answer, or when its client's time is up. One row a client that waits
+    /// here at most, whose number the door bounds.
     waiting: BTreeMap<Mark, Waiting>,
     /// Until when we begin nothing of a holder's. Rows leave with the last record kept for it.
     promises: BTreeMap<Life, Ns>,
@@ -688,7 +690,7 @@
             return;
         }
         let Some(kept) = self.kept.get_mut(&mark) else { return };
-        let (term, old) = (kept.term + 1, kept.holder.clone());
+        let (term, old) = (kept.term.saturating_add(1), kept.holder.clone());
         (kept.term, kept.holder) = (term, self.me.clone());
         let record = kept.record.later(now - kept.as_of);
         kept.votes = Some((term, BTreeMap::from([(self.me.name.clone(), record.clone())])));
@@ -787,7 +789,8 @@
         let Some(mut record) = newest.cloned() else { return };
         let term = *term;
         self.kept.remove(&mark);
-        (record.term, record.version, record.holder) = (term, record.version + 1, self.me.clone());
+        (record.term, record.version, record.holder) =
+            (term, record.version.saturating_add(1), self.me.clone());
         // Whatever was about to go when its holder was lost may have run.
         for past in &mut record.past {
             past.went = if past.went == Went::Out { Went::MayHaveRun } else { past.went };
