A bounce is no last word: a client that comes back with its key begins anew, once

Need: a kept answer that is a bounce would have bounced every retry under the same key until its record left, for seconds after its client was told that a retry does no harm.

Change: a bounce, and an error whose repeats pods drop, reopen the work: the next claim takes a later term than the one that ended, so that no guardian that missed the end can still win the first try. Words on an answer carry their term; a claim passes over a refusal of an earlier term than its own.

--- a/crates/takeover/src/hold.rs
+++ b/crates/takeover/src/hold.rs
@@ -199,13 +199,25 @@
     pub fn take(&mut self, now: Ns, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns, guardians: Vec<Life>) {
         if let Some(held) = self.held.get(&mark) {
             let (differs, done) = (held.record.sum != sum, held.record.done.clone());
-            return self.effects.push_back(match done {
-                _ if differs => Effect::Differs(mark),
-                Some(done) => Effect::Answer(mark, done),
-                None => Effect::Joined(mark),
-            });
+            match done {
+                Some(done) if done.reopens() && !differs => {
+                    self.retire(now, mark);
+                }
+                done => {
+                    return self.effects.push_back(match done {
+                        _ if differs => Effect::Differs(mark),
+                        Some(done) => Effect::Answer(mark, done),
+                        None => Effect::Joined(mark),
+                    })
+                }
+            }
         }
-        if let Some(kept) = self.kept.get(&mark) {
+        let reopens = |kept: &&Kept| {
+            kept.record.sum == sum && kept.record.done.as_ref().is_some_and(|done| done.reopens())
+        };
+        // What a client may try again begins anew, in a later term than whoever still knows of the first try.
+        let term = self.kept.get(&mark).filter(reopens).map(|kept| kept.term.saturating_add(1));
+        if let Some(kept) = self.kept.get(&mark).filter(|_| term.is_none()) {
             if kept.record.sum != sum {
                 return self.effects.push_back(Effect::Differs(mark));
             }
@@ -223,7 +235,7 @@
         let record = Record {
             mark,
             holder,
-            term: 0,
+            term: term.unwrap_or(0),
             version: 1,
             firm: false,
             guardians,
@@ -285,7 +297,7 @@
             Say::Vote { record, term, stamp } => self.vote(now, from, record, term, stamp),
             Say::Voted { record, term, stamp, epoch } => self.voted(now, from, record, term, (stamp, epoch)),
             Say::Wait { mark, sum } => self.waits(from, mark, sum),
-            Say::Done { mark, done } => self.done(now, mark, done),
+            Say::Done { mark, term, done } => self.done(now, mark, term, done),
             Say::Nothing { mark } => self.nothing(from, mark),
             Say::Free { mark, term } => {
                 self.kept.retain(|known, kept| {
@@ -493,22 +505,30 @@
         let (mark, term, version) = (record.mark, record.term, record.version);
         if let Some(held) = self.held.get(&mark) {
             let (by, own) = (held.record.holder.clone(), held.record.term);
+            let (differs, done) = (held.record.sum != record.sum, held.record.done.clone());
             if term <= own {
-                let differs = held.record.sum != record.sum;
-                return self.say(from, Say::Held { mark, term: own, by, differs });
+                return match done.filter(|_| !differs) {
+                    Some(done) => self.say(from, Say::Done { mark, term: own, done }),
+                    None => self.say(from, Say::Held { mark, term: own, by, differs }),
+                };
+            }
+            // A later term can only have been agreed on without us, or follow our bounce: ours is over.
+            match done {
+                Some(_) => drop(self.retire(now, mark)),
+                None => self.lose(now, mark),
             }
-            // A later term can only have been agreed on without us: ours is over.
-            self.lose(now, mark);
         }
         let forget = now.saturating_add(record.left).saturating_add(self.rules.keep);
         let full = self.kept.len() >= self.rules.most_kept;
         match self.kept.get_mut(&mark) {
-            Some(Kept { record: Record { done: Some(done), sum, .. }, .. })
-                if record.done.is_none() && record.sum == *sum =>
+            Some(Kept { record: Record { done: Some(done), sum, .. }, term: own, .. })
+                if record.done.is_none()
+                    && record.sum == *sum
+                    && !(done.reopens() && !record.firm && term > *own) =>
             {
                 // It came back to where it was taken, or a takeover crosses the answer.
-                let done = done.clone();
-                return self.say(from, Say::Done { mark, done });
+                let (done, term) = (done.clone(), *own);
+                return self.say(from, Say::Done { mark, term, done });
             }
             Some(kept) if term > kept.term || (term == kept.term && kept.holder == *from) => {
                 let old = std::mem::replace(&mut kept.holder, from.clone());
@@ -525,7 +545,7 @@
                 let (own, by) = (kept.term, kept.holder.clone());
                 let (differs, done) = (kept.record.sum != record.sum, kept.record.done.clone());
                 return match done.filter(|_| !differs) {
-                    Some(done) => self.say(from, Say::Done { mark, done }),
+                    Some(done) => self.say(from, Say::Done { mark, term: own, done }),
                     None => self.say(from, Say::Held { mark, term: own, by, differs }),
                 };
             }
@@ -542,7 +562,8 @@
         if let Some(kept) = self.kept.get_mut(&mark).filter(|kept| kept.record.done.is_some()) {
             let (waiters, done) = (std::mem::take(&mut kept.waiters), kept.record.done.clone());
             for waiter in waiters {
-                self.say(&waiter, Say::Done { mark, done: done.clone().unwrap_or(Done::Errored) });
+                let done = done.clone().unwrap_or(Done::Errored { again: false });
+                self.say(&waiter, Say::Done { mark, term, done });
             }
             self.done_here(mark, done);
         }
@@ -612,7 +633,9 @@
         if *by == self.me && term <= held.record.term {
             return;
         }
-        if held.claims.is_none() && term <= held.record.term {
+        // To a claim that has moved on to a later term an earlier one is no answer.
+        let answers = if held.claims.is_some() { term >= held.record.term } else { term > held.record.term };
+        if !answers {
             return;
         }
         held.acks.remove(&from.name);
@@ -726,7 +749,7 @@
             let (own, by) = (held.record.term, held.record.holder.clone());
             if term <= own || held.record.done.is_some() {
                 let say = match held.record.done.clone() {
-                    Some(done) => Say::Done { mark, done },
+                    Some(done) => Say::Done { mark, term: own, done },
                     None => Say::Held { mark, term: own, by, differs: false },
                 };
                 return self.say(from, say);
@@ -748,7 +771,8 @@
         }
         let Some(kept) = self.kept.get_mut(&mark) else { return };
         if let Some(done) = kept.record.done.clone() {
-            return self.say(from, Say::Done { mark, done });
+            let term = kept.term;
+            return self.say(from, Say::Done { mark, term, done });
         }
         let promised = self.promises.get(&kept.holder).is_some_and(|until| now < *until);
         if term <= kept.term || (promised && kept.holder != *from) {
@@ -805,14 +829,16 @@
     /// As a guardian: one waits for the answer.
     fn waits(&mut self, from: &Life, mark: Mark, sum: u64) {
         if let Some(held) = self.held.get(&mark) {
+            let term = held.record.term;
             if let Some(done) = held.record.done.clone().filter(|_| held.record.sum == sum) {
-                self.say(from, Say::Done { mark, done });
+                self.say(from, Say::Done { mark, term, done });
             }
             return;
         }
         let Some(kept) = self.kept.get_mut(&mark) else { return self.say(from, Say::Nothing { mark }) };
+        let term = kept.term;
         if let Some(done) = kept.record.done.clone().filter(|_| kept.record.sum == sum) {
-            return self.say(from, Say::Done { mark, done });
+            return self.say(from, Say::Done { mark, term, done });
         }
         if !kept.waiters.contains(from) && kept.waiters.len() < WAITERS {
             kept.waiters.push(from.clone());
@@ -820,14 +846,30 @@
     }
 
     /// The final answer, by a guardian's word.
-    fn done(&mut self, now: Ns, mark: Mark, done: Done) {
+    fn done(&mut self, now: Ns, mark: Mark, term: u32, done: Done) {
+        let reopens = done.reopens();
         if let Some(kept) = self.kept.get_mut(&mark) {
-            kept.record.done.get_or_insert(done.clone());
-            kept.votes = None;
+            // A bounce says nothing of a later term: its work may be in hand. Our own attempt is not, yet.
+            let ours = kept.holder == self.me && kept.votes.is_some() && term >= kept.record.term;
+            if !reopens || term == kept.term || ours {
+                kept.record.done.get_or_insert(done.clone());
+                kept.votes = None;
+            }
         }
         // Done already: a claim comes too late, and a takeover has nothing left to finish but to tell the others.
-        let open = self.held.get(&mark).filter(|held| held.record.done.is_none());
-        if let Some(claims) = open.map(|held| held.claims.is_some()) {
+        let open = self.held.get_mut(&mark).filter(|held| held.record.done.is_none());
+        if let Some(held) = open {
+            let claims = held.claims.is_some();
+            if reopens && term < held.record.term {
+                return;
+            }
+            if reopens && claims {
+                // Another try of the client's: in a later term than the one that bounced.
+                held.record.term = term.saturating_add(1);
+                held.acks.clear();
+                held.refused.clear();
+                return self.say_kept(now, mark);
+            }
             if claims {
                 self.held.remove(&mark);
             } else {
--- a/crates/takeover/src/record.rs
+++ b/crates/takeover/src/record.rs
@@ -28,8 +28,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Done {
     Delivered(Vec<u8>),
+    /// Nothing of it has an effect, or pods drop the repeat.
     Bounced,
-    Errored,
+    /// `again`: pods drop the repeat of what may have run.
+    Errored {
+        again: bool,
+    },
+}
+
+impl Done {
+    /// Whether a new hit under the same key may begin, as the client was told that a retry does no harm.
+    pub fn reopens(&self) -> bool {
+        matches!(self, Done::Bounced | Done::Errored { again: true })
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -124,6 +135,7 @@
     },
     Done {
         mark: Mark,
+        term: u32,
         done: Done,
     },
     /// Nothing is known of it here.
--- a/crates/takeover/tests/simulated.rs
+++ b/crates/takeover/tests/simulated.rs
@@ -33,6 +33,9 @@
     began: Vec<(Ns, Mark)>,
     unguarded: usize,
     differs: usize,
+    /// Parts of forwards that never ran, and of those that are given up at once.
+    never_ran: f64,
+    gives_up: f64,
 }
 
 fn life(id: Id) -> Life {
@@ -55,6 +58,8 @@
             began: Vec::new(),
             unguarded: 0,
             differs: 0,
+            never_ran: 0.1,
+            gives_up: 0.0,
         }
     }
 
@@ -73,7 +78,7 @@
     fn go_on(&mut self, now: Ns, record: &Record) {
         let (mark, out) = (record.mark, record.past.iter().any(|past| past.went != Went::NeverRan));
         if out {
-            self.takeover.finish(now, mark, Done::Errored);
+            self.takeover.finish(now, mark, Done::Errored { again: false });
         } else {
             self.takeover.forward(now, mark, "pod");
         }
@@ -132,12 +137,16 @@
                     self.takeover.take(now, mark, sum, vec![1], 6 * S, guardians);
                 }
                 Act::End(mark, nth) => {
-                    if self.chance.rand_float() < 0.1 {
+                    if self.chance.rand_float() < self.never_ran {
                         // It never ran after all, so it was no effect; the next one may go.
                         let at = self.wrote.iter().position(|known| *known == mark).unwrap();
                         self.wrote.remove(at);
                         self.takeover.went(now, mark, nth, Went::NeverRan);
-                        self.takeover.forward(now, mark, "pod");
+                        // Given up: the client is told that a retry does no harm, and may come back.
+                        match self.chance.rand_float() < self.gives_up {
+                            true => self.takeover.finish(now, mark, Done::Bounced),
+                            false => drop(self.takeover.forward(now, mark, "pod")),
+                        }
                     } else {
                         self.takeover.finish(now, mark, Done::Delivered(vec![mark as u8]));
                     }
@@ -220,6 +229,10 @@
     let many = 4 + (seed % 4) as usize;
     let loss = [0.0, 0.1, 0.3][seed as usize % 3];
     let mut run = Run::new(many, seed, Weather { loss, repeat: 0.1, delay: (100_000, 50 * MS) });
+    for id in 0..many {
+        let part = run.net.part_mut(id).unwrap();
+        (part.never_ran, part.gives_up) = [(0.1, 0.0), (0.5, 0.7)][(seed % 2) as usize];
+    }
     for n in 0..20 {
         let id = chance.rand_range(0..many as u64) as usize;
         let after = chance.rand_range(0..4 * S);
@@ -328,6 +341,26 @@
     }
 }
 
+#[test]
+fn a_bounce_is_no_last_word_the_client_may_come_back_anywhere_with_its_key() {
+    for seed in 0..40 {
+        let mut run = Run::new(6, seed, Weather { loss: 0.1, ..Weather::default() });
+        let first = run.net.part_mut(0).unwrap();
+        (first.never_ran, first.gives_up) = (1.0, 1.0);
+        run.hit(0, 1, 0);
+        // Known nowhere but where it was bounced, where it bounced itself, and at a stranger.
+        run.hit((seed % 6) as Id, 1, 1_200 * MS);
+        run.play(1_100 * MS);
+        (0..6).for_each(|id| run.net.part_mut(id).unwrap().never_ran = 0.0);
+        run.hit(((seed + 1) % 6) as Id, 1, 2_500 * MS);
+        run.play(6 * S);
+        run.effects_once();
+        assert_eq!(run.wrote.get(&1), Some(&1), "seed {seed}");
+        let last = run.net.part(((seed + 1) % 6) as Id).unwrap();
+        assert_eq!(last.answers.last(), Some(&(1, Done::Delivered(vec![1]))), "seed {seed}");
+    }
+}
+
 #[test]
 fn without_guardians_in_reach_a_hit_is_served_unguarded_not_held_up() {
     let mut run = Run::new(4, 1, Weather::default());
