A hit may begin with what another sidecar did for it: Logic::resume, kept in traces

Need: who takes a hit over must decide by its history: pods tried, what may have run and where, time left.

Change: Logic::hit is the counting and then Logic::resume with an empty past. With a past, pods tried count towards the limit of forwards, a mutating hit that may have run goes nowhere (used_up), a tagged one by the earliest forward that may have run; a pod not listed here shares no zone or cell. It does not widen the cap: where it was taken it was counted. Engine::resumed comes before the hit; traces keep it as kind 14, and a cut takes it along.

Engine test over the cases of the past.

--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -207,6 +207,8 @@
     groups: Vec<String>,
     stage: Option<Stage>,
     witness: Option<Box<dyn Witness>>,
+    /// What was done elsewhere for the hit that comes next.
+    resumed: Option<Vec<Earlier>>,
 }
 
 impl Engine {
@@ -237,7 +239,7 @@
             terms.list.clone(),
         );
         let groups = terms.groups.iter().map(|(name, _)| name.clone()).collect();
-        Engine { logic, desk, groups, stage: None, witness: None }
+        Engine { logic, desk, groups, stage: None, witness: None, resumed: None }
     }
 
     /// Lets a witness see all that the engine is told and does from here on.
@@ -261,6 +263,7 @@
             Told::Hit { asked, .. } => {
                 self.hit(now, asked);
             }
+            Told::Resumed { past, .. } => self.resumed(now, past),
             Told::MayGo { hit, nth, .. } => return Some(self.may_go(now, hit, nth)),
             Told::Ended { hit, nth, end, took, load, .. } => {
                 return Some(self.ended(now, hit, nth, end, took, load))
@@ -338,10 +341,26 @@
         let held = Held { group, key, deadline, open: true, forwards: Vec::new() };
         self.desk.hits.insert(id, held);
         let hit = Hit { id, group, customer, key, left, cost_hint, repeat };
-        self.logic.hit(&mut self.desk, hit);
+        match self.resumed.take() {
+            Some(past) => self.logic.resume(&mut self.desk, hit, &past),
+            None => self.logic.hit(&mut self.desk, hit),
+        }
         id
     }
 
+    /// The next hit was taken by another sidecar, which forwarded it so; to be called right before it.
+    pub fn resumed(&mut self, now: Ns, past: Vec<Earlier>) {
+        self.at(now);
+        let hit = self.desk.next_hit;
+        self.saw(|| Told::Resumed { hit, past: past.clone() });
+        self.resumed = Some(past);
+    }
+
+    /// The index of a pod that is listed.
+    pub fn find(&self, pod: &str) -> Option<PodId> {
+        self.desk.roll.find(pod)
+    }
+
     /// Whether a forward may still go out now: its hit wants an answer, and the rules leave its pod open.
     pub fn may_go(&mut self, now: Ns, hit: HitId, nth: u32) -> bool {
         self.at(now);
--- a/crates/sidecar/src/told.rs
+++ b/crates/sidecar/src/told.rs
@@ -56,6 +56,11 @@
         hit: HitId,
         asked: Asked,
     },
+    /// The hit that comes next, as this id, was taken elsewhere, and forwarded so.
+    Resumed {
+        hit: HitId,
+        past: Vec<Earlier>,
+    },
     MayGo {
         hit: HitId,
         nth: u32,
--- a/crates/sidecar/tests/engine.rs
+++ b/crates/sidecar/tests/engine.rs
@@ -1,6 +1,6 @@
 //! The engine by itself: virtual time, no sockets, and the same decisions each time it is told the same.
 
-use havenplank::port::{Ended, Heard, Ns, Phase, PodState, Stage, StageNews, Voice};
+use havenplank::port::{Earlier, Ended, Heard, Ns, Phase, PodState, Stage, StageNews, Voice};
 use havenplank_feeds::nodes::Listed;
 use havenplank_settings::{load, Given};
 use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
@@ -146,3 +146,33 @@
     }
     assert!(most < 5, "index {most}");
 }
+
+#[test]
+fn a_hit_taken_elsewhere_goes_on_by_what_may_have_run() {
+    let site = site();
+    let [tagged, mutating] = [1, 2];
+    let earlier = |pod, ago, may_have_run| Earlier { pod, ago, may_have_run };
+    let begin = |past: Vec<Earlier>, group| {
+        let mut engine = Engine::new(EPOCH, 1, &site);
+        engine.begin(EPOCH);
+        let given = engine.list(EPOCH, true, (0..3).map(|n| listed(n, 1, 1, 60 * S)).collect());
+        assert_eq!(given, [Some(0), Some(1), Some(2)]);
+        effects(&mut engine);
+        engine.resumed(EPOCH, past);
+        engine.hit(EPOCH, Asked { group, ..asked(0) });
+        effects(&mut engine)
+    };
+    for n in 0..3 {
+        let others = (0..3).filter(|pod| *pod != n).map(|pod| earlier(Some(pod), S, false)).collect();
+        let went = begin(others, mutating);
+        assert!(matches!(went[..], [Effect::Forward { pod, nth: 0, .. }] if pod == n), "{went:?}");
+    }
+    let may = vec![earlier(Some(0), S, false), earlier(None, S, true)];
+    assert!(matches!(begin(may.clone(), mutating)[..], [Effect::Error { .. }]));
+    assert!(matches!(begin(may.clone(), tagged)[..], [Effect::Forward { .. }]));
+    // Past the six seconds in which pods drop its repeats the first one counts, whatever came later.
+    let long_ago = vec![earlier(Some(0), 7 * S, true), earlier(Some(1), S, true)];
+    assert!(matches!(begin(long_ago, tagged)[..], [Effect::Error { .. }]));
+    let used_up = (0..4).map(|_| earlier(None, S, false)).collect();
+    assert!(matches!(begin(used_up, mutating)[..], [Effect::Bounce { .. }]));
+}
--- a/crates/trace/src/columns.rs
+++ b/crates/trace/src/columns.rs
@@ -14,6 +14,8 @@
 use std::sync::Arc;
 
 /// Columns of a kind of record; its first is 16 times its number.
+/// Forwards of a hit before it was gone on with here; no sidecar sends as many.
+const MOST_PAST: usize = 64;
 const FIELDS: u16 = 16;
 const COLUMNS: usize = 512;
 /// Bytes of text in one record at most; the largest list with names of usual length takes a quarter.
@@ -209,6 +211,21 @@
                 w.maybe(c + 6, &mut asked.cost_hint, 0, |w, cost| w.number(c + 7, cost))?;
                 w.flag(c + 8, &mut asked.repeat)
             }
+            Told::Resumed { hit, past } => {
+                w.hit(c, source, hit)?;
+                let mut count = past.len();
+                w.index(c + 1, &mut count)?;
+                if count > MOST_PAST {
+                    return Err(Wrong::Range(c + 1));
+                }
+                past.resize(count, Earlier { pod: None, ago: 0, may_have_run: false });
+                for earlier in past {
+                    w.maybe(c + 2, &mut earlier.pod, 0, |w, pod| w.index(c + 3, pod))?;
+                    w.number(c + 4, &mut earlier.ago)?;
+                    w.flag(c + 5, &mut earlier.may_have_run)?;
+                }
+                Ok(())
+            }
             Told::MayGo { hit, nth, may } => {
                 w.hit(c, source, hit)?;
                 w.small(c + 1, nth)?;
@@ -371,6 +388,7 @@
             Told::Tally(_) => 11,
             Told::Flagged { .. } => 12,
             Told::Wake(_) => 13,
+            Told::Resumed { .. } => 14,
         },
         What::Did(effect) => match effect {
             Effect::Forward { .. } => 16,
@@ -407,6 +425,7 @@
         11 => What::Told(Told::Tally(tally())),
         12 => What::Told(Told::Flagged { pod: 0, group: 0, ago: 0 }),
         13 => What::Told(Told::Wake(0)),
+        14 => What::Told(Told::Resumed { hit: 0, past: Vec::new() }),
         16 => What::Did(Effect::Forward { hit: 0, nth: 0, pod: 0, time_out: 0 }),
         17 => What::Did(Effect::Cancel { hit: 0, nth: 0 }),
         18 => What::Did(Effect::Bounce { hit: 0, come_back: 0 }),
--- a/crates/trace/src/cut.rs
+++ b/crates/trace/src/cut.rs
@@ -59,7 +59,7 @@
             break;
         }
         let wanted = match record.hit() {
-            Some(_) if record.begins_hit() => within,
+            Some(_) if record.opens_hit() => within,
             Some(hit) => trips.holds(record.source, hit),
             None => within,
         };
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -126,7 +126,7 @@
     pub fn hit(&self) -> Option<HitId> {
         match &self.what {
             What::Told(Told::Hit { hit, .. } | Told::MayGo { hit, .. })
-            | What::Told(Told::Ended { hit, .. } | Told::Left { hit })
+            | What::Told(Told::Ended { hit, .. } | Told::Left { hit } | Told::Resumed { hit, .. })
             | What::Did(Effect::Forward { hit, .. } | Effect::Cancel { hit, .. })
             | What::Did(Effect::Bounce { hit, .. } | Effect::Error { hit, .. }) => Some(*hit),
             _ => None,
@@ -137,6 +137,11 @@
         matches!(self.what, What::Told(Told::Hit { .. }))
     }
 
+    /// A hit begins with it or right after it.
+    pub fn opens_hit(&self) -> bool {
+        self.begins_hit() || matches!(self.what, What::Told(Told::Resumed { .. }))
+    }
+
     /// The pod's index, where it names one.
     pub fn pod_index(&self) -> Option<PodId> {
         match &self.what {
--- a/crates/trace/src/show.rs
+++ b/crates/trace/src/show.rs
@@ -71,6 +71,10 @@
                 });
                 ("hit", fields)
             }
+            Told::Resumed { hit, past } => {
+                let one = |earlier: &Earlier| json!({"index": earlier.pod, "ago_ns": earlier.ago, "may_have_run": earlier.may_have_run});
+                ("resumed", json!({"hit": hit, "past": past.iter().map(one).collect::<Vec<_>>()}))
+            }
             Told::MayGo { hit, nth, may } => ("may_go", json!({"hit": hit, "nth": nth, "may": may})),
             Told::Ended { hit, nth, end, took, load: said, passed } => {
                 let fields = json!({
--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use havenplank::port::Earlier;
 use havenplank_sidecar::engine::{Effect, EPOCH};
 use havenplank_sidecar::told::Told;
 use havenplank_trace::file::{Reader, MAGIC};
@@ -25,6 +26,22 @@
     (writer.finish().unwrap(), records)
 }
 
+#[test]
+fn a_hit_that_goes_on_from_elsewhere_reads_as_written() {
+    let (bytes, mut records) = short();
+    let at = records.iter().position(Record::begins_hit).unwrap();
+    let hit = records[at].hit().unwrap();
+    let known = Earlier { pod: Some(1), ago: 40 * MS, may_have_run: true };
+    let past = vec![known, Earlier { pod: None, ago: MS, may_have_run: false }];
+    let what = What::Told(Told::Resumed { hit, past });
+    records.insert(at, Record { what, pod: None, ..records[at].clone() });
+    assert!(records[at].opens_hit() && records[at].hit() == Some(hit) && !records[at].begins_hit());
+    let mut writer = Writer::new(Vec::new(), &open(&bytes).head, Vec::new()).unwrap();
+    records.iter().for_each(|record| writer.put(record.clone()).unwrap());
+    let (found, amiss) = read(&writer.finish().unwrap());
+    assert!(amiss.is_none() && found == records);
+}
+
 /// All that can be read, and whether the reader said that anything is amiss.
 fn read(bytes: &[u8]) -> (Vec<Record>, Option<String>) {
     let mut reader = match Reader::open(Cursor::new(bytes)) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -575,11 +575,17 @@
         self.exposure.taken[bucket].add(now);
         self.taken.add(now);
         self.hits = self.hits.saturating_add(1);
+        self.resume(host, hit, &[]);
+    }
+
+    /// Goes on with a hit that another instance took and forwarded so. It was counted there, once.
+    pub fn resume(&mut self, host: &mut dyn Host, hit: Hit, past: &[Earlier]) {
+        let now = host.now();
         self.pods.busy += (self.limit.out as f64 - self.pods.busy) * Pods::BUSY_LEARN;
         let group = self.groups[hit.group];
         // A time left read from a trace may be anything.
         let until = [hit.left, group.target_latency].map(|span| now.saturating_add(span));
-        let trip = Rc::new(RefCell::new(Trip::new(&hit, until[0], until[1])));
+        let trip = Rc::new(RefCell::new(Trip::new(now, &hit, until, past, &self.pods.table)));
         let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
         if (self.limit.out as f64) < self.limit.most * (0.75 + 0.25 * worth) {
             return self.step(host, trip);
@@ -604,7 +610,8 @@
     }
 
     fn used_up(&self, trip: &Trip) -> bool {
-        trip.tried.len() >= self.rules.max_forwards as usize
+        let never = trip.may_run.is_some() && self.groups[trip.group].kind == Kind::Mutating;
+        never || trip.tried.len() >= self.rules.max_forwards as usize
     }
 
     fn send(&mut self, host: &mut dyn Host, trip: &Rc<RefCell<Trip>>, pod: PodId, time_out: Ns) {
@@ -631,36 +638,30 @@
     /// elsewhere; shares the budget of retries; and never waits past the target.
     fn plan_copy(&mut self, host: &mut dyn Host, trip: &Rc<RefCell<Trip>>, pod: PodId) {
         let group = trip.borrow().group;
-        let machine = self.pods.table.get(pod).map_or(0, |pod| pod.entry.machine);
-        let usual = self.slowest[group].get(machine).copied().unwrap_or(0.0);
+        let entry = self.pods.table.get(pod).map(|pod| pod.entry);
+        let usual = self.slowest[group].get(entry.map_or(0, |e| e.machine)).copied().unwrap_or(0.0);
         let after = (Logic::COPY_AFTER * usual) as Ns;
         let in_time = host.now().saturating_add(after) < trip.borrow().target_at;
         let once = trip.borrow().tried.len() == 1 && self.groups[group].kind != Kind::Mutating;
         if !(self.rules.copies && once && in_time && after > 0) {
             return;
         }
-        let (trip, sent_at, entry) =
-            (trip.clone(), host.now(), self.pods.table.get(pod).map(|pod| pod.entry));
+        let (trip, sent_at) = (trip.clone(), host.now());
         let then = move |logic: &mut Logic, host: &mut dyn Host, ()| {
             let now = host.now();
-            let alone =
-                trip.borrow().out == 1 && trip.borrow().tried.len() == 1 && host.open(trip.borrow().hit);
+            let alone = trip.borrow().out == 1 && trip.borrow().tried.len() == 1;
             let most = Logic::RETRY_PART * logic.taken.most(now) as f64;
             let calm = logic.limit.late <= Logic::COPY_CALM && (logic.retried.most(now) as f64) < most;
             let left = trip.borrow().target_at.min(trip.borrow().deadline).saturating_sub(now);
-            if !alone || !calm || left == 0 || logic.used_up(&trip.borrow()) {
+            if !(alone && calm && left > 0 && host.open(trip.borrow().hit)) || logic.used_up(&trip.borrow()) {
                 return;
             }
             let first = entry.map(|entry| (sent_at, entry.zone, entry.cell));
             let before = std::mem::replace(&mut trip.borrow_mut().may_run, first);
             let chosen = logic.choose(now, &trip.borrow());
-            match chosen {
-                Some(pod) => {
-                    logic.retried.add(now);
-                    logic.send(host, &trip, pod, left);
-                }
-                None => trip.borrow_mut().may_run = before,
-            }
+            let Some(pod) = chosen else { return trip.borrow_mut().may_run = before };
+            logic.retried.add(now);
+            logic.send(host, &trip, pod, left);
         };
         host.wake(after, Box::new(then));
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -1,6 +1,6 @@
 //! The interface of the decision module: what a host tells it and what it asks of a host.
 //!
-//! A host builds a [`Logic`] from the small settings records below, calls its methods (`hit`, `list`,
+//! A host builds a [`Logic`] from the small settings records below, calls its methods (`hit`, `resume`, `list`,
 //! `list_failed`, `news`, `tally`, `flagged`) and carries out what comes back through [`Host`]. Whatever
 //! takes a [`Then`] is kept by the host and handed its result once, so the state of a hit lives in its
 //! closures.
@@ -167,6 +167,15 @@
     pub repeat: bool,
 }
 
+/// A forward that another instance sent for a hit before this one went on with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Earlier {
+    /// `None` for one that is not listed here.
+    pub pod: Option<PodId>,
+    pub ago: Ns,
+    pub may_have_run: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
     Delivered,
--- a/src/state.rs
+++ b/src/state.rs
@@ -419,8 +419,18 @@
 }
 
 impl Trip {
-    pub fn new(hit: &Hit, deadline: Ns, target_at: Ns) -> Trip {
-        let (tried, may_run, shy) = (Vec::new(), None, false);
+    /// `past`: what another instance did for it. A pod that is not in the table may lie anywhere, and so
+    /// shares no zone or cell with any.
+    pub fn new(now: Ns, hit: &Hit, [deadline, target_at]: [Ns; 2], past: &[Earlier], table: &Table) -> Trip {
+        let place = |pod| table.get(pod).map(|pod| (pod.entry.zone, pod.entry.cell));
+        let nowhere = (ZoneId::MAX, i64::MIN);
+        let ran = past.iter().filter(|earlier| earlier.may_have_run).max_by_key(|earlier| earlier.ago);
+        let may_run = ran.map(|earlier| {
+            let (zone, cell) = earlier.pod.and_then(place).unwrap_or(nowhere);
+            (now.saturating_sub(earlier.ago), zone, cell)
+        });
+        let tried = past.iter().map(|earlier| earlier.pod.unwrap_or(PodId::MAX)).collect();
+        let shy = false;
         Trip { hit: hit.id, group: hit.group, key: hit.key, deadline, target_at, tried, out: 0, may_run, shy }
     }
 }
