Work in hand survives in serve: claimed, guarded before a forward, taken over, once

Need: a sidecar that dies takes its hits with it; an order may have run, never run, or run twice when its client asks again.

Change: settings takeover(...) and a guard of each path group (off by default; behind only for what is repeatable). guard.rs is the shell around fellowship and takeover, guarded.rs a hit's way: claimed by Idempotency-Key, the hit's own mark or one made here; guardians know of a forward before it goes; the right is asked once more right before the write; a client that comes back anywhere joins or gets the kept answer, another hit under its key 422. Work taken over goes to the module with its history. A bounce that its client cannot tie to the work is an error once a forward was announced.

With takeover off nothing is asked or allocated.

--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -31,6 +31,40 @@
     pub kept_list: Option<PathBuf>,
     pub desk: Feed,
     pub trace: Option<Trace>,
+    /// `None`: work in hand is lost with its sidecar.
+    pub takeover: Option<Takeover>,
+}
+
+/// How sidecars guard each other's work in hand.
+#[derive(Clone, Debug)]
+pub struct Takeover {
+    /// UDP and TCP, for other sidecars.
+    pub listen: SocketAddr,
+    /// Where others reach it, if that is another address.
+    pub advertise: Option<SocketAddr>,
+    /// Sidecars to begin with; any that lives will do.
+    pub meet: Vec<SocketAddr>,
+    /// File with the fellowship's keys, read again at SIGHUP.
+    pub keys: PathBuf,
+    /// Between two questions to a fellow whether it lives.
+    pub period: Ns,
+    /// Guardians of each piece of work.
+    pub guardians: usize,
+    pub lease: Ns,
+    /// How long an answer is kept after its client's time is up.
+    pub keep: Ns,
+    pub held: usize,
+    pub kept: usize,
+}
+
+/// Whether a path group's work in hand is guarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guard {
+    Off,
+    /// Guardians know of a forward before it goes.
+    BeforeForward,
+    /// They are told behind; for what is safe to repeat.
+    Behind,
 }
 
 /// Where hits and decisions are recorded.
@@ -56,6 +90,7 @@
     /// Whole paths, or the start of one where the last character is `*`.
     pub paths: Vec<String>,
     pub rules: PathGroup,
+    pub guard: Guard,
 }
 
 impl Group {
@@ -77,6 +112,8 @@
     pub customer: String,
     /// What the hit may cost, in whole microseconds.
     pub cost_hint: String,
+    /// A hit's own mark, by which a client finds a guarded hit again that has no `Idempotency-Key`.
+    pub mark: String,
 }
 
 /// What a client may ask of the sidecar's own listeners.
@@ -168,7 +205,46 @@
         late_benefit: r.number_or("late_benefit", 0.0..=1.0, 0.0),
         stream: r.flag_or("stream", false),
     };
-    Group { name, methods, paths, rules }
+    let guards = [("off", Guard::Off), ("before-forward", Guard::BeforeForward), ("behind", Guard::Behind)];
+    let guard = if r.has("guard") { r.choice("guard", &guards) } else { r.maybe_text("guard").and(None) };
+    let guard = guard.unwrap_or(Guard::Off);
+    if guard == Guard::Behind && kind != Kind::Repeatable {
+        r.complain("guard", "found \"behind\"", "\"before-forward\", as a repeat could do harm");
+    }
+    Group { name, methods, paths, rules, guard }
+}
+
+fn takeover(r: &mut Reader) -> Takeover {
+    let listen = address(r, "listen");
+    let expected = "addresses with a port, such as \"127.0.0.1:7002\"";
+    let parse = |r: &mut Reader, field: &'static str, text: &str| {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            r.complain(field, format!("found {text:?}"), expected);
+        }
+        parsed
+    };
+    let meet = r.texts_or_none("meet");
+    let meet = meet.iter().filter_map(|text| parse(r, "meet", text)).collect();
+    let advertise = r.maybe_text("advertise").and_then(|text| parse(r, "advertise", &text));
+    let takeover = Takeover {
+        listen,
+        advertise,
+        meet,
+        keys: PathBuf::from(r.text("keys")),
+        period: r.span_or("period", 500 * MS),
+        guardians: r.whole_or("guardians", 1..=7, 3) as usize,
+        lease: r.span_or("lease", 600 * MS),
+        keep: r.span_or("keep", 5 * S),
+        held: r.whole_or("held", 1..=1_000_000, 20_000) as usize,
+        kept: r.whole_or("kept", 1..=1_000_000, 60_000) as usize,
+    };
+    for (field, span) in [("lease", takeover.lease), ("period", takeover.period)] {
+        if !(50 * MS..=60 * S).contains(&span) {
+            r.complain(field, format!("found {}ms", span / MS), "a span from 50ms to 60s");
+        }
+    }
+    takeover
 }
 
 fn limits(r: &mut Reader) -> (ForwardRules, Door) {
@@ -287,8 +363,8 @@
 
 /// Turns the rows of a script into a site. `None` only where there are problems.
 pub(crate) fn site(file: &str, rows: &[Row], problems: &mut Vec<Problem>) -> Option<Site> {
-    const ONCE: [&str; 9] =
-        ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk", "trace"];
+    const ONCE: [&str; 10] =
+        ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk", "trace", "takeover"];
     const NEEDED: [&str; 6] = ["sidecar", "pods", "exposure", "votes", "nodes", "desk"];
     for kind in ONCE {
         for row in rows.iter().filter(|row| row.kind == kind).skip(1) {
@@ -349,6 +425,7 @@
             key: header(r, "key", "x-key"),
             customer: header(r, "customer", "x-customer"),
             cost_hint: header(r, "cost_hint", "x-cost-hint"),
+            mark: header(r, "mark", "x-hit-mark"),
         });
     });
     let (mut limit, mut pod, mut nodes, mut desk) = (None, None, None, None);
@@ -366,6 +443,10 @@
     read("desk", &mut |r| desk = Some(feed(r)));
     let mut recorded = None;
     read("trace", &mut |r| recorded = trace(r));
+    let mut guarded = None;
+    if rows.iter().any(|row| row.kind == "takeover") {
+        read("takeover", &mut |r| guarded = Some(takeover(r)));
+    }
     let mut groups: Vec<Group> = Vec::new();
     for row in rows.iter().filter(|row| row.kind == "path_group") {
         let mut reader = Reader::new(row, problems);
@@ -373,6 +454,9 @@
         if groups.iter().any(|known| known.name == next.name) {
             reader.complain("name", format!("found {:?} again", next.name), "a name of its own");
         }
+        if next.guard != Guard::Off && guarded.is_none() {
+            reader.complain("guard", "no call of takeover(...)", "one, as nobody guards without it");
+        }
         groups.push(next);
         reader.finish();
     }
@@ -400,5 +484,6 @@
         kept_list,
         desk,
         trace: recorded,
+        takeover: guarded,
     })
 }
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -85,7 +85,7 @@
     };
 }
 
-record_functions!(sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace);
+record_functions!(sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, takeover);
 
 /// Reads files beside the script, each once.
 struct Beside<'a> {
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -39,13 +39,21 @@
         json!({"build": stage.build, "stage": stage.stage, "phase": format!("{:?}", stage.phase), "cap": stage.cap})
     });
     let (failures, slow, by_share) = glance.sums;
-    let state = json!({
+    let mut state = json!({
         "name": shell.site.name,
         "hits_in_flight": glance.hits,
         "pods_running": glance.pods,
         "stage": stage,
         "sums": {"failures": failures, "slow": slow, "by_share": by_share},
     });
+    if let Some(guard) = &shell.guard {
+        let glance = guard.glance();
+        state["takeover"] = json!({
+            "fellows": glance.living, "held": glance.held, "kept": glance.kept, "waiting": glance.waiting,
+            "unguarded": glance.unguarded, "turned_away": glance.turned_away, "taken_over": glance.taken_over,
+            "sent": glance.sent, "sent_bytes": glance.sent_bytes, "refused": glance.refused,
+        });
+    }
     let mut response = Response::new(Body::Whole(Full::new(format!("{state}\n").into())));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -3,6 +3,8 @@
 use crate::admin;
 use crate::answers;
 use crate::engine::{Engine, EPOCH};
+use crate::guard::Guard;
+use crate::guarded::{self, Final};
 use crate::hub::{Hub, Outside};
 use crate::links::Links;
 use crate::proxy::{self, Ask, Body};
@@ -44,6 +46,8 @@
     Listen { address: SocketAddr, error: std::io::Error },
     #[error("{0:?}: not a name that a Via header can carry")]
     Name(String),
+    #[error("{0}")]
+    Takeover(String),
 }
 
 /// Where a running sidecar listens.
@@ -93,6 +97,17 @@
     let (desk_asks, desk_asked) = mpsc::channel(ASKS);
     let (stopping, stopped) = watch::channel(false);
     let timeout_header = HeaderName::try_from(&site.headers.timeout);
+    let (guard, begins) = match &site.takeover {
+        None => (None, None),
+        Some(settings) => {
+            let zone = site.zones.get(site.place.zone).cloned().unwrap_or_default();
+            let (guard, begins) =
+                Guard::start(settings, &site.name, &zone).await.map_err(StartError::Takeover)?;
+            let at = guard.at().map_or(String::new(), |at| at.to_string());
+            tracing::info!(listen = at, guardians = settings.guardians, "work in hand is guarded");
+            (Some(guard), Some(begins))
+        }
+    };
     let lines = Lines {
         links: Links::new(&site.links),
         keep: Notify::new(),
@@ -101,6 +116,7 @@
         desk_up: Cell::new(false),
         stopping: Cell::new(false),
         via,
+        guard,
         timeout_header: timeout_header.unwrap_or(HeaderName::from_static("grpc-timeout")),
         site,
     };
@@ -113,6 +129,14 @@
     tasks.spawn_local(shell.clone().tick());
     tasks.spawn_local(sweep_links(shell.clone()));
     tasks.spawn_local(keep_list(shell.clone()));
+    if let Some(mut begins) = begins {
+        let shell = shell.clone();
+        tasks.spawn_local(async move {
+            while let Some(record) = begins.recv().await {
+                guarded::take_over(&shell, record);
+            }
+        });
+    }
     let (nodes_at, desk_at, name) = (site.nodes.clone(), site.desk.clone(), site.name.clone());
     let (mut link, feed_name) = (NodesLink(shell.clone()), name.clone());
     tasks.spawn_local(async move {
@@ -140,6 +164,9 @@
     // Each connection ends with the answer it owes, and none can owe one longer than this.
     let closed = timeout(Duration::from_nanos(longest) + STOP_MARGIN, door).await;
     let left = shell.owed();
+    if let Some(guard) = &shell.guard {
+        guard.leave();
+    }
     tracing::info!(all_closed = closed.is_ok(), hits_in_flight = left, "stopped");
     Ok(())
 }
@@ -302,6 +329,8 @@
     pub links: Links,
     pub via: HeaderValue,
     pub timeout_header: HeaderName,
+    /// `None` where no sidecar guards another's work.
+    pub guard: Option<Rc<Guard>>,
     keep: Notify,
     nodes_asks: mpsc::Sender<String>,
     desk_asks: mpsc::Sender<String>,
@@ -326,11 +355,19 @@
     }
 
     fn bounced(&self, come_back: Ns) -> Response<Body> {
-        proxy::bounced(come_back)
+        let mut answer = proxy::bounced(come_back);
+        if self.guard.is_some() {
+            answer.extensions_mut().insert(Final::Bounced);
+        }
+        answer
     }
 
     fn errored(&self, late: bool) -> Response<Body> {
-        answers::errored(late)
+        let mut answer = answers::errored(late);
+        if self.guard.is_some() {
+            answer.extensions_mut().insert(Final::Errored);
+        }
+        answer
     }
 
     /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
@@ -376,7 +413,8 @@
     /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
     /// their forwards have ended, else they could pile up forwards past the bound.
     pub fn is_full(&self) -> bool {
-        self.stopping.get() || self.look().held() >= self.site.door.hits
+        let claims = self.guard.as_ref().map_or(0, |guard| guard.waits());
+        self.stopping.get() || self.look().held().max(claims) >= self.site.door.hits
     }
 
     pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
--- /dev/null
+++ b/crates/sidecar/src/guard.rs
@@ -0,0 +1,448 @@
+//! Work in hand and the sidecars that guard it: the fellowship's sockets and the takeover's decision around them, and
+//! the hits here that wait for what they say.
+
+use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::shell::Talker;
+use havenplank_fellows::swim::{Event, News, Rules as Membership, State};
+use havenplank_fellows::wire::{Key, Life};
+use havenplank_settings::Takeover as Settings;
+use havenplank_takeover::guardians::{pick, Candidate};
+use havenplank_takeover::hold::{Effect, Rules, Takeover};
+use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
+use havenplank_takeover::Ns;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{interval, timeout, MissedTickBehavior};
+
+/// The fellowship's kind of message that is ours.
+const KIND: u8 = 2;
+
+/// What became of a claim on a piece of work.
+#[derive(Debug)]
+pub enum Claim {
+    /// Ours, and its guardians know.
+    Taken,
+    /// Ours, though nobody guards it.
+    Unguarded,
+    /// Its answer, by whoever finished it.
+    Done(Done),
+    /// Another hit under the same key.
+    Differs,
+    /// Whoever had it is gone, or its time is up.
+    Nobody,
+}
+
+/// Those here that wait for word on one piece of work.
+#[derive(Default)]
+struct Waits {
+    claimant: Option<oneshot::Sender<Claim>>,
+    answers: Vec<oneshot::Sender<Claim>>,
+    goes: HashMap<usize, oneshot::Sender<()>>,
+    lost: Option<oneshot::Sender<()>>,
+}
+
+/// What an operator may look at.
+#[derive(Clone, Debug, Default)]
+pub struct Glance {
+    pub living: Vec<String>,
+    pub held: usize,
+    pub kept: usize,
+    pub waiting: usize,
+    pub unguarded: u64,
+    pub turned_away: u64,
+    pub taken_over: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub refused: u64,
+}
+
+pub struct Guard {
+    talker: Rc<Talker>,
+    me: Life,
+    takeover: RefCell<Takeover>,
+    /// Rows leave once nobody waits any more; one a hit at the door at most, and the door bounds those.
+    waits: RefCell<HashMap<Mark, Waits>>,
+    many: usize,
+    tick: Duration,
+    own_marks: Cell<u64>,
+    /// Work to be finished here; no more than records that are kept, each of which begins once.
+    begun: mpsc::UnboundedSender<Record>,
+}
+
+fn keys(file: &Path) -> Result<Vec<Key>, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    Key::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+}
+
+impl Guard {
+    /// Binds the sockets and meets the others. What comes out is work that is to be finished here.
+    ///
+    /// # Errors
+    /// An address that cannot be bound, or a key file that cannot be read.
+    pub async fn start(
+        settings: &Settings,
+        name: &str,
+        zone: &str,
+    ) -> Result<(Rc<Guard>, mpsc::UnboundedReceiver<Record>), String> {
+        let read = keys(&settings.keys)?;
+        // Grows with each start under this name.
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64);
+        let me = Life { name: name.to_string(), life };
+        let rules =
+            Membership { period: settings.period, answer: settings.period * 3 / 10, ..Membership::default() };
+        let talker = Talker::bind(settings.listen, |now, bound| {
+            let at = settings.advertise.unwrap_or(bound);
+            let (who, zone) = (me.clone(), zone.to_string());
+            let news = News { who, at, zone, round: 0, state: State::Lives };
+            let seed = life ^ u64::from(bound.port()) << 48;
+            let mut node = Node::new(now, seed, news, settings.meet.clone(), rules, read);
+            node.reads(KIND);
+            node
+        });
+        let talker = talker.await.map_err(|error| format!("takeover.listen {}: {error}", settings.listen))?;
+        let rules = Rules {
+            lease: settings.lease,
+            most_held: settings.held,
+            most_kept: settings.kept,
+            keep: settings.keep,
+            ..Rules::default()
+        };
+        let (begun, begins) = mpsc::unbounded_channel();
+        let guard = Rc::new(Guard {
+            takeover: RefCell::new(Takeover::new(talker.now(), life, me.clone(), rules)),
+            talker,
+            me,
+            waits: RefCell::default(),
+            many: settings.guardians,
+            tick: Duration::from_nanos(settings.lease / 24).max(Duration::from_millis(2)),
+            own_marks: Cell::new(0),
+            begun,
+        });
+        let hears = guard.clone();
+        spawn_local(guard.talker.clone().run(move |_, happened| hears.happened(happened)));
+        spawn_local(guard.clone().ticks());
+        spawn_local(reload(guard.clone(), settings.keys.clone()));
+        Ok((guard, begins))
+    }
+
+    /// Where other sidecars reach it.
+    pub fn at(&self) -> Option<SocketAddr> {
+        self.talker.at().ok()
+    }
+
+    /// Tells the others that it goes.
+    pub fn leave(&self) {
+        self.talker.call(|node, _| node.leave());
+    }
+
+    /// What is due is looked at often enough for a lease: what is waited for comes with messages, and a timer set
+    /// anew at each of them would look through all records each time.
+    async fn ticks(self: Rc<Self>) {
+        let mut beat = interval(self.tick);
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            beat.tick().await;
+            let now = self.talker.now();
+            self.takeover.borrow_mut().wake(now);
+            self.act_all();
+        }
+    }
+
+    fn happened(&self, happened: Happened) {
+        match happened {
+            Happened::Came { from, kind: KIND, body } => match postcard::from_bytes::<Say>(&body) {
+                Ok(say) => {
+                    let now = self.talker.now();
+                    self.takeover.borrow_mut().heard(now, &from, say);
+                    self.act_all();
+                }
+                Err(_) => {
+                    tracing::warn!(fellow = from.name, "word on work in hand passed over: not readable")
+                }
+            },
+            Happened::Came { .. } => {}
+            Happened::Told(event) => {
+                let (what, who) = match event {
+                    Event::Joined(who) => ("fellow joined", who),
+                    Event::Suspected(who) => ("fellow suspected", who),
+                    Event::Cleared(who) => ("fellow cleared", who),
+                    Event::Lost(who) => ("fellow lost", who),
+                    Event::Left(who) => ("fellow left us", who),
+                    Event::Reborn(who) => ("own life was behind and is newer now", who),
+                };
+                tracing::info!(fellow = who.name, life = who.life, "{what}");
+            }
+        }
+    }
+
+    fn act(&self, effect: Effect) {
+        match effect {
+            Effect::Say { to, say } => {
+                if let Ok(body) = postcard::to_stdvec(&say) {
+                    // One that is not known any more hears nothing, as if it were lost on the way.
+                    self.talker.call(|node, _| node.send(&to, KIND, body));
+                }
+            }
+            Effect::Taken(mark) => self.claimed(mark, Claim::Taken),
+            Effect::Unguarded(mark) => self.claimed(mark, Claim::Unguarded),
+            Effect::Differs(mark) => self.claimed(mark, Claim::Differs),
+            Effect::Joined(mark) => self.waiting(mark, |waits| waits.answers.extend(waits.claimant.take())),
+            Effect::Go(mark, nth) => self.waiting(mark, |waits| {
+                if let Some(go) = waits.goes.remove(&nth) {
+                    let _ = go.send(());
+                }
+            }),
+            Effect::Lost(mark) => {
+                tracing::warn!(
+                    mark = mark_text(mark),
+                    "work lost to another: nothing more is sent for it here"
+                );
+                self.waiting(mark, |waits| {
+                    waits.goes.clear();
+                    if let Some(lost) = waits.lost.take() {
+                        let _ = lost.send(());
+                    }
+                });
+            }
+            Effect::Answer(mark, done) => self.waiting(mark, |waits| {
+                waits.claimant.take().into_iter().chain(waits.answers.drain(..)).for_each(|waits| {
+                    let _ = waits.send(Claim::Done(done.clone()));
+                });
+                waits.goes.clear();
+                if let Some(lost) = waits.lost.take() {
+                    let _ = lost.send(());
+                }
+            }),
+            Effect::Nobody(mark) => self.waiting(mark, |waits| {
+                waits.answers.drain(..).for_each(|waits| drop(waits.send(Claim::Nobody)));
+            }),
+            Effect::Begin(record) => drop(self.begun.send(record)),
+        }
+    }
+
+    fn claimed(&self, mark: Mark, claim: Claim) {
+        self.waiting(mark, |waits| {
+            if let Some(claimant) = waits.claimant.take() {
+                let _ = claimant.send(claim);
+            }
+        });
+    }
+
+    /// Changes who waits for a piece of work, and forgets it once nobody does.
+    fn waiting(&self, mark: Mark, change: impl FnOnce(&mut Waits)) {
+        let mut all = self.waits.borrow_mut();
+        let Some(waits) = all.get_mut(&mark) else { return };
+        change(waits);
+        waits.answers.retain(|answer| !answer.is_closed());
+        let claims = waits.claimant.as_ref().is_some_and(|claimant| !claimant.is_closed());
+        let holds = waits.lost.as_ref().is_some_and(|lost| !lost.is_closed());
+        if !claims && !holds && waits.answers.is_empty() && waits.goes.is_empty() {
+            all.remove(&mark);
+        }
+    }
+
+    /// A mark for a hit that its client cannot name.
+    pub fn own_mark(&self) -> Mark {
+        self.own_marks.set(self.own_marks.get() + 1);
+        let (name, life) = (self.me.name.as_bytes(), self.me.life.to_le_bytes());
+        mark(&[name, &life, &self.own_marks.get().to_le_bytes()])
+    }
+
+    fn guardians(&self, mark: Mark) -> Vec<Life> {
+        self.talker.call(|node, _| {
+            let fellows = node.fellows();
+            let others = fellows.living().filter(|news| news.who != self.me);
+            let others: Vec<Candidate<'_>> =
+                others.map(|news| Candidate { who: &news.who, zone: &news.zone }).collect();
+            pick(mark, &others, self.many)
+        })
+    }
+
+    /// Claims a piece of work, and waits until it is ours or done: no longer than its client does.
+    pub async fn claim(self: &Rc<Self>, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns) -> Claim {
+        let (guardians, now) = (self.guardians(mark), self.talker.now());
+        let (tell, told) = oneshot::channel();
+        self.takeover.borrow_mut().take(now, mark, sum, ask, left, guardians);
+        let mut joined = false;
+        loop {
+            let effect = self.takeover.borrow_mut().effect();
+            match effect {
+                Some(Effect::Answer(known, done)) if known == mark => return Claim::Done(done),
+                Some(Effect::Differs(known)) if known == mark => return Claim::Differs,
+                Some(Effect::Unguarded(known)) if known == mark => return Claim::Unguarded,
+                Some(Effect::Joined(known)) if known == mark => joined = true,
+                Some(effect) => self.act(effect),
+                None => break,
+            }
+        }
+        {
+            let mut all = self.waits.borrow_mut();
+            let waits = all.entry(mark).or_default();
+            match joined {
+                true => waits.answers.push(tell),
+                false => waits.claimant = Some(tell),
+            }
+        }
+        let claim = timeout(Duration::from_nanos(left), told).await;
+        // Whoever waited in vain is not told any more.
+        self.forget(mark);
+        claim.ok().and_then(Result::ok).unwrap_or(Claim::Nobody)
+    }
+
+    /// The same without waiting; where another has it, the hit is served all the same, as a repeat does no harm.
+    pub fn claim_behind(&self, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns) {
+        let (guardians, now) = (self.guardians(mark), self.talker.now());
+        self.takeover.borrow_mut().take(now, mark, sum, ask, left, guardians);
+        self.act_all();
+    }
+
+    /// Forgets whoever waits no more.
+    pub fn forget(&self, mark: Mark) {
+        self.waiting(mark, |_| {});
+    }
+
+    /// For whoever holds a piece of work: told when it is lost, and its answer if another finishes it.
+    pub fn watch(&self, mark: Mark) -> (oneshot::Receiver<()>, oneshot::Receiver<Claim>) {
+        let (lose, lost) = oneshot::channel();
+        let (tell, told) = oneshot::channel();
+        let mut all = self.waits.borrow_mut();
+        let waits = all.entry(mark).or_default();
+        waits.lost = Some(lose);
+        waits.answers.push(tell);
+        (lost, told)
+    }
+
+    /// The final answer of work that we hold, for its guardians and for whoever joined it here.
+    pub fn finish(&self, mark: Mark, done: Done) {
+        let now = self.talker.now();
+        self.takeover.borrow_mut().finish(now, mark, done.clone());
+        self.act_all();
+        self.act(Effect::Answer(mark, done));
+    }
+
+    /// Everything that a call left.
+    fn act_all(&self) {
+        loop {
+            let effect = self.takeover.borrow_mut().effect();
+            let Some(effect) = effect else { return };
+            self.act(effect);
+        }
+    }
+
+    /// Tells the guardians of a forward, and where `wait` says so waits until they know. `None` where it may not go.
+    pub async fn before(self: &Rc<Self>, mark: Mark, pod: &str, wait: bool) -> Option<Going> {
+        let (go, gone) = oneshot::channel();
+        let now = self.talker.now();
+        let nth = self.takeover.borrow_mut().forward(now, mark, pod)?;
+        let going = Going { guard: self.clone(), mark, nth, sent: Cell::new(false), told: Cell::new(false) };
+        if wait {
+            self.waits.borrow_mut().entry(mark).or_default().goes.insert(nth, go);
+        }
+        self.act_all();
+        if wait {
+            gone.await.ok()?;
+        }
+        Some(going)
+    }
+
+    /// Whether a forward of this work may be written at this moment.
+    pub fn may(&self, mark: Mark) -> bool {
+        self.takeover.borrow().may(self.talker.now(), mark)
+    }
+
+    /// Claims and joins that wait.
+    pub fn waits(&self) -> usize {
+        self.waits.borrow().len()
+    }
+
+    pub fn glance(&self) -> Glance {
+        let takeover = self.takeover.borrow();
+        let (held, kept, waiting) = takeover.sizes();
+        let (unguarded, turned_away) = (takeover.unguarded, takeover.turned_away);
+        let taken_over = takeover.taken_over;
+        self.talker.call(|node, _| Glance {
+            living: node.fellows().living().map(|news| news.who.name.clone()).collect(),
+            held,
+            kept,
+            waiting,
+            unguarded,
+            turned_away,
+            taken_over,
+            sent: node.sent,
+            sent_bytes: node.sent_bytes,
+            refused: node.refused.total(),
+        })
+    }
+}
+
+/// One forward that guardians were told of; whatever becomes of the task that carries it, they hear how it went.
+pub struct Going {
+    guard: Rc<Guard>,
+    mark: Mark,
+    nth: usize,
+    sent: Cell<bool>,
+    told: Cell<bool>,
+}
+
+impl Going {
+    /// From here on it may have run.
+    pub fn sent(&self, sent: bool) {
+        self.sent.set(sent);
+    }
+
+    /// The pod's answer proves that it never ran.
+    pub fn never_ran(&self) {
+        self.sent.set(false);
+    }
+
+    /// It is the final answer, which says it all.
+    pub fn delivered(&self) {
+        self.told.set(true);
+    }
+}
+
+impl Drop for Going {
+    fn drop(&mut self) {
+        if !self.told.get() {
+            let now = self.guard.talker.now();
+            let went = if self.sent.get() { Went::MayHaveRun } else { Went::NeverRan };
+            self.guard.takeover.borrow_mut().went(now, self.mark, self.nth, went);
+            self.guard.act_all();
+        }
+    }
+}
+
+/// Of these parts, told apart by their lengths.
+pub fn mark(parts: &[&[u8]]) -> Mark {
+    let mut hash = blake3::Hasher::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes()).update(part);
+    }
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&hash.finalize().as_bytes()[..16]);
+    Mark::from_le_bytes(bytes)
+}
+
+pub fn mark_text(mark: Mark) -> String {
+    format!("{mark:032x}")
+}
+
+async fn reload(guard: Rc<Guard>, file: std::path::PathBuf) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
+    while hangups.recv().await.is_some() {
+        match keys(&file) {
+            Ok(read) => {
+                tracing::info!(keys = read.len(), "keys read again");
+                guard.talker.call(|node, _| node.rekey(read));
+            }
+            Err(why) => tracing::warn!(why, "keys refused, the old ones stay"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/guarded.rs
@@ -0,0 +1,319 @@
+//! The way of a hit whose work other sidecars guard: claimed, forwarded once its guardians know, answered once, by
+//! whoever holds it at its end. Which of these may be done when is decided in `havenplank-takeover`, what is done next
+//! by the module.
+
+use crate::answers::{errored, plain};
+use crate::daemon::Shell;
+use crate::engine::Asked;
+use crate::guard::{mark, mark_text, Claim, Going, Guard};
+use crate::heads;
+use crate::proxy::{bounced, Ask, Body};
+use bytes::Bytes;
+use havenplank::port::{Earlier, Kind, Ns, PodId};
+use havenplank_settings::{Group, Guard as Mode};
+use havenplank_takeover::record::{Done, Mark, Record, Went};
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A hit or an answer longer than this is not kept by others, in bytes.
+const LONGEST: usize = 256 << 10;
+
+/// Marks the answers that a sidecar made itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    Bounced,
+    Errored,
+}
+
+/// One piece of guarded work.
+pub struct Guarded {
+    pub mark: Mark,
+    /// The client can name it, and so finds it again.
+    named: bool,
+    sum: u64,
+    /// Forwards wait until guardians know.
+    wait: bool,
+    /// Cleared where nobody guards it after all.
+    on: Cell<bool>,
+    /// Some forward of it was announced.
+    announced: Cell<bool>,
+}
+
+/// The work that a hit is: by the client's key or the hit's own mark within its path group.
+pub fn of(
+    guard: &Guard,
+    group: &Group,
+    named: Option<&HeaderValue>,
+    (method, path, body): (&Method, &str, &Bytes),
+) -> Guarded {
+    let name = named.map(|name| mark(&[group.name.as_bytes(), name.as_bytes()]));
+    let sum = mark(&[method.as_str().as_bytes(), path.as_bytes(), body]) as u64;
+    Guarded {
+        mark: name.unwrap_or_else(|| guard.own_mark()),
+        named: name.is_some(),
+        sum,
+        wait: group.guard == Mode::BeforeForward,
+        on: Cell::new(true),
+        announced: Cell::new(false),
+    }
+}
+
+/// Headers as they travel between sidecars.
+type Heads = Vec<(String, Vec<u8>)>;
+
+/// A hit as its guardians keep it. By names, as two sidecars may number path groups and customers differently.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    group: String,
+    customer: Option<String>,
+    key: u64,
+    cost_hint: Option<Ns>,
+    method: String,
+    path: String,
+    headers: Heads,
+    body: Vec<u8>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct KeptAnswer {
+    status: u16,
+    headers: Heads,
+    body: Vec<u8>,
+}
+
+fn heads_of(headers: &HeaderMap) -> Heads {
+    headers.iter().map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect()
+}
+
+fn heads_from(heads: &Heads) -> HeaderMap {
+    let header = |(name, value): &(String, Vec<u8>)| {
+        Some((name.parse::<HeaderName>().ok()?, HeaderValue::from_bytes(value).ok()?))
+    };
+    heads.iter().filter_map(header).collect()
+}
+
+fn keep(shell: &Shell, asked: &Asked, ask: &Ask) -> Option<Vec<u8>> {
+    let site = &shell.site;
+    let kept = Kept {
+        group: site.groups[asked.group].name.clone(),
+        customer: asked.customer.and_then(|at| site.customers.get(at)).cloned(),
+        key: asked.key,
+        cost_hint: asked.cost_hint,
+        method: ask.method.to_string(),
+        path: ask.uri.path_and_query().map_or("/", |path| path.as_str()).to_string(),
+        headers: heads_of(&ask.headers),
+        body: ask.body.to_vec(),
+    };
+    postcard::to_stdvec(&kept).ok().filter(|bytes| bytes.len() <= LONGEST)
+}
+
+/// Serves a hit in a task of its own: its work goes on though its client leaves.
+pub async fn serve(shell: Rc<Shell>, guard: Rc<Guard>, asked: Asked, ask: Ask) -> Response<Body> {
+    let (answer, answered) = oneshot::channel();
+    spawn_local(async move {
+        // Where the client has left meanwhile nobody is there to be answered.
+        let _ = answer.send(claimed(&shell, &guard, asked, ask).await);
+    });
+    answered.await.unwrap_or_else(|_| errored(false))
+}
+
+async fn claimed(shell: &Rc<Shell>, guard: &Rc<Guard>, asked: Asked, ask: Ask) -> Response<Body> {
+    let began = Instant::now();
+    let ask = Rc::new(ask);
+    let Some(work) = &ask.guarded else { return errored(false) };
+    let (mark, sum, wait) = (work.mark, work.sum, work.wait);
+    let Some(bytes) = keep(shell, &asked, &ask) else {
+        work.on.set(false);
+        return run(shell, guard, None, asked, ask.clone(), mark).await;
+    };
+    if wait {
+        match guard.claim(mark, sum, bytes, asked.left).await {
+            Claim::Taken => {}
+            Claim::Unguarded => work.on.set(false),
+            Claim::Done(done) => return answer_of(done),
+            Claim::Differs => {
+                let why =
+                    "Idempotency-Key: another hit was sent under it; expected the same hit or another key\n";
+                return plain(StatusCode::UNPROCESSABLE_ENTITY, why);
+            }
+            Claim::Nobody => return errored(began.elapsed().as_nanos() as Ns >= asked.left),
+        }
+    } else {
+        guard.claim_behind(mark, sum, bytes, asked.left);
+    }
+    let left = asked.left.saturating_sub(began.elapsed().as_nanos() as Ns);
+    run(shell, guard, None, Asked { left, ..asked }, ask.clone(), mark).await
+}
+
+/// Lets the module finish a hit; or, where its work is lost to another, waits for that one's answer.
+async fn run(
+    shell: &Rc<Shell>,
+    guard: &Rc<Guard>,
+    past: Option<Vec<Earlier>>,
+    asked: Asked,
+    ask: Rc<Ask>,
+    mark: Mark,
+) -> Response<Body> {
+    let (kind, left) = (shell.site.groups[asked.group].rules.kind, Duration::from_nanos(asked.left));
+    let began = Instant::now();
+    let (lost, told) = guard.watch(mark);
+    let (answer, answered) = oneshot::channel();
+    let hit = shell.go_on(past, asked, ask.clone(), answer);
+    let response = tokio::select! {
+        // A hit that is answered here is answered, whatever else is known by now.
+        biased;
+        response = answered => response.unwrap_or_else(|_| errored(false)),
+        Ok(()) = lost => {
+            shell.left(hit);
+            let claim = timeout(left.saturating_sub(began.elapsed()), told).await;
+            guard.forget(mark);
+            return match claim {
+                Ok(Ok(Claim::Done(done))) => answer_of(done),
+                _ => errored(true),
+            };
+        }
+    };
+    let (response, done) = last_word(response, kind, ask.guarded.as_ref()).await;
+    guard.finish(mark, done);
+    response
+}
+
+/// What the guardians keep of an answer. A bounce tells the client that a retry does no harm. Where it cannot name
+/// the work, and guardians may believe for a moment longer that it is to be finished, that is not sure: if this
+/// sidecar were lost now, both the retry and a takeover would run. So it promises nothing.
+async fn last_word(response: Response<Body>, kind: Kind, work: Option<&Guarded>) -> (Response<Body>, Done) {
+    let again = kind != Kind::Mutating;
+    let doubtful = work.is_some_and(|work| !work.named && work.announced.get() && work.on.get()) && !again;
+    match response.extensions().get::<Final>() {
+        Some(Final::Bounced) if doubtful => (errored(false), Done::Errored { again }),
+        Some(Final::Bounced) => (response, Done::Bounced),
+        Some(Final::Errored) => (response, Done::Errored { again }),
+        None => {
+            let (parts, body) = response.into_parts();
+            let Body::Whole(whole) = body else {
+                // Passed on as it comes: too long to be kept.
+                return (Response::from_parts(parts, body), Done::Delivered(Vec::new()));
+            };
+            let whole = whole.collect().await.map(|whole| whole.to_bytes()).unwrap_or_default();
+            let (status, headers) = (parts.status.as_u16(), heads_of(&parts.headers));
+            let kept = KeptAnswer { status, headers, body: whole.to_vec() };
+            let kept = postcard::to_stdvec(&kept).ok().filter(|bytes| bytes.len() <= LONGEST);
+            let response = Response::from_parts(parts, Body::Whole(Full::new(whole)));
+            (response, Done::Delivered(kept.unwrap_or_default()))
+        }
+    }
+}
+
+/// The answer to a client that came back.
+fn answer_of(done: Done) -> Response<Body> {
+    let delivered = match done {
+        Done::Bounced => return bounced(0),
+        Done::Errored { .. } => return errored(false),
+        Done::Delivered(kept) if kept.is_empty() => {
+            return plain(
+                StatusCode::BAD_GATEWAY,
+                "errored: it ran, but its answer was too long to be kept\n",
+            )
+        }
+        Done::Delivered(kept) => kept,
+    };
+    let Ok(KeptAnswer { status, headers, body }) = postcard::from_bytes(&delivered) else {
+        return plain(StatusCode::BAD_GATEWAY, "errored: it ran, but its kept answer cannot be read here\n");
+    };
+    let mut response = Response::new(Body::Whole(Full::new(body.into())));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = heads_from(&headers);
+    response
+}
+
+/// The work is another's, or it is not sure whose.
+pub struct NotOurs;
+
+/// Tells the guardians that a forward is about to go; nothing where nobody guards it.
+pub async fn before(shell: &Rc<Shell>, work: &Guarded, pod: PodId) -> Result<Option<Going>, NotOurs> {
+    let Some(guard) = shell.guard.as_ref().filter(|_| work.on.get()) else { return Ok(None) };
+    let name = shell.look().pod_name(pod).unwrap_or_default().to_string();
+    work.announced.set(true);
+    match guard.before(work.mark, &name, work.wait).await {
+        None if work.wait => Err(NotOurs),
+        going => Ok(going),
+    }
+}
+
+/// Whether a guarded forward may be written at this moment.
+pub fn may(shell: &Rc<Shell>, ask: &Ask) -> bool {
+    let Some(work) = ask.guarded.as_ref().filter(|work| work.wait && work.on.get()) else { return true };
+    let may = shell.guard.as_ref().is_some_and(|guard| guard.may(work.mark));
+    if !may {
+        tracing::warn!(
+            mark = mark_text(work.mark),
+            "forward not sent: the right to the work is lost or unsure"
+        );
+    }
+    may
+}
+
+/// Finishes work that was another's.
+pub fn take_over(shell: &Rc<Shell>, record: Record) {
+    let Some(guard) = shell.guard.clone() else { return };
+    let (shell, mark, began) = (shell.clone(), record.mark, Instant::now());
+    spawn_local(async move {
+        let may_have_run = record.past.iter().filter(|past| past.went != Went::NeverRan).count();
+        let (forwards, left_ms) = (record.past.len(), record.left / 1_000_000);
+        tracing::info!(mark = mark_text(mark), forwards, may_have_run, left_ms, "work taken over");
+        let ended = match read(&shell, &record) {
+            Some((asked, ask)) => {
+                let earlier = |past: &havenplank_takeover::record::Past| Earlier {
+                    pod: shell.look().find(&past.pod),
+                    ago: past.age,
+                    may_have_run: past.went != Went::NeverRan,
+                };
+                let past = Some(record.past.iter().map(earlier).collect());
+                run(&shell, &guard, past, asked, Rc::new(ask), mark).await.status()
+            }
+            None => {
+                tracing::warn!(
+                    mark = mark_text(mark),
+                    "work of a path group that is not known here: errored"
+                );
+                guard.finish(mark, Done::Errored { again: false });
+                StatusCode::BAD_GATEWAY
+            }
+        };
+        let took_ms = began.elapsed().as_millis() as u64;
+        tracing::info!(mark = mark_text(mark), status = ended.as_u16(), took_ms, "work finished");
+    });
+}
+
+fn read(shell: &Shell, record: &Record) -> Option<(Asked, Ask)> {
+    let kept: Kept = postcard::from_bytes(&record.ask).ok()?;
+    let site = &shell.site;
+    let group = site.groups.iter().position(|group| group.name == kept.group)?;
+    let asked = Asked {
+        group,
+        customer: kept.customer.and_then(|name| site.customers.iter().position(|known| *known == name)),
+        key: kept.key,
+        left: record.left.min(site.groups[group].rules.client_timeout),
+        cost_hint: kept.cost_hint,
+        repeat: false,
+    };
+    let (headers, uri) = heads::apart(&heads_from(&kept.headers), &kept.path);
+    let guarded = Guarded {
+        mark: record.mark,
+        named: false,
+        sum: record.sum,
+        wait: site.groups[group].guard != Mode::Behind,
+        on: Cell::new(true),
+        announced: Cell::new(true),
+    };
+    let (method, stream) = (kept.method.parse().ok()?, site.groups[group].rules.stream);
+    Some((asked, Ask { method, uri, headers, body: kept.body.into(), stream, guarded: Some(guarded) }))
+}
--- a/crates/sidecar/src/hub.rs
+++ b/crates/sidecar/src/hub.rs
@@ -178,8 +178,22 @@
     }
 
     pub fn take(self: &Rc<Self>, asked: Asked, ask: O::Ask, answer: oneshot::Sender<O::Answer>) -> HitId {
+        self.go_on(None, asked, Rc::new(ask), answer)
+    }
+
+    /// Takes a hit; with a past, one that another sidecar took and forwarded so.
+    pub fn go_on(
+        self: &Rc<Self>,
+        past: Option<Vec<Earlier>>,
+        asked: Asked,
+        ask: Rc<O::Ask>,
+        answer: oneshot::Sender<O::Answer>,
+    ) -> HitId {
+        if let Some(past) = past {
+            self.engine.borrow_mut().resumed(self.now(), past);
+        }
         let hit = self.engine.borrow_mut().hit(self.now(), asked);
-        let waits = Waiting { ask: Rc::new(ask), answer, forwards: Vec::new() };
+        let waits = Waiting { ask, answer, forwards: Vec::new() };
         self.waiting.borrow_mut().insert(hit, waits);
         self.carry_out();
         hit
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod answers;
 pub mod daemon;
 pub mod engine;
+mod guard;
+mod guarded;
 pub mod heads;
 pub mod hub;
 mod links;
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -3,11 +3,14 @@
 use crate::answers::{self, and_close, errored, plain};
 use crate::daemon::Shell;
 use crate::engine::Asked;
+use crate::guard::Going;
+use crate::guarded::{self, Guarded};
 use crate::heads;
 use crate::hub::End;
 use crate::links::Lease;
 use bytes::{Bytes, BytesMut};
 use havenplank::port::{mark_of, Ended, HitId, Kind, Ns, PodId, ProbeEnd};
+use havenplank_settings::Guard;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, VIA};
@@ -21,7 +24,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-const MARK: &str = "idempotency-key";
+pub const MARK: &str = "idempotency-key";
 /// Which pod delivered, for whoever flags an answer.
 const POD: &str = "x-pod";
 
@@ -83,11 +86,13 @@
 
 /// A hit as it will be sent, as often as it must be.
 pub struct Ask {
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-    stream: bool,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub stream: bool,
+    /// The work that it is, where sidecars guard it.
+    pub guarded: Option<Guarded>,
 }
 
 /// Whole seconds, as the header has no finer ones, and never later than was decided.
@@ -119,6 +124,9 @@
     }
     let spent = arrived.elapsed().as_nanos() as Ns + shell.site.door.answer_margin;
     let asked = Asked { left: asked.left.saturating_sub(spent), ..asked };
+    if let Some(guard) = shell.guard.clone().filter(|_| ask.guarded.is_some()) {
+        return Ok(guarded::serve(shell, guard, asked, ask).await);
+    }
     let (answer, answered) = oneshot::channel();
     let hit = shell.take(asked, ask, answer);
     let owed = Owed { shell, hit };
@@ -183,8 +191,13 @@
     headers.remove(CONTENT_LENGTH);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (mut headers, uri) = heads::apart(&headers, path);
+    let guarded = shell.guard.as_ref().filter(|_| site.groups[group].guard != Guard::Off);
+    let guarded = guarded.map(|guard| {
+        let named = headers.get(MARK).or(headers.get(&site.headers.mark));
+        guarded::of(guard, &site.groups[group], named, (&parts.method, path, &body))
+    });
     headers.append(VIA, shell.via.clone());
-    Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream }))
+    Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream, guarded }))
 }
 
 /// Carries one forward out and tells the engine how it ended.
@@ -204,10 +217,20 @@
     let began = Instant::now();
     let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
     let mut fresh = false;
+    let mut going = None;
     let (lease, response) = loop {
         let Ok(mut lease) = shell.links.take(address, fresh).await else { return Ended::NoConnection.into() };
+        if let (Some(guarded), None) = (&ask.guarded, &going) {
+            match guarded::before(shell, guarded, pod).await {
+                Ok(told) => going = told,
+                Err(guarded::NotOurs) => {
+                    lease.give_back();
+                    return Ended::NotSent.into();
+                }
+            }
+        }
         // Chosen when it had no connection yet: the pod may drain by now, or its build be closed.
-        if !shell.may_go(hit, nth) {
+        if !shell.may_go(hit, nth) || !guarded::may(shell, ask) {
             lease.give_back();
             return Ended::NotSent.into();
         }
@@ -220,12 +243,17 @@
             request.headers_mut().insert(shell.timeout_header.clone(), left);
         }
         sent.set(true);
+        going.iter().for_each(|going| going.sent(true));
         match lease.sender.try_send_request(request).await {
             Ok(response) => break (lease, response),
             // It comes back whole only where no byte of it was written: the connection closed while idle.
             Err(mut error) => match error.take_message() {
-                Some(_) if fresh => return Ended::NoConnection.into(),
+                Some(_) if fresh => {
+                    going.iter().for_each(Going::never_ran);
+                    return Ended::NoConnection.into();
+                }
                 Some(_) => {
+                    going.iter().for_each(|going| going.sent(false));
                     sent.set(false);
                     fresh = true;
                 }
@@ -243,6 +271,9 @@
         status if status.is_server_error() => Ended::Error,
         _ => Ended::Delivered,
     };
+    if end.never_ran() {
+        going.iter().for_each(Going::never_ran);
+    }
     heads::strip_hop_by_hop(&mut parts.headers);
     let read = match ask.stream {
         true => Ok((Bytes::new(), false)),
@@ -261,6 +292,9 @@
     if let Some(name) = shell.pod_name(pod) {
         parts.headers.insert(POD, name);
     }
+    if end == Ended::Delivered {
+        going.iter().for_each(Going::delivered);
+    }
     End { end, load, answer: Some(Response::from_parts(parts, body)) }
 }
 
