Behind is told after a while, words that are waited for are said again sooner; bench takeover

Change: take_behind tells guardians after a sixth of the lease, and nobody of what is done by then; what a client waits for is said again after a 24th of the lease, then twice as late each time up to a third.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! usage or settings.
 
 mod bench;
+mod bench_takeover;
 mod bench_trace;
 mod day;
 mod fellow;
@@ -84,7 +85,8 @@
         rate: Option<f64>,
     },
     /// Measure on loopback: proxy (added latency, CPU and memory a hit), trace (what recording costs), memory
-    /// alone, flood (past the maximum); trace-file: a long recording and its tools, in virtual time.
+    /// alone, flood (past the maximum), takeover (what guarding costs, how soon another goes on); trace-file: a
+    /// long recording and its tools, in virtual time.
     Bench {
         what: String,
         /// Length of each measured turn.
@@ -95,6 +97,9 @@
         /// Hits of the long recording.
         #[arg(long, default_value_t = 1_000_000)]
         hits: u64,
+        /// Sidecars killed, one after the other.
+        #[arg(long, default_value_t = 200)]
+        kills: usize,
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
@@ -181,6 +186,9 @@
         Command::Bench { what, hits, json, .. } if what == "trace-file" => {
             bench_trace::bench(hits, json.as_deref())
         }
+        Command::Bench { what, seconds, kills, json, .. } if what == "takeover" => {
+            bench_takeover::bench(seconds, kills, json.as_deref())
+        }
         Command::Bench { what, seconds, rounds, json, .. } => {
             bench::bench(&what, seconds, rounds, json.as_deref())
         }
--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -299,7 +299,7 @@
     /// The same without waiting; where another has it, the hit is served all the same, as a repeat does no harm.
     pub fn claim_behind(&self, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns) {
         let (guardians, now) = (self.guardians(mark), self.talker.now());
-        self.takeover.borrow_mut().take(now, mark, sum, ask, left, guardians);
+        self.takeover.borrow_mut().take_behind(now, mark, sum, ask, left, guardians);
         self.act_all();
     }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod desk;
 pub mod drive;
 pub mod fleet;
+pub mod hands;
 pub mod net;
 pub mod nodes;
 pub mod notation;
--- a/crates/takeover/src/hold.rs
+++ b/crates/takeover/src/hold.rs
@@ -84,6 +84,8 @@
     refused: BTreeSet<String>,
     /// Forwards that wait until the version that tells of them is known.
     waits: Vec<(usize, u32)>,
+    /// When guardians are told first.
+    tells: Ns,
     /// When what is not acknowledged is said again, and how often it was.
     again: Ns,
     times: u32,
@@ -231,22 +233,37 @@
             self.unguarded += 1;
             return self.effects.push_back(Effect::Unguarded(mark));
         }
-        let (holder, past) = (self.me.clone(), Vec::new());
-        let record = Record {
-            mark,
-            holder,
-            term: term.unwrap_or(0),
-            version: 1,
-            firm: false,
-            guardians,
-            sum,
-            ask,
-            left,
-            past,
-            done: None,
-        };
+        let record = self.fresh(mark, term.unwrap_or(0), sum, ask, left, guardians);
         let claims = Some(now + self.rules.lease.min(left / 2));
-        self.hold(now, record, claims);
+        self.hold(now, record, claims, now);
+    }
+
+    /// A hit that may be repeated without harm was taken here, and is served whatever becomes of this. Its guardians
+    /// are told after a while: most are done by then, and those cost nobody anything.
+    pub fn take_behind(
+        &mut self,
+        now: Ns,
+        mark: Mark,
+        sum: u64,
+        ask: Vec<u8>,
+        left: Ns,
+        guardians: Vec<Life>,
+    ) {
+        if self.held.contains_key(&mark) || self.kept.contains_key(&mark) {
+            return;
+        }
+        if guardians.is_empty() || self.held.len() >= self.rules.most_held {
+            self.unguarded += 1;
+            return;
+        }
+        let record = self.fresh(mark, 0, sum, ask, left, guardians);
+        let tells = now + self.rules.lease / 6;
+        self.hold(now, record, Some(tells + self.rules.lease.min(left / 2)), tells);
+    }
+
+    fn fresh(&self, mark: Mark, term: u32, sum: u64, ask: Vec<u8>, left: Ns, guardians: Vec<Life>) -> Record {
+        let (holder, past) = (self.me.clone(), Vec::new());
+        Record { mark, holder, term, version: 1, firm: false, guardians, sum, ask, left, past, done: None }
     }
 
     /// A forward is about to go to a pod; [`Effect::Go`] tells when it may. Its number, from 0.
@@ -273,6 +290,11 @@
     /// The final answer is known.
     pub fn finish(&mut self, now: Ns, mark: Mark, done: Done) {
         let Some(held) = self.held.get_mut(&mark) else { return };
+        if now < held.tells {
+            // Nobody was told.
+            self.held.remove(&mark);
+            return;
+        }
         held.change(now, |record| record.done = Some(done));
         held.waits.clear();
         self.say_kept(now, mark);
@@ -359,18 +381,25 @@
         held.record.guardians.iter().filter(stands).count()
     }
 
-    fn hold(&mut self, now: Ns, record: Record, claims: Option<Ns>) {
+    fn hold(&mut self, now: Ns, record: Record, claims: Option<Ns>, tells: Ns) {
         let mark = record.mark;
         let (acks, refused, waits) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
-        let held = Held { record, as_of: now, acks, claims, refused, waits, again: now, times: 0 };
+        let held = Held { record, as_of: now, acks, claims, refused, waits, tells, again: now, times: 0 };
         self.held.insert(mark, held);
         self.say_kept(now, mark);
     }
 
     /// Tells its guardians how a piece of work stands, those that do not know it yet.
     fn say_kept(&mut self, now: Ns, mark: Mark) {
-        let again = now + self.rules.lease / 3;
         let Some(held) = self.held.get_mut(&mark) else { return };
+        // What a client waits for is said again soon, then less and less often.
+        let waited = held.claims.is_some() || !held.waits.is_empty();
+        let soon = (self.rules.lease / 24) << held.times.min(3);
+        let again = now + if waited { soon } else { self.rules.lease / 3 };
+        if now < held.tells {
+            held.again = held.tells;
+            return;
+        }
         held.again = again;
         let record = held.record.later(now - held.as_of);
         let knows =
@@ -428,7 +457,7 @@
             return;
         }
         self.renew = now + self.rules.lease / 3;
-        let open = self.held.values().filter(|held| held.record.done.is_none());
+        let open = self.held.values().filter(|held| held.record.done.is_none() && now >= held.tells);
         let guardians: BTreeSet<Life> = open.flat_map(|held| held.record.guardians.iter().cloned()).collect();
         for guardian in guardians {
             if guardian == self.me {
@@ -823,7 +852,7 @@
         self.waiting.remove(&mark);
         self.effects.push_back(Effect::Begin(record.clone()));
         // Those that waited with us ask again by themselves.
-        self.hold(now, record, None);
+        self.hold(now, record, None, now);
     }
 
     /// As a guardian: one waits for the answer.
--- a/crates/takeover/tests/simulated.rs
+++ b/crates/takeover/tests/simulated.rs
@@ -361,6 +361,25 @@
     }
 }
 
+#[test]
+fn what_is_told_behind_costs_nothing_when_done_soon_and_is_known_when_not() {
+    let mut run = Run::new(4, 1, Weather::default());
+    let at = run.net.own_time(0);
+    let first = run.net.part_mut(0).unwrap();
+    for mark in [1, 2] {
+        let guardians = first.guardians(mark, 3);
+        first.takeover.take_behind(at, mark, 5, vec![1], 6 * S, guardians);
+        assert_eq!(first.takeover.forward(at, mark, "pod"), Some(0));
+    }
+    first.takeover.finish(at + 50 * MS, 1, Done::Delivered(vec![1]));
+    assert!(first.takeover.effect().is_none() && first.takeover.sizes() == (1, 0, 0));
+    run.play(400 * MS);
+    let keeps = |run: &Run, mark| {
+        (1..4).filter(|id| run.net.part(*id).unwrap().takeover.keeps(mark).is_some()).count()
+    };
+    assert_eq!((keeps(&run, 1), keeps(&run, 2)), (0, 3));
+}
+
 #[test]
 fn without_guardians_in_reach_a_hit_is_served_unguarded_not_held_up() {
     let mut run = Run::new(4, 1, Weather::default());
