--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -292,3 +292,21 @@
         }
     });
 }
+
+#[test]
+fn seven_of_ten_killed_at_once_leave_no_hit_that_runs_twice_and_none_without_an_answer() {
+    test(10, true, async |group| {
+        let mut asked = Vec::new();
+        for id in 0..7 {
+            asked.extend(group.begun(id, 4, 0).await.expect("hits"));
+        }
+        (0..7).for_each(|id| group.sidecars[id].signal(Signal::KILL).expect("killed"));
+        let statuses = back(&group, asked, &[7, 8, 9]).await;
+        // Most work lost two of its three guardians: it may wait in vain, but nobody runs it again in doubt.
+        for (name, path, status) in &statuses {
+            assert_eq!(group.pods.ran(name), 1, "{name} ran once, before the kill");
+            assert!([200, 502, 503, 504].contains(status), "{name} at {path}: {status}");
+        }
+        assert!(statuses.iter().all(|(_, path, status)| *path == "/tagged" || *status != 200));
+    });
+}
