havenplank bench growth: what sidecars say to each other, 3 to 64 processes

Need: traffic for each sidecar has to stay flat as the fleet grows, and it was not known how soon a loss is heard.

--- a/crates/cli/src/bench_takeover.rs
+++ b/crates/cli/src/bench_takeover.rs
@@ -255,6 +255,69 @@
     Ok(json!(rows))
 }
 
+/// What each sidecar sends for the fellowship while nothing happens, by their number, and how soon all have heard of one
+/// that was killed. With hits guarded the same at each size: 100 a second over all.
+pub fn growth(seconds: u64, json: Option<&Path>) -> anyhow::Result<u8> {
+    const SIZES: [usize; 5] = [3, 8, 16, 32, 64];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let program = std::env::current_exe()?;
+    println!(
+        "{:>8} {:>16} {:>18} {:>16} {:>16}",
+        "sidecars", "idle bytes/s each", "hits bytes a hit", "loss heard p50 ms", "by all ms"
+    );
+    let measured = runtime.block_on(LocalSet::new().run_until(async {
+        let mut rows = Vec::new();
+        for size in SIZES {
+            let folder = tempfile::tempdir()?;
+            let mut group = Group::start(&program, folder.path(), size, true).await?;
+            group.pods.work.set(Duration::ZERO);
+            // What is said at the start is over by then.
+            sleep(Duration::from_secs(3)).await;
+            let before = sums(&group).await?;
+            sleep(Duration::from_secs(seconds)).await;
+            let quiet = sums(&group).await?.1 - before.1;
+            let before = sums(&group).await?;
+            let (began, doors) = (Instant::now(), doors(&group));
+            for n in 0..100 * seconds {
+                sleep_until(began + Duration::from_millis(10 * n)).await;
+                doors[n as usize % size].ask("/before", &format!("growth-{size}-{n}")).await?;
+            }
+            let guarding = (sums(&group).await?.1 - before.1).saturating_sub(quiet);
+            let lost: Vec<usize> =
+                group.sidecars.iter_mut().map(|sidecar| sidecar.said("fellow lost")).collect();
+            group.sidecars[size - 1].signal(Signal::KILL)?;
+            let (killed, mut heard) = (Instant::now(), vec![None; size - 1]);
+            while heard.iter().any(Option::is_none) {
+                anyhow::ensure!(
+                    killed.elapsed() < Duration::from_secs(30),
+                    "not all of {size} heard of a loss"
+                );
+                for (id, heard) in heard.iter_mut().enumerate().filter(|(_, heard)| heard.is_none()) {
+                    if group.sidecars[id].said("fellow lost") > lost[id] {
+                        *heard = Some(killed.elapsed().as_millis() as u64);
+                    }
+                }
+                sleep(Duration::from_millis(2)).await;
+            }
+            let mut heard: Vec<u64> = heard.into_iter().flatten().collect();
+            heard.sort_unstable();
+            let (p50, all) = (heard[heard.len() / 2], heard[heard.len() - 1]);
+            let idle = quiet as f64 / (seconds * size as u64) as f64;
+            let a_hit = guarding as f64 / (100 * seconds) as f64;
+            println!("{size:>8} {idle:>16.0} {a_hit:>18.0} {p50:>16} {all:>16}");
+            rows.push(json!({
+                "sidecars": size, "idle_bytes_s_each": idle, "bytes_a_hit": a_hit, "loss_heard_p50_ms": p50,
+                "loss_heard_by_all_ms": all,
+            }));
+        }
+        anyhow::Ok(json!(rows))
+    }))?;
+    if let Some(file) = json {
+        write_json(file, &measured)?;
+    }
+    Ok(0)
+}
+
 pub fn bench(seconds: u64, many: usize, json: Option<&Path>) -> anyhow::Result<u8> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let program = std::env::current_exe()?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -85,8 +85,8 @@
         rate: Option<f64>,
     },
     /// Measure on loopback: proxy (added latency, CPU and memory a hit), trace (what recording costs), memory
-    /// alone, flood (past the maximum), takeover (what guarding costs, how soon another goes on); trace-file: a
-    /// long recording and its tools, in virtual time.
+    /// alone, flood (past the maximum), takeover (what guarding costs, how soon another goes on), growth (what
+    /// sidecars say to each other, 3 to 64 of them); trace-file: a long recording and its tools, in virtual time.
     Bench {
         what: String,
         /// Length of each measured turn.
@@ -189,6 +189,9 @@
         Command::Bench { what, seconds, kills, json, .. } if what == "takeover" => {
             bench_takeover::bench(seconds, kills, json.as_deref())
         }
+        Command::Bench { what, seconds, json, .. } if what == "growth" => {
+            bench_takeover::growth(seconds, json.as_deref())
+        }
         Command::Bench { what, seconds, rounds, json, .. } => {
             bench::bench(&what, seconds, rounds, json.as_deref())
         }
