One place for the fellowship's keys, life and log; a largest time left ends no waiter

Cause: guard.rs and fellow.rs had the same lines for the log of who came and went, the key file and a new life. Checked by reading: a fellow's record with the largest time left would overflow in lose(), which a fellow with the key could cause.

Change: read_keys, new_life and log in fellows::shell; both sums saturate.

--- a/crates/cli/src/fellow.rs
+++ b/crates/cli/src/fellow.rs
@@ -2,13 +2,13 @@
 
 use anyhow::Context;
 use havenplank_fellows::node::{Happened, Node};
-use havenplank_fellows::shell::Talker;
-use havenplank_fellows::swim::{Event, News, Rules, State};
-use havenplank_fellows::wire::{Key, Life, NAME};
+use havenplank_fellows::shell::{log, new_life, read_keys, Talker};
+use havenplank_fellows::swim::{News, Rules, State};
+use havenplank_fellows::wire::{Life, NAME};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::interval;
@@ -37,16 +37,6 @@
     period: humantime::Duration,
 }
 
-fn keys(file: &PathBuf) -> anyhow::Result<Vec<Key>> {
-    let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
-    Key::read(&text).with_context(|| file.display().to_string())
-}
-
-/// A number that grows with each start under a name.
-fn life() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64)
-}
-
 pub fn fellow(args: Fellow) -> anyhow::Result<u8> {
     let period = Duration::from(args.period);
     let wrong = [
@@ -58,10 +48,10 @@
         eprintln!("havenplank: {why}");
         return Ok(crate::USAGE);
     }
-    let read = match keys(&args.keys) {
+    let read = match read_keys(&args.keys) {
         Ok(read) => read,
         Err(why) => {
-            eprintln!("havenplank: {why:#}");
+            eprintln!("havenplank: {why}");
             return Ok(crate::USAGE);
         }
     };
@@ -71,7 +61,7 @@
         let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
         let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
         let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
-        let (period, who) = (period.as_nanos() as u64, Life { name: args.name.clone(), life: life() });
+        let (period, who) = (period.as_nanos() as u64, Life { name: args.name.clone(), life: new_life() });
         let rules = Rules { period, answer: period * 3 / 10, ..Rules::default() };
         let talker = Talker::bind(args.listen, |now, bound| {
             let at = args.advertise.unwrap_or(bound);
@@ -87,12 +77,12 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = reload.recv() => match keys(&args.keys) {
+                _ = reload.recv() => match read_keys(&args.keys) {
                     Ok(read) => {
                         tracing::info!(keys = read.len(), "keys read again");
                         talker.call(|node, _| node.rekey(read));
                     }
-                    Err(why) => tracing::warn!(why = format!("{why:#}"), "keys refused, the old ones stay"),
+                    Err(why) => tracing::warn!(why, "keys refused, the old ones stay"),
                 },
                 _ = beat.tick() => state(&talker),
             }
@@ -104,16 +94,9 @@
 }
 
 fn tell(happened: Happened) {
-    let Happened::Told(event) = happened else { return };
-    let (what, Life { name, life }) = match event {
-        Event::Joined(who) => ("fellow joined", who),
-        Event::Suspected(who) => ("fellow suspected", who),
-        Event::Cleared(who) => ("fellow cleared", who),
-        Event::Lost(who) => ("fellow lost", who),
-        Event::Left(who) => ("fellow left us", who),
-        Event::Reborn(who) => ("own life was behind and is newer now", who),
-    };
-    tracing::info!(fellow = name, life, "{what}");
+    if let Happened::Told(event) = happened {
+        log(event);
+    }
 }
 
 /// Once a second, what this one believes beside what came over the wire.
--- a/crates/fellows/src/shell.rs
+++ b/crates/fellows/src/shell.rs
@@ -2,7 +2,8 @@
 //! datagram goes over TCP to the same address and port, a frame a letter.
 
 use crate::node::{Happened, Node};
-use crate::wire::{LONGEST, LONGEST_STREAM};
+use crate::swim::Event;
+use crate::wire::{Key, Life, LONGEST, LONGEST_STREAM};
 use crate::Ns;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -10,8 +11,9 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, Notify, Semaphore};
 use tokio::task::{spawn_local, JoinSet};
@@ -43,6 +45,33 @@
     hears: RefCell<Option<mpsc::Receiver<Bytes>>>,
 }
 
+/// The keys of a file; why not, with its name, where it has none.
+///
+/// # Errors
+/// A file that cannot be read, or a line that is no key.
+pub fn read_keys(file: &Path) -> Result<Vec<Key>, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    Key::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+}
+
+/// A number that grows with each start under a name.
+pub fn new_life() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64)
+}
+
+/// Logs who came and went.
+pub fn log(event: Event) {
+    let (what, Life { name, life }) = match event {
+        Event::Joined(who) => ("fellow joined", who),
+        Event::Suspected(who) => ("fellow suspected", who),
+        Event::Cleared(who) => ("fellow cleared", who),
+        Event::Lost(who) => ("fellow lost", who),
+        Event::Left(who) => ("fellow left us", who),
+        Event::Reborn(who) => ("own life was behind and is newer now", who),
+    };
+    tracing::info!(fellow = name, life, "{what}");
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(LONGEST_STREAM).new_codec()
 }
--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -2,9 +2,9 @@
 //! the hits here that wait for what they say.
 
 use havenplank_fellows::node::{Happened, Node};
-use havenplank_fellows::shell::Talker;
-use havenplank_fellows::swim::{Event, News, Rules as Membership, State};
-use havenplank_fellows::wire::{Key, Life};
+use havenplank_fellows::shell::{log, new_life, read_keys, Talker};
+use havenplank_fellows::swim::{News, Rules as Membership, State};
+use havenplank_fellows::wire::Life;
 use havenplank_settings::Takeover as Settings;
 use havenplank_takeover::guardians::{pick, Candidate};
 use havenplank_takeover::hold::{Effect, Rules, Takeover};
@@ -13,9 +13,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -78,11 +77,6 @@
     begun: mpsc::UnboundedSender<Record>,
 }
 
-fn keys(file: &Path) -> Result<Vec<Key>, String> {
-    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
-    Key::read(&text).map_err(|error| format!("{}: {error}", file.display()))
-}
-
 impl Guard {
     /// Binds the sockets and meets the others. What comes out is work that is to be finished here.
     ///
@@ -93,9 +87,8 @@
         name: &str,
         zone: &str,
     ) -> Result<(Rc<Guard>, mpsc::UnboundedReceiver<Record>), String> {
-        let read = keys(&settings.keys)?;
-        // Grows with each start under this name.
-        let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64);
+        let read = read_keys(&settings.keys)?;
+        let life = new_life();
         let me = Life { name: name.to_string(), life };
         let rules =
             Membership { period: settings.period, answer: settings.period * 3 / 10, ..Membership::default() };
@@ -171,17 +164,7 @@
                 }
             },
             Happened::Came { .. } => {}
-            Happened::Told(event) => {
-                let (what, who) = match event {
-                    Event::Joined(who) => ("fellow joined", who),
-                    Event::Suspected(who) => ("fellow suspected", who),
-                    Event::Cleared(who) => ("fellow cleared", who),
-                    Event::Lost(who) => ("fellow lost", who),
-                    Event::Left(who) => ("fellow left us", who),
-                    Event::Reborn(who) => ("own life was behind and is newer now", who),
-                };
-                tracing::info!(fellow = who.name, life = who.life, "{what}");
-            }
+            Happened::Told(event) => log(event),
         }
     }
 
@@ -442,7 +425,7 @@
 async fn reload(guard: Rc<Guard>, file: std::path::PathBuf) {
     let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
     while hangups.recv().await.is_some() {
-        match keys(&file) {
+        match read_keys(&file) {
             Ok(read) => {
                 tracing::info!(keys = read.len(), "keys read again");
                 guard.talker.call(|node, _| node.rekey(read));
--- a/crates/takeover/src/hold.rs
+++ b/crates/takeover/src/hold.rs
@@ -542,7 +542,7 @@
 
     fn wait(&mut self, now: Ns, mark: Mark, sum: u64, left: Ns, guardians: Vec<Life>) {
         let (nothing, known, again) = (BTreeSet::new(), now, now);
-        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now + left };
+        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now.saturating_add(left) };
         self.waiting.insert(mark, waiting);
         self.effects.push_back(Effect::Joined(mark));
         self.wait_again(now, mark);
@@ -773,7 +773,7 @@
         self.effects.push_back(Effect::Lost(mark));
         let Record { sum, guardians, left, .. } = record;
         let (nothing, known, again) = (BTreeSet::new(), now, now);
-        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now + left };
+        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now.saturating_add(left) };
         self.waiting.insert(mark, waiting);
         self.wait_again(now, mark);
     }
