--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,8 +25,9 @@
     const SPANS: [Ns; 2] = [5 * S, 1500 * MS];
     const THIN: f64 = 5.0;
 
-    fn windows() -> [Window; 2] {
-        Share::SPANS.map(|span| Window::new(span, SLICES))
+    fn fresh() -> Share {
+        let [new, all] = [(); 2].map(|()| Share::SPANS.map(|span| Window::new(span, SLICES)));
+        Share { new, all }
     }
 
     /// It rises by leaps at a stage's start, when the long look still blames the build for having more
@@ -62,7 +63,7 @@
     const SETTLES: Ns = 2 * S;
 
     /// Wald's bounds on the sum: on below the first, back above the second. Alpha is that of the platform's
-    /// verdict, so each of many instances gets the part by which as many false ones as move it are no likelier
+    /// verdict, so each of many instances gets the part by which as many false as move it are no likelier
     /// (the binomial's tail): less where any one decides, by the logarithm only; up to beta where many must.
     fn bounds(instances: usize, needed: usize) -> (f64, f64) {
         let part = part_of_chance(instances, needed, Judge::ALPHA, Judge::BETA);
@@ -84,7 +85,7 @@
     /// within one. What speaks for it does not: more traffic may bring out more.
     fn restart(&mut self, build: Build) {
         if build != self.build {
-            self.share.new = Share::windows();
+            self.share.new = Share::fresh().new;
             (self.sum, self.slot_sum, self.away, self.testing) = (0.0, 0.0, false, false);
             self.seen = [(0.0, 0.0); 2];
         }
@@ -218,8 +219,7 @@
     const DOUBTED: f64 = 0.4;
     const MOST_KEYS: usize = 1 << 16;
 
-    /// Whether `part` of the cap leaves room for one more forward. An earlier life of this instance may have
-    /// used up the free ones within the same window.
+    /// Whether `part` of the cap leaves room for one more forward. An earlier life may have used the free.
     fn room(&mut self, now: Ns, build: Build, group: GroupId, cap: f64, part: f64) -> bool {
         let bucket = self.bucket(group);
         let free = if now - self.started <= self.rules.window { 0.0 } else { self.rules.free };
@@ -229,8 +229,7 @@
 
     /// Halved on doubt, doubled while it goes well; lower, it would starve the test of what could settle it.
     fn weigh(&mut self, doubt: bool) {
-        let next = if doubt { self.part * 0.5 } else { self.part * 2.0 };
-        self.part = next.clamp(Exposure::DOUBTED, 1.0);
+        self.part = (self.part * if doubt { 0.5 } else { 2.0 }).clamp(Exposure::DOUBTED, 1.0);
     }
 }
 
@@ -246,8 +245,7 @@
     /// Well pods of a side that an instance keeps to, at least: of fewer the test on a build hears too
     /// little, as one pod alone puts no more than `ONE_POD` on it.
     const KEEPS: f64 = 4.0;
-    /// Forwards in flight from one instance to each pod that it keeps to, at most: its bursts must not fill
-    /// one.
+    /// Forwards in flight from one instance to each pod it keeps to, at most: its bursts must not fill one.
     const BUSY: f64 = 0.125;
     const BUSY_LEARN: f64 = 0.02;
     /// Multiples of it spread evenly over any run of numbers, whichever of them share a zone.
@@ -275,8 +273,7 @@
     fn survey(&mut self, now: Ns, place: &Place) {
         self.sum_up_warm(now, SLICES);
         self.keep_to(now, place);
-        let well = self.table.running().filter(|pod| self.well(now, pod)).count();
-        self.panic = well * 3 < self.table.count;
+        self.panic = 3 * self.table.running().filter(|pod| self.well(now, pod)).count() < self.table.count;
     }
 
     /// Hundreds of instances that each open connections to every pod cost the pods more than their hits do.
@@ -396,8 +393,7 @@
     const LEARN: u32 = 30;
     const RETRY_PART: f64 = 0.2;
     const RETRY_WINDOW: Ns = 10 * S;
-    /// From how many times what nine in ten answers keep a second copy goes out, and up to which share of
-    /// late answers.
+    /// From how many times what nine in ten answers keep a second copy goes out, and up to which late share.
     const COPY_AFTER: f64 = 2.5;
     const COPY_CALM: f64 = 0.125;
 
@@ -417,7 +413,7 @@
         Logic {
             exposure: Exposure::new(exposure, now, groups.len(), Exposure::START, SLICES),
             pods: Pods::new(pods, groups.iter().map(|group| group.target_latency).min().unwrap_or(S)),
-            judge: Judge::new([Share::windows(), Share::windows()], bounds, Judge::OWN_RATE),
+            judge: Judge::new(Share::fresh(), bounds, Judge::OWN_RATE),
             voter: Voter::new(votes),
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             taken: Window::new(Logic::RETRY_WINDOW, SLICES),
@@ -460,15 +456,17 @@
     }
 
     /// A thin share at each of many tells none of them enough, and a bad build stays. So a part of them takes
-    /// the trial's forwards, each as many more as the cap and its memory leave room for, and the rest none:
-    /// as many reach the pods, and fewer hear more of them. Who sits goes by number and build.
+    /// the trial's forwards, each as many more as the cap and its memory leave room for, the rest none: as
+    /// many reach the pods, and fewer hear more. Who sits goes by number and build; who hears enough does.
     fn seat(&mut self, now: Ns) {
         let (many, needed, build) = (self.place.instances, self.voter.rules.back_needs, self.judge.build);
         let share = self.pods.table.part_of(build);
         let cap = self.cap(build).filter(|_| self.on_trial() && needed > 1 && share > 0.0);
         let room = cap.map(|cap| Exposure::START * self.exposure.share(now, cap));
         let part = room.map_or(1.0, |room| share / room.clamp(share, Judge::MEMORY_SHARE.max(share)));
-        let part = part.max((2.0 * needed as f64 / many as f64).min(1.0));
+        let heard = share * self.taken.most(now) as f64 * Voter::ON_AFTER as f64 / Logic::RETRY_WINDOW as f64;
+        let least = (heard / Voter::ENOUGH as f64).max(2.0 * needed as f64 / many as f64);
+        let part = part.max(least.min(1.0));
         let seat = ((self.place.rank + build as usize * many) as f64 * Pods::GOLDEN).fract();
         self.judge.lift = (seat < part) as u8 as f64 * ((1.0 - share) / (part - share).max(1e-9)).max(1.0);
         self.judge.bounds = Judge::bounds(((many as f64 * part) as usize).max(needed), needed);
@@ -530,8 +528,7 @@
     }
 
     fn on_trial(&self) -> bool {
-        let trial = self.stage.filter(|(stage, _)| stage.phase == Phase::Trial);
-        trial.is_some_and(|(stage, _)| self.pods.table.count_of(stage.build) > 0)
+        self.stage.is_some_and(|(s, _)| s.phase == Phase::Trial && self.pods.table.count_of(s.build) > 0)
     }
 
     fn consider(&mut self, host: &mut dyn Host) {
@@ -557,8 +554,8 @@
             logic.voter.standing = counted.then_some(want);
             let soon = (100 + logic.chance.rand_range(0..300)) * MS;
             // Late in the vote's life, but so that a call that times out can be made again before it lapses.
-            let rules = &logic.voter.rules;
-            let life = rules.life.saturating_sub(rules.call_time_out).max(rules.life / 4) as f64;
+            let (life, out) = (logic.voter.rules.life, logic.voter.rules.call_time_out);
+            let life = life.saturating_sub(out).max(life / 4) as f64;
             let late = now + (life * (0.75 + 0.2 * logic.chance.rand_float())) as Ns;
             logic.voter.again_at = if counted { late } else { host.now() + soon };
             match news.stage {
@@ -709,8 +706,8 @@
         self.step(host, trip);
     }
 
-    /// Whether an answer is among the slowest tenth of its path group and machine, learnt outside trials, and
-    /// how it compares to the group's mean.
+    /// Whether an answer is among the slowest tenth of its path group and machine, as learnt outside trials,
+    /// and how it compares to the group's mean.
     fn pace(&mut self, trip: &Trip, sent: &Sent, outcome: &Outcome) -> (bool, f64) {
         let learn = !self.on_trial() || self.hits < Logic::LEARN;
         let answered = outcome.end == Ended::Delivered;
@@ -732,8 +729,7 @@
     }
 
     /// What an outcome says of its build. A hung pod tells of its machine while others of it answer, a young
-    /// one for its coldness. Lateness tells of load when a third is late, or of warming up; one queue is
-    /// one event.
+    /// one of its coldness. Lateness tells of load when a third is late, or of warming; a queue is one event.
     fn evidence(&mut self, now: Ns, sent: &Sent, outcome: &Outcome, target: Ns, slow: bool, silent: bool) {
         let (build, timed_out) = (sent.entry.build, outcome.end == Ended::TimeOut);
         let answers = |pod: &Pod| pod.strikes == 0 && !self.pods.silent(now, pod);
@@ -880,8 +876,7 @@
         for _ in 0..Logic::DRAWS {
             let at = [self.chance.rand_float() * total, self.chance.rand_float()];
             let Some((id, mean)) = self.pods.table.draw(sides, at).filter(|_| drawn.len() < 2) else { break };
-            let carries =
-                self.pods.table.get(id).map_or(0.0, |pod| 0.5 / (self.pods.burden(now, pod) * mean));
+            let carries = self.pods.table.get(id).map_or(0.0, |p| 0.5 / (self.pods.burden(now, p) * mean));
             let taken = self.chance.rand_float() < carries && !drawn.contains(&id);
             if taken && self.fits(now, trip, id, false, luck) {
                 drawn.push(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,8 +268,7 @@
 }
 
 impl Judge {
-    pub fn new([new, all]: [[Window; 2]; 2], bounds: (f64, f64), own_rate: f64) -> Judge {
-        let share = Share { new, all };
+    pub fn new(share: Share, bounds: (f64, f64), own_rate: f64) -> Judge {
         let (build, outcomes, sum, slow_sum, slot_sum) = (0, 0, 0.0, 0.0, 0.0);
         let (old_slow, usual, testing, away, slot, seen) = (0.0, 0.0, false, false, (0, 0), [(0.0, 0.0); 2]);
         Judge {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -65,6 +65,9 @@
             "error" => Ended::Error,
             "dead" => Ended::NoConnection,
             "full" => Ended::Full,
+            // Callers' own mistakes: every fourth hit errs, wherever it goes.
+            "fourth" if hit.is_multiple_of(4) => Ended::Error,
+            "fourth" => Ended::Delivered,
             _ => Ended::TimeOut,
         };
         let limit = self.deadlines[&hit].min(self.now + time_out);
@@ -355,7 +358,7 @@
     "exposure-lowered", "judge-bounds", "judge-carries", "judge-slow", "judge-hung-pod",
     "judge-blame", "judge-shared", "judge-control", "choice-thin", "cold-thin", "vote-many",
     "vote-any", "vote-count", "vote-clock", "vote-unreachable", "vote-renewal", "list-asked", "limit", "panic", "retry-budget",
-    "second-copy", "kept-part",
+    "second-copy", "kept-part", "seat-by-evidence",
 }
 
 /// Two hundred instances that share nothing, over eighty pods: each keeps to a few, all pods get about as much, and
