A guardian agrees to no work that it does not know: seed 42080 ran a mutating hit twice

Seen: of seeds 0 to 140,000 of the takeover's simulation 42080 ends with two effects of mark 8. Its history (now printed by HAVENPLANK_SEED=42080 HAVENPLANK_MARK=8): the holder's second forward is written once s-1 and s-2 know of it, runs, and both know that it is done; s-0, cut off since 3.35 s, knows of the first forward only, which never ran, and asks 27 times. s-1 is killed; at 13.77 s s-2, 1% fast, has forgotten the work 10.4 s after it heard of it, s-0, 1% slow, has not. s-2 agrees, as Takeover::vote entered and agreed to whatever it did not know (hold.rs, the branch on kept.contains_key), and s-0 sends again. Cause: the rule. Not knowing was taken for never having known. Ruled out: leases (the holder was gone for 10 s), epochs, counts. Change: no word for what is not known. A vote then needs no record on the wire.

--- a/crates/stand/src/net.rs
+++ b/crates/stand/src/net.rs
@@ -58,6 +58,32 @@
     }
 }
 
+/// What became of a datagram, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// By a cut, or as nobody has that address.
+    Cut,
+    Lost,
+    /// On its way; how many of it.
+    Goes(usize),
+    Heard,
+    /// Its place is paused.
+    Waits,
+    /// Its place is dead, or paused with a full buffer.
+    Dropped,
+}
+
+/// A line of what is written down where [`Net::written`] asks for it.
+#[derive(Clone, Debug)]
+pub struct Passed {
+    pub at: Ns,
+    /// Who sends; none where it arrives, as a datagram on its way does not tell.
+    pub from: Option<Id>,
+    pub to: Option<Id>,
+    pub fate: Fate,
+    pub bytes: Vec<u8>,
+}
+
 struct Place<P> {
     part: Option<P>,
     at: SocketAddr,
@@ -80,6 +106,8 @@
     pub carried: u64,
     pub carried_bytes: u64,
     pub lost: u64,
+    /// What became of each datagram, where somebody wants to know; whoever does empties it.
+    pub written: Option<Vec<Passed>>,
 }
 
 impl<P: Part> Net<P> {
@@ -96,6 +124,13 @@
             carried: 0,
             carried_bytes: 0,
             lost: 0,
+            written: None,
+        }
+    }
+
+    fn write(&mut self, from: Option<Id>, to: Option<Id>, fate: Fate, bytes: &[u8]) {
+        if let Some(written) = &mut self.written {
+            written.push(Passed { at: self.now, from, to, fate, bytes: bytes.to_vec() });
         }
     }
 
@@ -223,10 +258,16 @@
     fn arrive(&mut self) -> Id {
         let Some((_, (to, bytes))) = self.flying.pop_first() else { return 0 };
         let own = self.own_time(to);
+        let fate = match &self.places[to] {
+            Place { part: Some(_), paused: false, .. } => Fate::Heard,
+            Place { part: Some(_), buffer, .. } if buffer.len() < BUFFER => Fate::Waits,
+            _ => Fate::Dropped,
+        };
+        self.write(None, Some(to), fate, &bytes);
         let place = &mut self.places[to];
-        match &mut place.part {
-            Some(_) if place.paused && place.buffer.len() < BUFFER => place.buffer.push_back(bytes),
-            Some(part) if !place.paused => part.heard(own, &bytes),
+        match (&mut place.part, fate) {
+            (Some(part), Fate::Heard) => part.heard(own, &bytes),
+            (_, Fate::Waits) => place.buffer.push_back(bytes),
             _ => self.lost += 1,
         }
         to
@@ -237,12 +278,15 @@
         while let Some((at, bytes)) = self.places[from].part.as_mut().and_then(Part::datagram) {
             self.carried += 1;
             self.carried_bytes += bytes.len() as u64;
-            let to = self.by_address.get(&at).copied().filter(|to| !self.cut.contains(&(from, *to)));
+            let named = self.by_address.get(&at).copied();
+            let to = named.filter(|to| !self.cut.contains(&(from, *to)));
             let Some(to) = to.filter(|_| self.chance.rand_float() >= self.weather.loss) else {
                 self.lost += 1;
+                self.write(Some(from), named, if to.is_some() { Fate::Lost } else { Fate::Cut }, &bytes);
                 continue;
             };
             let copies = 1 + (self.chance.rand_float() < self.weather.repeat) as usize;
+            self.write(Some(from), Some(to), Fate::Goes(copies), &bytes);
             for _ in 0..copies {
                 let (least, most) = self.weather.delay;
                 let delay = self.chance.rand_range(least..most.max(least) + 1);
--- a/crates/takeover/src/hold.rs
+++ b/crates/takeover/src/hold.rs
@@ -15,6 +15,7 @@
 use havenplank_fellows::wire::Life;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
 
 /// Sidecars that wait for one answer at one guardian, at most; a further one is told nothing and asks again.
 const WAITERS: usize = 8;
@@ -50,7 +51,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
     Say {
         to: Life,
@@ -131,6 +132,7 @@
     forget: Ns,
 }
 
+#[derive(Clone)]
 pub struct Takeover {
     me: Life,
     rules: Rules,
@@ -161,6 +163,14 @@
     pub taken_over: u64,
 }
 
+/// For searches that must know a state again: all that it decides by but the scatter of its asking.
+impl Hash for Takeover {
+    fn hash<H: Hasher>(&self, to: &mut H) {
+        (&self.me, &self.held, &self.kept, &self.waiting, &self.effects).hash(to);
+        (&self.promises, &self.epochs, self.turned, &self.leases, self.renew).hash(to);
+    }
+}
+
 impl Takeover {
     pub fn new(now: Ns, seed: u64, me: Life, rules: Rules) -> Takeover {
         Takeover {
@@ -355,7 +365,7 @@
                 }
             }
             Say::Renewed { stamp, epoch } => self.lease(now, from, stamp, epoch),
-            Say::Vote { record, term, stamp } => self.vote(now, from, record, term, stamp),
+            Say::Vote { mark, term, stamp } => self.vote(now, from, mark, term, stamp),
             Say::Voted { record, term, stamp, epoch } => self.voted(now, from, record, term, (stamp, epoch)),
             Say::Wait { mark, sum } => self.waits(from, mark, sum),
             Say::Done { mark, term, done } => self.done(now, mark, term, done),
@@ -818,7 +828,7 @@
         let others: Vec<Life> = record.guardians.iter().filter(|life| **life != self.me).cloned().collect();
         self.turn_from(&old);
         for other in others {
-            self.say(&other, Say::Vote { record: record.clone(), term, stamp: now });
+            self.say(&other, Say::Vote { mark, term, stamp: now });
         }
         self.count(now, mark);
     }
@@ -838,9 +848,13 @@
     }
 
     /// As a guardian: another asks for the work.
-    fn vote(&mut self, now: Ns, from: &Life, record: Record, term: u32, stamp: Ns) {
-        let mark = record.mark;
-        if !record.guardians.contains(from) || !record.guardians.contains(&self.me) {
+    fn vote(&mut self, now: Ns, from: &Life, mark: Mark, term: u32, stamp: Ns) {
+        let guards = |record: &Record| record.guardians.contains(from) && record.guardians.contains(&self.me);
+        let known = self.held.get(&mark).map(|held| &held.record);
+        let known = known.or(self.kept.get(&mark).map(|kept| &kept.record));
+        // What is not known here may have been, and forgotten: more than half of them would then agree, and none of
+        // them know the last forward.
+        if !known.is_some_and(guards) {
             return;
         }
         if let Some(held) = self.held.get(&mark) {
@@ -859,14 +873,6 @@
             self.retire(now, mark);
             self.effects.push_back(Effect::Lost(mark));
         }
-        if !self.kept.contains_key(&mark) {
-            if self.is_full() {
-                self.turned_away += 1;
-                return;
-            }
-            let (own, holder) = (record.term, record.holder.clone());
-            self.enter(now, record, own, holder);
-        }
         let Some(kept) = self.kept.get_mut(&mark) else { return };
         if let Some(done) = kept.record.done.clone() {
             let term = kept.term;
--- a/crates/takeover/src/record.rs
+++ b/crates/takeover/src/record.rs
@@ -127,7 +127,7 @@
     },
     /// I would finish it, in this term.
     Vote {
-        record: Record,
+        mark: Mark,
         term: u32,
         stamp: Ns,
     },
--- /dev/null
+++ b/crates/takeover/tests/every_order.rs
@@ -0,0 +1,311 @@
+//! Faults at every point, at small size: a holder and three guardians, one hit that must not run twice. Words come in
+//! the order in which they were said; from there so many faults are placed in all ways, each at every point where it
+//! fits: a word lost, doubled, held back behind all others or for a step of time, a forward that never ran, a sidecar
+//! killed, paused or cut off. How long a pause, a cut or a forward lasts is tried in all ways, too.
+//!
+//! By hand, more faults: HAVENPLANK_FAULTS=3 cargo test --release -p havenplank-takeover --test every_order
+
+use havenplank_fellows::wire::Life;
+use havenplank_takeover::hold::{Effect, Rules, Takeover};
+use havenplank_takeover::record::{Done, Mark, Say, Went};
+use havenplank_takeover::Ns;
+use rayon::prelude::*;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+use std::sync::Mutex;
+
+const MS: Ns = 1_000_000;
+const MARK: Mark = 1;
+const MANY: usize = 4;
+/// What a step of time is, and how many there are: until all records are forgotten by the slowest clock.
+const STEP: Ns = 200 * MS;
+const STEPS: u64 = 13;
+
+fn life(id: usize) -> Life {
+    Life { name: format!("s-{id}"), life: 1 }
+}
+
+#[derive(Clone, Hash)]
+struct Sidecar {
+    takeover: Takeover,
+    paused: bool,
+    cut: bool,
+    /// Its forward that is at a pod.
+    out: Option<usize>,
+}
+
+/// One state of all: sidecars, the words under way in their order, and what may still go wrong.
+#[derive(Clone, Hash)]
+struct World {
+    step: u64,
+    sidecars: Vec<Option<Sidecar>>,
+    flying: Vec<(usize, usize, Say)>,
+    effects: usize,
+    faults: usize,
+    killed: bool,
+    never_ran: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    /// The nth word comes; it is the first whose sidecar runs.
+    Comes(usize),
+    Ran(usize),
+    Tick,
+    Wakes(usize),
+    Heals(usize),
+    // Faults.
+    Lost(usize),
+    Doubled(usize),
+    /// It goes behind all others.
+    Held(usize),
+    /// A step of time passes while words are under way.
+    Late,
+    NeverRan(usize),
+    Killed(usize),
+    Paused(usize),
+    Cut(usize),
+}
+
+impl Act {
+    fn fault(self) -> bool {
+        !matches!(self, Act::Comes(_) | Act::Ran(_) | Act::Tick | Act::Wakes(_) | Act::Heals(_))
+    }
+}
+
+impl World {
+    fn new(faults: usize) -> World {
+        let rules = Rules { keep: 6 * STEP, ..Rules::default() };
+        let sidecar = |id| {
+            let takeover = Takeover::new(Self::clock(id, 0), id as u64, life(id), rules.clone());
+            Some(Sidecar { takeover, paused: false, cut: false, out: None })
+        };
+        let sidecars = (0..MANY).map(sidecar).collect();
+        let (flying, killed, never_ran) = (Vec::new(), false, false);
+        let mut world = World { step: 0, sidecars, flying, effects: 0, faults, killed, never_ran };
+        let guardians = (1..MANY).map(life).collect();
+        world.call(0, |takeover, now| {
+            takeover.take(now, MARK, 5, (vec![1], false), 6 * STEP, guardians);
+        });
+        world
+    }
+
+    /// Clocks 1% slow, right and 1% fast.
+    fn clock(id: usize, step: u64) -> Ns {
+        1_000 * MS + step * STEP / 100 * (99 + id as u64 % 3)
+    }
+
+    fn call(&mut self, id: usize, call: impl FnOnce(&mut Takeover, Ns)) {
+        let now = Self::clock(id, self.step);
+        let Some(sidecar) = &mut self.sidecars[id] else { return };
+        call(&mut sidecar.takeover, now);
+        while let Some(effect) = self.sidecars[id].as_mut().and_then(|one| one.takeover.effect()) {
+            self.carry_out(id, now, effect);
+        }
+    }
+
+    fn carry_out(&mut self, id: usize, now: Ns, effect: Effect) {
+        let Some(sidecar) = &mut self.sidecars[id] else { return };
+        match effect {
+            Effect::Say { to, say } => {
+                let to: usize = to.name[2..].parse().unwrap();
+                let cut = sidecar.cut || self.sidecars[to].as_ref().is_none_or(|one| one.cut);
+                if cut {
+                    return;
+                }
+                // Said again while it is under way: one of them is enough, which comes when the other would.
+                let same =
+                    |known: &(usize, usize, Say)| (known.0, known.1) == (id, to) && alike(&known.2, &say);
+                match self.flying.iter().position(same) {
+                    Some(at) => self.flying[at].2 = say,
+                    None => self.flying.push((id, to, say)),
+                }
+            }
+            Effect::Taken(mark) => drop(sidecar.takeover.forward(now, mark, "pod")),
+            Effect::Go(mark, nth) if sidecar.takeover.may(now, mark) => {
+                sidecar.out = Some(nth);
+                self.effects += 1;
+            }
+            Effect::Unguarded(_) => self.effects += 1,
+            Effect::Begin(record) => {
+                if record.past.iter().any(|past| past.went != Went::NeverRan) {
+                    sidecar.takeover.finish(now, record.mark, Done::Errored { again: false });
+                } else {
+                    sidecar.takeover.forward(now, record.mark, "pod");
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn acts(&self) -> Vec<Act> {
+        let mut acts = Vec::new();
+        let runs = |id: usize| self.sidecars[id].as_ref().is_some_and(|one| !one.paused);
+        let first = self.flying.iter().position(|(_, to, _)| runs(*to));
+        let fault = self.faults > 0;
+        match first {
+            Some(n) => {
+                acts.push(Act::Comes(n));
+                if fault {
+                    acts.extend([Act::Lost(n), Act::Doubled(n), Act::Late]);
+                    acts.extend((n + 1 < self.flying.len()).then_some(Act::Held(n)));
+                }
+            }
+            None => acts.push(Act::Tick),
+        }
+        for id in 0..MANY {
+            let Some(one) = &self.sidecars[id] else { continue };
+            if one.out.is_some() && !one.paused {
+                acts.push(Act::Ran(id));
+                acts.extend((fault && !self.never_ran).then_some(Act::NeverRan(id)));
+            }
+            // Between two steps of time only: what comes meanwhile waits for that as well.
+            acts.extend((first.is_none() && one.paused).then_some(Act::Wakes(id)));
+            acts.extend((first.is_none() && one.cut).then_some(Act::Heals(id)));
+            acts.extend((fault && !self.killed).then_some(Act::Killed(id)));
+            acts.extend((fault && !one.paused).then_some(Act::Paused(id)));
+            acts.extend((fault && !one.cut).then_some(Act::Cut(id)));
+        }
+        acts.retain(|act| self.step < STEPS || !matches!(act, Act::Tick | Act::Late));
+        acts
+    }
+
+    fn act(&self, act: Act) -> World {
+        let mut next = self.clone();
+        match act {
+            Act::Comes(n) => next.comes(n, true),
+            Act::Doubled(n) => next.comes(n, false),
+            Act::Lost(n) => drop(next.flying.remove(n)),
+            Act::Held(n) => {
+                let word = next.flying.remove(n);
+                next.flying.push(word);
+            }
+            Act::Tick | Act::Late => {
+                next.step += 1;
+                for id in 0..MANY {
+                    if next.sidecars[id].as_ref().is_some_and(|one| !one.paused) {
+                        next.call(id, |takeover, now| takeover.wake(now));
+                    }
+                }
+            }
+            Act::Ran(id) => {
+                next.sidecars[id].iter_mut().for_each(|one| one.out = None);
+                next.call(id, |takeover, now| takeover.finish(now, MARK, Done::Delivered(vec![])));
+            }
+            Act::NeverRan(id) => {
+                next.never_ran = true;
+                next.effects -= 1;
+                let nth = next.sidecars[id].as_mut().and_then(|one| one.out.take()).unwrap();
+                next.call(id, |takeover, now| {
+                    takeover.went(now, MARK, nth, Went::NeverRan);
+                    takeover.forward(now, MARK, "pod");
+                });
+            }
+            Act::Killed(id) => {
+                next.killed = true;
+                next.sidecars[id] = None;
+                next.flying.retain(|(_, to, _)| *to != id);
+            }
+            Act::Paused(id) => next.sidecars[id].iter_mut().for_each(|one| one.paused = true),
+            Act::Wakes(id) => {
+                next.sidecars[id].iter_mut().for_each(|one| one.paused = false);
+                next.call(id, |takeover, now| takeover.wake(now));
+            }
+            Act::Cut(id) => next.sidecars[id].iter_mut().for_each(|one| one.cut = true),
+            Act::Heals(id) => next.sidecars[id].iter_mut().for_each(|one| one.cut = false),
+        }
+        next.faults -= act.fault() as usize;
+        next
+    }
+
+    fn comes(&mut self, n: usize, gone: bool) {
+        let (from, to, say) = self.flying[n].clone();
+        if gone {
+            self.flying.remove(n);
+        }
+        self.call(to, |takeover, now| takeover.heard(now, &life(from), say));
+    }
+
+    fn broken(&self) -> Option<String> {
+        let may = |id: &usize| {
+            let one = self.sidecars[*id].as_ref();
+            one.is_some_and(|one| one.takeover.may(Self::clock(*id, self.step), MARK))
+        };
+        let holders: Vec<usize> = (0..MANY).filter(may).collect();
+        if holders.len() > 1 {
+            return Some(format!("{holders:?} may all act"));
+        }
+        (self.effects > 1).then(|| format!("{} effects", self.effects))
+    }
+
+    fn known(&self) -> u64 {
+        let mut hash = DefaultHasher::new();
+        self.hash(&mut hash);
+        hash.finish()
+    }
+}
+
+/// States that were met, and how each way went on.
+struct Search {
+    seen: Vec<Mutex<HashSet<u64>>>,
+}
+
+impl Search {
+    fn met(&self, world: &World) -> bool {
+        let known = world.known();
+        !self.seen[known as usize % self.seen.len()].lock().unwrap().insert(known)
+    }
+
+    fn states(&self) -> usize {
+        self.seen.iter().map(|seen| seen.lock().unwrap().len()).sum()
+    }
+
+    /// Plays on without a fault, and hands out each state in which the next one may come.
+    fn goes_on(&self, from: World, way: Vec<Act>) -> Vec<(World, Vec<Act>)> {
+        let (mut open, mut forks) = (vec![(from, way)], Vec::new());
+        while let Some((world, way)) = open.pop() {
+            for act in world.acts() {
+                let next = world.act(act);
+                if self.met(&next) {
+                    continue;
+                }
+                let way = [&way[..], &[act]].concat();
+                if let Some(what) = next.broken() {
+                    panic!("{what} after {way:?}");
+                }
+                if act.fault() { &mut forks } else { &mut open }.push((next, way));
+            }
+        }
+        forks
+    }
+
+    fn all(&self, from: World, way: Vec<Act>) {
+        self.goes_on(from, way).into_par_iter().for_each(|(world, way)| self.all(world, way));
+    }
+}
+
+/// The same word, but for when it was said.
+fn alike(one: &Say, other: &Say) -> bool {
+    match (one, other) {
+        (Say::Keep { record: a, .. }, Say::Keep { record: b, .. }) => {
+            (a.term, a.version, &a.holder) == (b.term, b.version, &b.holder)
+        }
+        (Say::Kept { term: a, version: b, epoch: c, .. }, Say::Kept { term, version, epoch, .. }) => {
+            (a, b, c) == (term, version, epoch)
+        }
+        (Say::Renew { .. }, Say::Renew { .. }) => true,
+        (Say::Renewed { epoch: a, .. }, Say::Renewed { epoch, .. }) => a == epoch,
+        (Say::Vote { term: a, .. }, Say::Vote { term, .. }) => a == term,
+        (one, other) => one == other,
+    }
+}
+
+#[test]
+fn whatever_order_words_come_in_and_wherever_faults_fall_nothing_happens_twice() {
+    let faults = std::env::var("HAVENPLANK_FAULTS").ok().map_or(1, |text| text.parse().unwrap());
+    let search = Search { seen: (0..64).map(|_| Mutex::default()).collect() };
+    search.all(World::new(faults), Vec::new());
+    println!("{} states, {faults} faults", search.states());
+    assert!(search.states() > 1_000, "{} states: nothing was played", search.states());
+}
--- a/crates/takeover/tests/simulated.rs
+++ b/crates/takeover/tests/simulated.rs
@@ -1,12 +1,13 @@
 //! Takeovers over the simulated network: what no seed may break, and what must come about while enough can talk.
 
 use havenplank_fellows::wire::Life;
-use havenplank_stand::net::{Clock, Id, Net, Ns, Part, Weather};
+use havenplank_stand::net::{Clock, Fate, Id, Net, Ns, Part, Weather};
 use havenplank_takeover::guardians::{pick, Candidate};
 use havenplank_takeover::hold::{Effect, Rules, Takeover};
 use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
 use oorandom::Rand64;
-use std::collections::{BTreeMap, VecDeque};
+use rayon::prelude::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 const MS: Ns = 1_000_000;
@@ -36,6 +37,8 @@
     /// Parts of forwards that never ran, and of those that are given up at once.
     never_ran: f64,
     gives_up: f64,
+    /// What was done for which piece of work, since it was last read; not kept where nobody wants to know.
+    story: Option<Vec<(Mark, String)>>,
 }
 
 fn life(id: Id) -> Life {
@@ -60,6 +63,13 @@
             differs: 0,
             never_ran: 0.1,
             gives_up: 0.0,
+            story: None,
+        }
+    }
+
+    fn note(&mut self, mark: Mark, what: impl FnOnce() -> String) {
+        if let Some(story) = &mut self.story {
+            story.push((mark, what()));
         }
     }
 
@@ -96,7 +106,11 @@
                     self.takeover.forward(now, mark, "pod");
                 }
                 Effect::Go(mark, nth) => {
-                    if self.takeover.may(now, mark) {
+                    let may = self.takeover.may(now, mark);
+                    self.note(mark, || {
+                        format!("forward {nth} {}", if may { "WRITTEN" } else { "not allowed" })
+                    });
+                    if may {
                         self.wrote.push(mark);
                         let takes = self.chance.rand_range(1..300) * MS;
                         self.at(now + takes, Act::End(mark, nth));
@@ -104,15 +118,25 @@
                 }
                 Effect::Begin(record) => {
                     self.began.push((now, record.mark));
+                    self.note(record.mark, || {
+                        format!("begins, term {} with past {:?}", record.term, record.past)
+                    });
                     self.go_on(now, &record);
                 }
-                Effect::Answer(mark, done) => self.answers.push((mark, done)),
+                Effect::Answer(mark, done) => {
+                    self.note(mark, || format!("hears {done:?}"));
+                    self.answers.push((mark, done));
+                }
                 Effect::Unguarded(mark) => {
+                    self.note(mark, || "WRITTEN unguarded".to_string());
                     self.unguarded += 1;
                     self.wrote.push(mark);
                 }
                 Effect::Differs(_) => self.differs += 1,
-                Effect::Joined(_) | Effect::Unsure(_) | Effect::Lost(_) | Effect::Nobody(_) => {}
+                Effect::Joined(mark) => self.note(mark, || "joins".to_string()),
+                Effect::Unsure(mark) => self.note(mark, || "bounces, unsure".to_string()),
+                Effect::Lost(mark) => self.note(mark, || "lost it".to_string()),
+                Effect::Nobody(mark) => self.note(mark, || "hears that nobody has it".to_string()),
             }
         }
     }
@@ -133,10 +157,18 @@
                     let guardians = self.guardians(mark, 3);
                     // Clients come back with these only.
                     let strict = mark % 3 == 0;
+                    self.note(mark, || {
+                        let names: Vec<&str> = guardians.iter().map(|life| life.name.as_str()).collect();
+                        format!("takes it, guardians {names:?}")
+                    });
                     self.takeover.take(now, mark, sum, (vec![1], strict), 6 * S, guardians);
                 }
                 Act::End(mark, nth) => {
-                    if self.chance.rand_float() < self.never_ran {
+                    let never = self.chance.rand_float() < self.never_ran;
+                    self.note(mark, || {
+                        format!("forward {nth} ends, {}", if never { "never ran" } else { "ran" })
+                    });
+                    if never {
                         // It never ran after all, so it was no effect; the next one may go.
                         let at = self.wrote.iter().position(|known| *known == mark).unwrap();
                         self.wrote.remove(at);
@@ -166,10 +198,15 @@
 }
 
 struct Run {
+    seed: u64,
     net: Net<Sidecar>,
     marks: Vec<Mark>,
     /// Effects by mark over all sidecars and lives.
     wrote: BTreeMap<Mark, usize>,
+    /// All that happened, by time: the piece of work, none where it is about all, and what.
+    story: Option<Vec<(Ns, Option<Mark>, String)>>,
+    /// Rights shared, as far as seen.
+    broken: Vec<String>,
 }
 
 impl Run {
@@ -179,7 +216,19 @@
             let clock = Clock { began: id as Ns * 991 * S, drift_ppm: (id as i64 % 3 - 1) * 10_000 };
             net.join(clock, |now, _| Sidecar::new(now, id, many, seed, Rules::default()));
         }
-        Run { net, marks: Vec::new(), wrote: BTreeMap::new() }
+        let (marks, wrote, broken) = (Vec::new(), BTreeMap::new(), Vec::new());
+        Run { seed, net, marks, wrote, story: None, broken }
+    }
+
+    fn tell(&mut self) {
+        self.story = Some(Vec::new());
+        self.net.written = Some(Vec::new());
+        self.net.ids().for_each(|id| self.net.part_mut(id).into_iter().for_each(|p| p.story = Some(vec![])));
+    }
+
+    fn did(&mut self, what: String) {
+        let now = self.net.now();
+        self.story.iter_mut().for_each(|story| story.push((now, None, what.clone())));
     }
 
     fn hit(&mut self, id: Id, mark: Mark, after: Ns) {
@@ -192,15 +241,25 @@
 
     /// Plays on; after every step nobody shares the right to a piece of work.
     fn play(&mut self, until: Ns) {
-        let marks = self.marks.clone();
-        self.net.run(until, |net, _| {
-            for mark in &marks {
+        let (marks, story, broken) = (&self.marks, &mut self.story, &mut self.broken);
+        self.net.run(until, |net, moved| {
+            if let Some(story) = story {
+                read(net, moved, story);
+            }
+            for mark in marks {
                 let may =
                     |id: &Id| net.part(*id).is_some_and(|part| part.takeover.may(net.own_time(*id), *mark));
                 let holders: Vec<Id> = net.ids().filter(may).collect();
-                assert!(holders.len() <= 1, "{holders:?} may all act on {mark} at {}", net.now());
+                if holders.len() > 1 && broken.is_empty() {
+                    broken.push(format!("{holders:?} may all act on mark {mark} at {}", net.now()));
+                }
             }
         });
+        // Whoever was woken by hand said something, too.
+        let ids: Vec<Id> = self.net.ids().collect();
+        if let Some(story) = &mut self.story {
+            ids.into_iter().for_each(|id| read(&mut self.net, id, story));
+        }
     }
 
     fn kill(&mut self, id: Id) {
@@ -216,18 +275,76 @@
         }
     }
 
-    fn effects_once(&mut self) {
+    /// What was broken, with the seed.
+    fn broken(&mut self) -> Vec<String> {
         self.net.ids().for_each(|id| self.note(id));
-        assert!(self.wrote.values().all(|times| *times <= 1), "effects twice: {:?}", self.wrote);
+        let twice = self.wrote.iter().filter(|(_, times)| **times > 1);
+        let twice = twice.map(|(mark, times)| format!("mark {mark} had {times} effects"));
+        let all = self.broken.drain(..).chain(twice);
+        all.map(|what| format!("seed {}: {what}", self.seed)).collect()
+    }
+
+    fn effects_once(&mut self) {
+        assert_eq!(self.broken(), Vec::<String>::new());
+    }
+}
+
+/// A record as holder, term, version, firmness and what became of its forwards.
+fn brief(say: &Say) -> (Option<Mark>, String) {
+    let of = |record: &Record| {
+        let went: Vec<Went> = record.past.iter().map(|past| past.went).collect();
+        let firm = if record.firm { "firm" } else { "not firm" };
+        let Record { holder, term, version, done, .. } = record;
+        format!("{} term {term} version {version} {firm} {went:?} {done:?}", holder.name)
+    };
+    match say {
+        Say::Keep { record, .. } => (Some(record.mark), format!("keep {}", of(record))),
+        Say::Vote { mark, term, .. } => (Some(*mark), format!("vote for term {term}")),
+        Say::Voted { record, term, epoch, .. } => {
+            (Some(record.mark), format!("voted for term {term}, epoch {epoch}, knows {}", of(record)))
+        }
+        Say::Kept { mark, term, version, epoch, .. } => {
+            (Some(*mark), format!("kept term {term} version {version}, epoch {epoch}"))
+        }
+        Say::Renew { .. } => (None, "renew".to_string()),
+        Say::Renewed { epoch, .. } => (None, format!("renewed, epoch {epoch}")),
+        Say::Held { mark, .. } | Say::Full { mark } | Say::Wait { mark, .. } => {
+            (Some(*mark), format!("{say:?}"))
+        }
+        Say::Done { mark, .. } | Say::Nothing { mark } | Say::Free { mark, .. } => {
+            (Some(*mark), format!("{say:?}"))
+        }
+    }
+}
+
+/// Takes over what a part and the network wrote down.
+fn read(net: &mut Net<Sidecar>, moved: Id, story: &mut Vec<(Ns, Option<Mark>, String)>) {
+    let now = net.now();
+    for passed in net.written.iter_mut().flat_map(|written| written.drain(..)) {
+        let (from, to, say): (Life, Life, Say) = postcard::from_bytes(&passed.bytes).unwrap();
+        let (mark, said) = brief(&say);
+        let way = match passed.fate {
+            Fate::Heard | Fate::Waits | Fate::Dropped => "arrives",
+            Fate::Cut | Fate::Lost | Fate::Goes(_) => "says",
+        };
+        let what = format!("{} to {} {way} {:?}: {said}", from.name, to.name, passed.fate);
+        story.push((passed.at, mark, what));
+    }
+    let part = net.part_mut(moved).and_then(|part| part.story.as_mut()).map(std::mem::take);
+    for (mark, what) in part.into_iter().flatten() {
+        story.push((now, Some(mark), format!("s-{moved} {what}")));
     }
 }
 
 /// Chance decides who takes what, who is killed, paused and cut off, and how long; nothing may ever happen twice.
-fn chaos(seed: u64) -> (usize, usize) {
+fn chaos(seed: u64, tell: bool) -> Played {
     let mut chance = Rand64::new(seed as u128 + 77);
     let many = 4 + (seed % 4) as usize;
     let loss = [0.0, 0.1, 0.3][seed as usize % 3];
     let mut run = Run::new(many, seed, Weather { loss, repeat: 0.1, delay: (100_000, 50 * MS) });
+    if tell {
+        run.tell();
+    }
     for id in 0..many {
         let part = run.net.part_mut(id).unwrap();
         (part.never_ran, part.gives_up) = [(0.1, 0.0), (0.5, 0.7)][(seed % 2) as usize];
@@ -250,45 +367,139 @@
         match chance.rand_range(0..7) {
             0 if killed < 1 => {
                 killed += 1;
+                run.did(format!("s-{id} is killed"));
                 run.kill(id);
             }
-            1 => run.net.pause(id),
-            2 | 3 => (0..many).for_each(|id| run.net.unpause(id)),
+            1 => {
+                run.did(format!("s-{id} is paused"));
+                run.net.pause(id);
+            }
+            2 | 3 => {
+                run.did("all paused go on".to_string());
+                (0..many).for_each(|id| run.net.unpause(id));
+            }
             4 => {
                 let (one, two): (Vec<Id>, Vec<Id>) = (0..many).partition(|_| chance.rand_float() < 0.5);
+                run.did(format!("split into {one:?} and {two:?}"));
                 run.net.split(&[&one, &two]);
             }
-            5 => (0..many).filter(|other| *other != id).for_each(|other| run.net.cut(id, other)),
-            _ => run.net.heal(),
+            5 => {
+                run.did(format!("nothing leaves s-{id}"));
+                (0..many).filter(|other| *other != id).for_each(|other| run.net.cut(id, other));
+            }
+            _ => {
+                run.did("cuts are healed".to_string());
+                run.net.heal();
+            }
         }
     }
+    run.did("all is healed and goes on".to_string());
     run.net.heal();
     (0..many).for_each(|id| run.net.unpause(id));
     run.play(30 * S);
-    run.effects_once();
+    let mut broken = run.broken();
     let parts = || run.net.ids().filter_map(|id| run.net.part(id));
     let left =
         parts().map(|part| part.takeover.sizes()).fold((0, 0, 0), |a, b| (a.0 + b.0, a.1 + b.1, a.2 + b.2));
-    assert_eq!(left, (0, 0, 0), "seed {seed}: tables empty when all times are up");
+    if left != (0, 0, 0) {
+        broken.push(format!("seed {seed}: {left:?} in tables when all times are up"));
+    }
     let began = parts().map(|part| part.began.len()).sum();
-    (began, run.wrote.len())
+    Played { began, effects: run.wrote.len(), broken, story: run.story.unwrap_or_default() }
 }
 
+struct Played {
+    began: usize,
+    effects: usize,
+    broken: Vec<String>,
+    story: Vec<(Ns, Option<Mark>, String)>,
+}
+
+fn number(name: &str) -> Option<u64> {
+    let text = std::env::var(name).ok()?;
+    Some(text.parse().unwrap_or_else(|_| panic!("{name}: a whole number expected, not {text:?}")))
+}
+
+/// By hand: HAVENPLANK_SEEDS=500000 plays more, HAVENPLANK_FROM begins later. HAVENPLANK_SEED=7 plays one and, with
+/// `--nocapture`, prints its history; HAVENPLANK_MARK=8 keeps to one piece of work.
 #[test]
 fn whatever_is_killed_paused_and_cut_off_nobody_shares_a_right_and_nothing_happens_twice() {
-    let (mut began, mut effects) = (0, 0);
-    // More of them by hand: HAVENPLANK_SEEDS=200000 cargo test --release -p havenplank-takeover
-    let seeds = std::env::var("HAVENPLANK_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(300);
-    for seed in 0..seeds {
-        let (b, e) = chaos(seed);
-        (began, effects) = (began + b, effects + e);
+    if let Some(seed) = number("HAVENPLANK_SEED") {
+        let (played, wanted) = (chaos(seed, true), number("HAVENPLANK_MARK"));
+        for (at, mark, what) in &played.story {
+            if mark.is_none_or(|mark| wanted.is_none_or(|wanted| mark == wanted as Mark)) {
+                println!(
+                    "{:>10.3} ms {} {what}",
+                    *at as f64 / 1e6,
+                    mark.map_or("-".into(), |m| m.to_string())
+                );
+            }
+        }
+        return assert_eq!(played.broken, Vec::<String>::new());
     }
+    let from = number("HAVENPLANK_FROM").unwrap_or(0);
+    let seeds = number("HAVENPLANK_SEEDS").unwrap_or(300);
+    let sum = |a: (usize, usize, Vec<String>), b: (usize, usize, Vec<String>)| {
+        (a.0 + b.0, a.1 + b.1, [a.2, b.2].concat())
+    };
+    let played = (from..from + seeds).into_par_iter().map(|seed| chaos(seed, false));
+    let all = played.map(|played| (played.began, played.effects, played.broken));
+    let (began, effects, broken) = all.reduce(|| (0, 0, Vec::new()), sum);
+    let bad: BTreeSet<&str> = broken.iter().filter_map(|what| what.split(':').next()).collect();
+    println!("{began} takeovers, {effects} effects, {} seeds broken", bad.len());
     assert!(
-        began > 100 && effects > 3_000,
+        broken.is_empty(),
+        "{} of {seeds} seeds; the first: {:#?}\none by itself: HAVENPLANK_SEED=N, with -- --nocapture",
+        bad.len(),
+        &broken[..broken.len().min(10)]
+    );
+    assert!(
+        began as u64 > seeds / 3 && effects as u64 > 10 * seeds,
         "{began} takeovers, {effects} effects: too quiet to show anything"
     );
 }
 
+/// 42080: two of three guardians forgot what was done, by clocks that run fast, and agreed to what the third, who had
+/// missed the last words, still believed. 4583 and 4695: a dropped record that left the epoch as it was, and a holder
+/// that had forgotten what it finished.
+#[test]
+fn seeds_that_broke_a_promise_once_break_none() {
+    for seed in [4_583, 4_695, 42_080] {
+        assert_eq!(chaos(seed, false).broken, Vec::<String>::new());
+    }
+}
+
+/// A guardian is paused with the first words on a piece of work in its socket, and wakes when the others are about to
+/// forget, or have forgotten, how it ended. What it reads there looks new to it.
+#[test]
+fn a_guardian_that_slept_past_the_others_memory_begins_nothing() {
+    let (mut knew, mut broken) = (0, Vec::new());
+    for seed in 0..number("HAVENPLANK_SEEDS").unwrap_or(400) {
+        let mut run = Run::new(4, seed, Weather { loss: 0.3, ..Weather::default() });
+        if number("HAVENPLANK_SEED") == Some(seed) {
+            run.tell();
+        }
+        (0..4).for_each(|id| run.net.part_mut(id).unwrap().never_ran = 0.5);
+        run.net.pause(3);
+        run.hit(0, 1, 0);
+        // What it would be told of the end does not come.
+        run.play(400 * MS);
+        (0..3).for_each(|id| run.net.cut(id, 3));
+        run.play(10_800 * MS + seed % 20 * 50 * MS);
+        run.net.heal();
+        run.net.unpause(3);
+        let open = |record: &Record| record.firm && record.done.is_none();
+        knew += run.net.part(3).unwrap().takeover.keeps(1).is_some_and(open) as usize;
+        run.play(20 * S);
+        broken.extend(run.broken());
+        for (at, _, what) in run.story.iter().flatten() {
+            println!("{:>10.3} ms {what}", *at as f64 / 1e6);
+        }
+    }
+    assert!(broken.is_empty(), "{} seeds: {:#?}", broken.len(), &broken[..broken.len().min(10)]);
+    assert!(knew > 20, "{knew}: too few woke with open work to show anything");
+}
+
 #[test]
 fn the_work_of_a_dead_sidecar_is_finished_while_more_than_half_of_its_guardians_live() {
     let (mut in_time, mut taken) = (0, 0);
