The fellowship has a shell and settings of its own; bounded kinds of message, typed errors

Need: tally, cordons and standing are to hang on what the takeover's guard owned alone, and daemon, proxy, guarded and admin stood in a circle. fellowship(...) in the settings binds, reads keys and hears; each part owns a kind of message; what takeover(...) had before is refused there by line with its new place. Lines and the hub's world moved to shell.rs, beneath daemon, proxy, guarded and admin. 256 messages of a kind wait, further ones are lost and counted, never the fellowship's own; what a socket or stream did not take is counted, too. KeysError and FellowshipError in place of text.

--- a/crates/cli/src/bench_takeover.rs
+++ b/crates/cli/src/bench_takeover.rs
@@ -76,10 +76,10 @@
     let (mut cpu, mut bytes, mut taken) = (0, 0, 0);
     for sidecar in &group.sidecars {
         let state = state(sidecar.admin).await.context("its state")?;
-        let count = |name: &str| state["takeover"][name].as_u64().unwrap_or_default();
+        let count = |part: &str, name: &str| state[part][name].as_u64().unwrap_or_default();
         cpu += cpu_ms(sidecar.pid())?;
-        bytes += count("sent_bytes");
-        taken += count("taken_over");
+        bytes += count("fellowship", "sent_bytes");
+        taken += count("takeover", "taken_over");
     }
     Ok((cpu, bytes, taken))
 }
--- a/crates/cli/src/fellow.rs
+++ b/crates/cli/src/fellow.rs
@@ -82,7 +82,7 @@
                         tracing::info!(keys = read.len(), "keys read again");
                         talker.call(|node, _| node.rekey(read));
                     }
-                    Err(why) => tracing::warn!(why, "keys refused, the old ones stay"),
+                    Err(why) => tracing::warn!(%why, "keys refused, the old ones stay"),
                 },
                 _ = beat.tick() => state(&talker),
             }
--- a/crates/fellows/src/node.rs
+++ b/crates/fellows/src/node.rs
@@ -8,6 +8,9 @@
 
 /// The kind of the fellowship's own messages; other packages take theirs from 2 on.
 pub const TALK: u8 = 1;
+/// Messages of one other kind that wait to be read here, at most; a further one is lost, as on the way. The fellowship's
+/// own are taken in as they come, so that a burst of another kind never keeps them waiting.
+pub const WAITING: usize = 256;
 
 /// What has happened since the last look.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +43,9 @@
     /// What is too long for a datagram. The shell empties both after each call.
     streams: VecDeque<(SocketAddr, Vec<u8>)>,
     happened: VecDeque<Happened>,
+    /// By kind, messages that wait, and those that were lost for it. One row a kind that is read here.
+    waiting: BTreeMap<u8, usize>,
+    pub overrun: BTreeMap<u8, u64>,
 }
 
 impl Node {
@@ -60,6 +66,8 @@
             out: VecDeque::new(),
             streams: VecDeque::new(),
             happened: VecDeque::new(),
+            waiting: BTreeMap::new(),
+            overrun: BTreeMap::new(),
         }
     }
 
@@ -89,7 +97,11 @@
     }
 
     pub fn happened(&mut self) -> Option<Happened> {
-        self.happened.pop_front()
+        let happened = self.happened.pop_front();
+        if let Some(Happened::Came { kind, .. }) = &happened {
+            self.waiting.entry(*kind).and_modify(|waiting| *waiting -= 1);
+        }
+        happened
     }
 
     pub fn next_wake(&self) -> Option<Ns> {
@@ -167,7 +179,17 @@
             return Err(Refused::UnknownKind);
         }
         let lives = self.fellows.living().any(|news| news.who == from);
-        lives.then(|| self.happened.push_back(Happened::Came { from, kind, body })).ok_or(Refused::Stranger)
+        if !lives {
+            return Err(Refused::Stranger);
+        }
+        let waiting = self.waiting.entry(kind).or_default();
+        if *waiting >= WAITING {
+            *self.overrun.entry(kind).or_default() += 1;
+            return Ok(());
+        }
+        *waiting += 1;
+        self.happened.push_back(Happened::Came { from, kind, body });
+        Ok(())
     }
 
     fn carry_out(&mut self) {
--- a/crates/fellows/src/shell.rs
+++ b/crates/fellows/src/shell.rs
@@ -3,15 +3,15 @@
 
 use crate::node::{Happened, Node};
 use crate::swim::Event;
-use crate::wire::{Key, Life, LONGEST, LONGEST_STREAM};
+use crate::wire::{Key, Life, NotAKey, LONGEST, LONGEST_STREAM};
 use crate::Ns;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -43,15 +43,27 @@
     /// From the streams that others opened to the loop.
     heard: mpsc::Sender<Bytes>,
     hears: RefCell<Option<mpsc::Receiver<Bytes>>>,
+    /// Datagrams that a full socket did not take, and letters beyond [`LETTERS`] for one stream.
+    lost: Cell<u64>,
+}
+
+/// Why a key file gives no keys.
+#[derive(Debug, thiserror::Error)]
+pub enum KeysError {
+    #[error("{file}: {error}; expected a file of keys that this process may read", file = file.display())]
+    Unreadable { file: PathBuf, error: io::Error },
+    #[error("{file}, {error}", file = file.display())]
+    NotAKey { file: PathBuf, error: NotAKey },
 }
 
 /// The keys of a file; why not, with its name, where it has none.
 ///
 /// # Errors
 /// A file that cannot be read, or a line that is no key.
-pub fn read_keys(file: &Path) -> Result<Vec<Key>, String> {
-    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
-    Key::read(&text).map_err(|error| format!("{}: {error}", file.display()))
+pub fn read_keys(file: &Path) -> Result<Vec<Key>, KeysError> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| KeysError::Unreadable { file: file.to_path_buf(), error })?;
+    Key::read(&text).map_err(|error| KeysError::NotAKey { file: file.to_path_buf(), error })
 }
 
 /// A number that grows with each start under a name.
@@ -87,7 +99,8 @@
         let (node, rearm, streams) = (RefCell::new(make(0, bound)), Notify::new(), RefCell::default());
         let (heard, hears) = mpsc::channel(LETTERS);
         let (began, hears) = (Instant::now(), RefCell::new(Some(hears)));
-        Ok(Rc::new(Talker { node, socket, listener, streams, began, rearm, heard, hears }))
+        let lost = Cell::new(0);
+        Ok(Rc::new(Talker { node, socket, listener, streams, began, rearm, heard, hears, lost }))
     }
 
     /// One port for both.
@@ -109,6 +122,11 @@
         self.socket.local_addr()
     }
 
+    /// What could not be put on its way, datagrams and letters, as a socket or a stream was full.
+    pub fn lost(&self) -> u64 {
+        self.lost.get()
+    }
+
     /// Nanoseconds since the start, on the monotonic clock.
     pub fn now(&self) -> Ns {
         self.began.elapsed().as_nanos() as Ns
@@ -126,7 +144,9 @@
     fn flush(self: &Rc<Self>) {
         loop {
             let Some((at, bytes)) = self.node.borrow_mut().datagram() else { break };
-            let _ = self.socket.try_send_to(&bytes, at);
+            if self.socket.try_send_to(&bytes, at).is_err() {
+                self.lost.set(self.lost.get() + 1);
+            }
         }
         loop {
             let Some((at, bytes)) = self.node.borrow_mut().stream() else { break };
@@ -136,7 +156,9 @@
                 spawn_local(self.clone().carry(at, waiting));
                 letters
             });
-            let _ = letters.try_send(bytes.into());
+            if letters.try_send(bytes.into()).is_err() {
+                self.lost.set(self.lost.get() + 1);
+            }
         }
     }
 
--- a/crates/fellows/tests/simulated.rs
+++ b/crates/fellows/tests/simulated.rs
@@ -1,6 +1,6 @@
 //! The fellowship over the simulated network: the same code as on sockets, by seed, without a sleep.
 
-use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::node::{Happened, Node, WAITING};
 use havenplank_fellows::swim::{Event, News, Rules, State};
 use havenplank_fellows::wire::{Key, Life, Refused};
 use havenplank_stand::net::{Clock, Id, Net, Ns, Part, Weather};
@@ -211,6 +211,45 @@
     assert_eq!(net.ids().map(|id| net.part(id).unwrap().lost()).sum::<usize>(), 0);
 }
 
+/// A kind of message that nobody reads in time keeps neither the fellowship's own nor another kind waiting.
+#[test]
+fn a_burst_of_one_kind_is_bounded_and_starves_nobody() {
+    let mut net = fleet(2, 1, Weather::default());
+    net.run(10 * S, |_, _| {});
+    let now = net.own_time(1);
+    let to = Life { name: name(1), life: 1 };
+    let sender = net.part_mut(0).unwrap();
+    let mut letters = Vec::new();
+    let burst = WAITING + 50;
+    for n in 0..burst + 2 {
+        let kind = if n < burst { 2 } else { 3 };
+        assert!(sender.node.send(&to, kind, vec![n as u8]));
+        letters.extend(sender.node.datagram());
+    }
+    let hears = &mut net.part_mut(1).unwrap().node;
+    hears.reads(2);
+    hears.reads(3);
+    letters.iter().for_each(|(_, letter)| hears.heard(now, letter));
+    assert_eq!(hears.overrun, [(2, 50)].into());
+    // In the order in which they came, the newest lost; then there is room again.
+    let mut came = Vec::new();
+    while let Some(happened) = hears.happened() {
+        came.extend(match happened {
+            Happened::Came { kind, body, .. } => Some((kind, body[0])),
+            Happened::Told(_) => None,
+        });
+    }
+    let wanted = (0..WAITING).map(|n| (2, n as u8)).chain([(3, burst as u8), (3, burst as u8 + 1)]);
+    assert_eq!(came, wanted.collect::<Vec<_>>());
+    let sender = &mut net.part_mut(0).unwrap().node;
+    assert!(sender.send(&to, 2, vec![9]));
+    let (_, letter) = sender.datagram().unwrap();
+    let hears = &mut net.part_mut(1).unwrap().node;
+    hears.heard(now, &letter);
+    assert!(matches!(hears.happened(), Some(Happened::Came { kind: 2, .. })));
+    assert_eq!(hears.overrun, [(2, 50)].into());
+}
+
 #[test]
 fn what_each_sends_stays_flat_as_the_fleet_grows() {
     let each = |many: usize| {
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -65,6 +65,12 @@
         self.row.fields.get(field).is_some_and(|value| !value.is_null())
     }
 
+    /// Whether a field stands here that has another place now: it is complained of as that, not as unknown.
+    pub fn moved(&mut self, field: &'static str) -> bool {
+        self.asked.insert(field);
+        self.has(field)
+    }
+
     fn value(&mut self, field: &'static str) -> Option<&'a Value> {
         self.asked.insert(field);
         self.row.fields.get(field).filter(|value| !value.is_null())
--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -31,13 +31,15 @@
     pub kept_list: Option<PathBuf>,
     pub desk: Feed,
     pub trace: Option<Trace>,
+    /// `None`: no sidecar knows of another.
+    pub fellowship: Option<Fellowship>,
     /// `None`: work in hand is lost with its sidecar.
     pub takeover: Option<Takeover>,
 }
 
-/// How sidecars guard each other's work in hand.
+/// Where sidecars hear each other.
 #[derive(Clone, Debug)]
-pub struct Takeover {
+pub struct Fellowship {
     /// UDP and TCP, for other sidecars.
     pub listen: SocketAddr,
     /// Where others reach it, if that is another address.
@@ -48,6 +50,11 @@
     pub keys: PathBuf,
     /// Between two questions to a fellow whether it lives.
     pub period: Ns,
+}
+
+/// How sidecars guard each other's work in hand.
+#[derive(Clone, Debug)]
+pub struct Takeover {
     /// Guardians of each piece of work.
     pub guardians: usize,
     pub lease: Ns,
@@ -216,7 +223,7 @@
     Group { name, methods, paths, rules, guard }
 }
 
-fn takeover(r: &mut Reader) -> Takeover {
+fn fellowship(r: &mut Reader) -> Fellowship {
     let listen = address(r, "listen");
     let expected = "addresses with a port, such as \"127.0.0.1:7002\"";
     let parse = |r: &mut Reader, field: &'static str, text: &str| {
@@ -229,12 +236,26 @@
     let meet = r.texts_or_none("meet");
     let meet = meet.iter().filter_map(|text| parse(r, "meet", text)).collect();
     let advertise = r.maybe_text("advertise").and_then(|text| parse(r, "advertise", &text));
+    let keys = PathBuf::from(r.text("keys"));
+    let period = r.span_or("period", 500 * MS);
+    bounded_span(r, "period", period);
+    Fellowship { listen, advertise, meet, keys, period }
+}
+
+fn bounded_span(r: &mut Reader, field: &'static str, span: Ns) {
+    if !(50 * MS..=60 * S).contains(&span) {
+        r.complain(field, format!("found {}ms", span / MS), "a span from 50ms to 60s");
+    }
+}
+
+fn takeover(r: &mut Reader) -> Takeover {
+    // What the fellowship's own call has now, as more than work in hand hangs on it.
+    for moved in ["listen", "advertise", "meet", "keys", "period"] {
+        if r.moved(moved) {
+            r.complain(moved, "found here", format!("it in fellowship({moved} = ...), beside takeover(...)"));
+        }
+    }
     let takeover = Takeover {
-        listen,
-        advertise,
-        meet,
-        keys: PathBuf::from(r.text("keys")),
-        period: r.span_or("period", 500 * MS),
         guardians: r.whole_or("guardians", 1..=7, 3) as usize,
         lease: r.span_or("lease", 600 * MS),
         keep: r.span_or("keep", 5 * S),
@@ -242,11 +263,7 @@
         kept: r.whole_or("kept", 1..=1_000_000, 60_000) as usize,
         kept_bytes: r.size_or("kept_bytes", KIB..=1 << 40, 256 << 20) as usize,
     };
-    for (field, span) in [("lease", takeover.lease), ("period", takeover.period)] {
-        if !(50 * MS..=60 * S).contains(&span) {
-            r.complain(field, format!("found {}ms", span / MS), "a span from 50ms to 60s");
-        }
-    }
+    bounded_span(r, "lease", takeover.lease);
     takeover
 }
 
@@ -366,8 +383,19 @@
 
 /// Turns the rows of a script into a site. `None` only where there are problems.
 pub(crate) fn site(file: &str, rows: &[Row], problems: &mut Vec<Problem>) -> Option<Site> {
-    const ONCE: [&str; 10] =
-        ["sidecar", "headers", "limits", "pods", "exposure", "votes", "nodes", "desk", "trace", "takeover"];
+    const ONCE: [&str; 11] = [
+        "sidecar",
+        "headers",
+        "limits",
+        "pods",
+        "exposure",
+        "votes",
+        "nodes",
+        "desk",
+        "trace",
+        "fellowship",
+        "takeover",
+    ];
     const NEEDED: [&str; 6] = ["sidecar", "pods", "exposure", "votes", "nodes", "desk"];
     for kind in ONCE {
         for row in rows.iter().filter(|row| row.kind == kind).skip(1) {
@@ -446,9 +474,17 @@
     read("desk", &mut |r| desk = Some(feed(r)));
     let mut recorded = None;
     read("trace", &mut |r| recorded = trace(r));
-    let mut guarded = None;
+    let (mut met, mut guarded) = (None, None);
+    if rows.iter().any(|row| row.kind == "fellowship") {
+        read("fellowship", &mut |r| met = Some(fellowship(r)));
+    }
     if rows.iter().any(|row| row.kind == "takeover") {
-        read("takeover", &mut |r| guarded = Some(takeover(r)));
+        read("takeover", &mut |r| {
+            guarded = Some(takeover(r));
+            if met.is_none() {
+                r.complain("fellowship", "no call of fellowship(...)", "one, as guardians are fellows");
+            }
+        });
     }
     let mut groups: Vec<Group> = Vec::new();
     for row in rows.iter().filter(|row| row.kind == "path_group") {
@@ -487,6 +523,7 @@
         kept_list,
         desk,
         trace: recorded,
+        fellowship: met,
         takeover: guarded,
     })
 }
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -85,7 +85,9 @@
     };
 }
 
-record_functions!(sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, takeover);
+record_functions!(
+    sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, fellowship, takeover
+);
 
 /// Reads files beside the script, each once.
 struct Beside<'a> {
--- a/crates/settings/tests/script.rs
+++ b/crates/settings/tests/script.rs
@@ -79,6 +79,24 @@
     );
 }
 
+/// The sockets between sidecars have a call of their own since more than the takeover hangs on them.
+#[test]
+fn what_moved_to_the_fellowship_is_told_with_its_line_and_new_place() {
+    let both = "fellowship(listen = \"127.0.0.1:0\", keys = \"keys\")\ntakeover(guardians = 2)\n";
+    let site = run(&[("site", &format!("{WHOLE}{GROUP}{both}"))], &[]).expect("a site");
+    assert_eq!(
+        (site.takeover.map(|takeover| takeover.guardians), site.fellowship.is_some()),
+        (Some(2), true)
+    );
+    let old = "takeover(listen = \"127.0.0.1:0\", keys = \"keys\", period = \"200ms\")\n";
+    let told = said(&format!("{WHOLE}{GROUP}{old}"));
+    let at = format!("{WHOLE}{GROUP}").lines().count() + 1;
+    let fields: Vec<(usize, &str)> = told.iter().map(|(line, field, _)| (*line, field.as_str())).collect();
+    let wanted = ["takeover.listen", "takeover.keys", "takeover.period", "takeover.fellowship"];
+    assert_eq!(fields, wanted.map(|field| (at, field)), "{told:?}");
+    assert!(told[0].2.contains("fellowship(listen = ...)"), "{told:?}");
+}
+
 #[test]
 fn what_is_missing_is_told_once() {
     let found = said("votes(control = 'clock', life = '6s')\n");
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -1,8 +1,8 @@
 //! The operators' listener: a look at the state, and wrong answers reported.
 
 use crate::answers::plain;
-use crate::daemon::Shell;
 use crate::proxy::Body;
+use crate::shell::Shell;
 use havenplank::port::Ns;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -49,9 +49,15 @@
     if let Some(guard) = &shell.guard {
         let glance = guard.glance();
         state["takeover"] = json!({
-            "fellows": glance.living, "held": glance.held, "kept": glance.kept, "waiting": glance.waiting,
+            "held": glance.held, "kept": glance.kept, "waiting": glance.waiting,
             "unguarded": glance.unguarded, "turned_away": glance.turned_away, "taken_over": glance.taken_over,
-            "sent": glance.sent, "sent_bytes": glance.sent_bytes, "refused": glance.refused,
+        });
+    }
+    if let Some(fellowship) = &shell.fellowship {
+        let glance = fellowship.glance();
+        state["fellowship"] = json!({
+            "living": glance.living, "slowness": glance.slowness, "sent": glance.sent, "sent_bytes": glance.sent_bytes,
+            "refused": glance.refused, "overrun": glance.overrun, "unsent": glance.unsent,
         });
     }
     let mut response = Response::new(Body::Whole(Full::new(format!("{state}\n").into())));
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -1,13 +1,14 @@
 //! The shell of a sidecar: sockets, feeds and time around one engine, on one thread.
 
 use crate::admin;
-use crate::answers;
 use crate::engine::{Engine, EPOCH};
+use crate::fellowship::{Fellowship, FellowshipError};
 use crate::guard::Guard;
-use crate::guarded::{self, Final};
-use crate::hub::{Hub, Outside};
+use crate::guarded;
+use crate::hub::Hub;
 use crate::links::Links;
-use crate::proxy::{self, Ask, Body};
+use crate::proxy::{self, Body};
+use crate::shell::{Lines, Shell};
 use crate::told::{Terms, Witness};
 use havenplank::port::*;
 use havenplank_feeds::follow::{follow, Link};
@@ -47,7 +48,7 @@
     #[error("{0:?}: not a name that a Via header can carry")]
     Name(String),
     #[error("{0}")]
-    Takeover(String),
+    Fellowship(#[from] FellowshipError),
 }
 
 /// Where a running sidecar listens.
@@ -97,17 +98,28 @@
     let (desk_asks, desk_asked) = mpsc::channel(ASKS);
     let (stopping, stopped) = watch::channel(false);
     let timeout_header = HeaderName::try_from(&site.headers.timeout);
-    let (guard, begins) = match &site.takeover {
-        None => (None, None),
+    let fellowship = match &site.fellowship {
+        None => None,
         Some(settings) => {
             let zone = site.zones.get(site.place.zone).cloned().unwrap_or_default();
-            let (guard, begins) =
-                Guard::start(settings, &site.name, &zone).await.map_err(StartError::Takeover)?;
-            let at = guard.at().map_or(String::new(), |at| at.to_string());
-            tracing::info!(listen = at, guardians = settings.guardians, "work in hand is guarded");
+            let fellowship = Fellowship::bind(settings, &site.name, &zone).await?;
+            let at = fellowship.at().map_or(String::new(), |at| at.to_string());
+            tracing::info!(listen = at, "fellowship");
+            Some(fellowship)
+        }
+    };
+    let (guard, begins) = match site.takeover.as_ref().zip(fellowship.as_ref()) {
+        None => (None, None),
+        Some((settings, fellowship)) => {
+            let (guard, begins) = Guard::start(settings, fellowship);
+            tracing::info!(guardians = settings.guardians, "work in hand is guarded");
             (Some(guard), Some(begins))
         }
     };
+    // Once all who talk have said which kinds they read.
+    if let Some((settings, fellowship)) = site.fellowship.as_ref().zip(fellowship.as_ref()) {
+        fellowship.run(settings.keys.clone());
+    }
     let lines = Lines {
         links: Links::new(&site.links),
         keep: Notify::new(),
@@ -116,6 +128,7 @@
         desk_up: Cell::new(false),
         stopping: Cell::new(false),
         via,
+        fellowship,
         guard,
         timeout_header: timeout_header.unwrap_or(HeaderName::from_static("grpc-timeout")),
         site,
@@ -164,8 +177,8 @@
     // Each connection ends with the answer it owes, and none can owe one longer than this.
     let closed = timeout(Duration::from_nanos(longest) + STOP_MARGIN, door).await;
     let left = shell.owed();
-    if let Some(guard) = &shell.guard {
-        guard.leave();
+    if let Some(fellowship) = &shell.fellowship {
+        fellowship.leave();
     }
     tracing::info!(all_closed = closed.is_ok(), hits_in_flight = left, "stopped");
     Ok(())
@@ -323,105 +336,6 @@
     }
 }
 
-/// The line protocols around the engine, and what all tasks of one sidecar share.
-pub struct Lines {
-    pub site: Site,
-    pub links: Links,
-    pub via: HeaderValue,
-    pub timeout_header: HeaderName,
-    /// `None` where no sidecar guards another's work.
-    pub guard: Option<Rc<Guard>>,
-    keep: Notify,
-    nodes_asks: mpsc::Sender<String>,
-    desk_asks: mpsc::Sender<String>,
-    desk_up: Cell<bool>,
-    stopping: Cell<bool>,
-}
-
-pub type Shell = Hub<Lines>;
-
-impl Outside for Lines {
-    type Ask = Ask;
-    type Answer = Response<Body>;
-
-    fn forward(
-        hub: Rc<Shell>,
-        ask: Rc<Ask>,
-        nth: (HitId, u32),
-        pod: PodId,
-        time_out: Ns,
-    ) -> impl Future<Output = ()> + 'static {
-        proxy::forward(hub, ask, nth, pod, time_out)
-    }
-
-    fn bounced(&self, come_back: Ns) -> Response<Body> {
-        let mut answer = proxy::bounced(come_back);
-        if self.guard.is_some() {
-            answer.extensions_mut().insert(Final::Bounced);
-        }
-        answer
-    }
-
-    fn errored(&self, late: bool) -> Response<Body> {
-        let mut answer = answers::errored(late);
-        if self.guard.is_some() {
-            answer.extensions_mut().insert(Final::Errored);
-        }
-        answer
-    }
-
-    /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
-    fn vote(hub: &Rc<Shell>, vote: u64, build: Build, stage: usize, voice: Voice) {
-        let line = desk::ask_vote(vote, build, stage, voice);
-        let sent = hub.desk_up.get() && hub.desk_asks.try_send(line).is_ok();
-        let (hub, wait) = (hub.clone(), Duration::from_nanos(hub.site.votes.call_time_out));
-        spawn_local(async move {
-            if sent {
-                sleep(wait).await;
-            }
-            let heard = if sent { Heard::Unknown } else { Heard::Refused };
-            hub.call(|engine, now| engine.voted(now, vote, StageNews { heard, stage: None }));
-        });
-    }
-
-    fn probe(hub: &Rc<Shell>, probe: u64, pod: PodId) {
-        let hub = hub.clone();
-        spawn_local(async move {
-            let end = proxy::probe(&hub, pod).await;
-            hub.call(|engine, now| engine.probed(now, probe, end));
-        });
-    }
-
-    fn ask_list(hub: &Rc<Shell>) {
-        ask_nodes(hub, nodes::ask_whole());
-    }
-
-    fn watch_list(hub: &Rc<Shell>, on: bool) {
-        ask_nodes(hub, nodes::ask_watch(on));
-    }
-}
-
-fn ask_nodes(hub: &Rc<Shell>, line: String) {
-    if hub.nodes_asks.try_send(line).is_err() {
-        // In a task of its own, as the engine may be in the middle of what asked for it.
-        let hub = hub.clone();
-        spawn_local(async move { hub.call(|engine, now| engine.list_failed(now)) });
-    }
-}
-
-impl Shell {
-    /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
-    /// their forwards have ended, else they could pile up forwards past the bound.
-    pub fn is_full(&self) -> bool {
-        let guarded = self.guard.as_ref().map_or(0, |guard| guard.hits());
-        self.stopping.get() || self.look().held().max(guarded) >= self.site.door.hits
-    }
-
-    pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
-        HeaderValue::from_str(self.look().pod_name(pod)?).ok()
-    }
-}
-
 struct NodesLink(Rc<Shell>);
 
 impl Link<nodes::Call> for NodesLink {
--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -1,9 +1,7 @@
-//! Work in hand and the sidecars that guard it: the fellowship's sockets and the takeover's decision around them, and
-//! the hits here that wait for what they say.
+//! Work in hand and the sidecars that guard it: the takeover's decision on the fellowship, and the hits here that wait
+//! for what fellows say.
 
-use havenplank_fellows::node::{Happened, Node};
-use havenplank_fellows::shell::{log, new_life, read_keys, Talker};
-use havenplank_fellows::swim::{News, Rules as Membership, State};
+use crate::fellowship::Fellowship;
 use havenplank_fellows::wire::Life;
 use havenplank_settings::Takeover as Settings;
 use havenplank_takeover::guardians::{pick, Candidate};
@@ -12,10 +10,8 @@
 use havenplank_takeover::Ns;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{interval, timeout, MissedTickBehavior};
@@ -52,21 +48,16 @@
 /// What an operator may look at.
 #[derive(Clone, Debug, Default)]
 pub struct Glance {
-    pub living: Vec<String>,
     pub held: usize,
     pub kept: usize,
     pub waiting: usize,
     pub unguarded: u64,
     pub turned_away: u64,
     pub taken_over: u64,
-    pub sent: u64,
-    pub sent_bytes: u64,
-    pub refused: u64,
 }
 
 pub struct Guard {
-    talker: Rc<Talker>,
-    me: Life,
+    fellowship: Rc<Fellowship>,
     takeover: RefCell<Takeover>,
     /// Rows leave once nobody waits any more; one waiter a hit at the door at most, and the door bounds those.
     waits: RefCell<HashMap<Mark, Waits>>,
@@ -80,30 +71,11 @@
 }
 
 impl Guard {
-    /// Binds the sockets and meets the others. What comes out is work that is to be finished here.
-    ///
-    /// # Errors
-    /// An address that cannot be bound, or a key file that cannot be read.
-    pub async fn start(
+    /// Begins to guard. What comes out is work that is to be finished here.
+    pub fn start(
         settings: &Settings,
-        name: &str,
-        zone: &str,
-    ) -> Result<(Rc<Guard>, mpsc::UnboundedReceiver<Record>), String> {
-        let read = read_keys(&settings.keys)?;
-        let life = new_life();
-        let me = Life { name: name.to_string(), life };
-        let rules =
-            Membership { period: settings.period, answer: settings.period * 3 / 10, ..Membership::default() };
-        let talker = Talker::bind(settings.listen, |now, bound| {
-            let at = settings.advertise.unwrap_or(bound);
-            let (who, zone) = (me.clone(), zone.to_string());
-            let news = News { who, at, zone, round: 0, state: State::Lives };
-            let seed = life ^ u64::from(bound.port()) << 48;
-            let mut node = Node::new(now, seed, news, settings.meet.clone(), rules, read);
-            node.reads(KIND);
-            node
-        });
-        let talker = talker.await.map_err(|error| format!("takeover.listen {}: {error}", settings.listen))?;
+        fellowship: &Rc<Fellowship>,
+    ) -> (Rc<Guard>, mpsc::UnboundedReceiver<Record>) {
         let rules = Rules {
             lease: settings.lease,
             most_held: settings.held,
@@ -113,10 +85,10 @@
             ..Rules::default()
         };
         let (begun, begins) = mpsc::unbounded_channel();
+        let me = fellowship.me();
         let guard = Rc::new(Guard {
-            takeover: RefCell::new(Takeover::new(talker.now(), life, me.clone(), rules)),
-            talker,
-            me,
+            takeover: RefCell::new(Takeover::new(fellowship.now(), me.life, me.clone(), rules)),
+            fellowship: fellowship.clone(),
             waits: RefCell::default(),
             many: settings.guardians,
             tick: Duration::from_nanos(settings.lease / 24).max(Duration::from_millis(2)),
@@ -125,20 +97,9 @@
             begun,
         });
         let hears = guard.clone();
-        spawn_local(guard.talker.clone().run(move |_, happened| hears.happened(happened)));
+        fellowship.reads(KIND, move |from, body| hears.heard(from, body));
         spawn_local(guard.clone().ticks());
-        spawn_local(reload(guard.clone(), settings.keys.clone()));
-        Ok((guard, begins))
-    }
-
-    /// Where other sidecars reach it.
-    pub fn at(&self) -> Option<SocketAddr> {
-        self.talker.at().ok()
-    }
-
-    /// Tells the others that it goes.
-    pub fn leave(&self) {
-        self.talker.call(|node, _| node.leave());
+        (guard, begins)
     }
 
     /// What is due is looked at often enough for a lease: what is waited for comes with messages, and a timer set
@@ -148,26 +109,20 @@
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             beat.tick().await;
-            let now = self.talker.now();
+            let now = self.fellowship.now();
             self.takeover.borrow_mut().wake(now);
             self.act_all();
         }
     }
 
-    fn happened(&self, happened: Happened) {
-        match happened {
-            Happened::Came { from, kind: KIND, body } => match postcard::from_bytes::<Say>(&body) {
-                Ok(say) => {
-                    let now = self.talker.now();
-                    self.takeover.borrow_mut().heard(now, &from, say);
-                    self.act_all();
-                }
-                Err(_) => {
-                    tracing::warn!(fellow = from.name, "word on work in hand passed over: not readable")
-                }
-            },
-            Happened::Came { .. } => {}
-            Happened::Told(event) => log(event),
+    fn heard(&self, from: &Life, body: &[u8]) {
+        match postcard::from_bytes::<Say>(body) {
+            Ok(say) => {
+                let now = self.fellowship.now();
+                self.takeover.borrow_mut().heard(now, from, say);
+                self.act_all();
+            }
+            Err(_) => tracing::warn!(fellow = from.name, "word on work in hand passed over: not readable"),
         }
     }
 
@@ -175,8 +130,7 @@
         match effect {
             Effect::Say { to, say } => {
                 if let Ok(body) = postcard::to_stdvec(&say) {
-                    // One that is not known any more hears nothing, as if it were lost on the way.
-                    self.talker.call(|node, _| node.send(&to, KIND, body));
+                    self.fellowship.say(&to, KIND, body);
                 }
             }
             Effect::Taken(mark) => self.claimed(mark, Claim::Taken),
@@ -241,14 +195,13 @@
     /// A mark for a hit that its client cannot name.
     pub fn own_mark(&self) -> Mark {
         self.own_marks.set(self.own_marks.get() + 1);
-        let (name, life) = (self.me.name.as_bytes(), self.me.life.to_le_bytes());
+        let me = self.fellowship.me();
+        let (name, life) = (me.name.as_bytes(), me.life.to_le_bytes());
         mark(&[name, &life, &self.own_marks.get().to_le_bytes()])
     }
 
     fn guardians(&self, mark: Mark) -> Vec<Life> {
-        self.talker.call(|node, _| {
-            let fellows = node.fellows();
-            let others = fellows.living().filter(|news| news.who != self.me);
+        self.fellowship.living(|others| {
             let others: Vec<Candidate<'_>> =
                 others.map(|news| Candidate { who: &news.who, zone: &news.zone }).collect();
             pick(mark, &others, self.many)
@@ -257,7 +210,7 @@
 
     /// Claims a piece of work, and waits until it is ours or done: no longer than its client does.
     pub async fn claim(self: &Rc<Self>, mark: Mark, sum: u64, hit: (Vec<u8>, bool), left: Ns) -> Claim {
-        let (guardians, now) = (self.guardians(mark), self.talker.now());
+        let (guardians, now) = (self.guardians(mark), self.fellowship.now());
         let (tell, told) = oneshot::channel();
         self.takeover.borrow_mut().take(now, mark, sum, hit, left, guardians);
         let mut joined = false;
@@ -289,7 +242,7 @@
 
     /// The same without waiting; where another has it, the hit is served all the same, as a repeat does no harm.
     pub fn claim_behind(&self, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns) {
-        let (guardians, now) = (self.guardians(mark), self.talker.now());
+        let (guardians, now) = (self.guardians(mark), self.fellowship.now());
         self.takeover.borrow_mut().take_behind(now, mark, sum, ask, left, guardians);
         self.act_all();
     }
@@ -312,7 +265,7 @@
 
     /// The final answer of work that we hold, for its guardians and for whoever joined it here.
     pub fn finish(&self, mark: Mark, done: Done) {
-        let now = self.talker.now();
+        let now = self.fellowship.now();
         self.takeover.borrow_mut().finish(now, mark, done.clone());
         self.act_all();
         self.act(Effect::Answer(mark, done));
@@ -330,7 +283,7 @@
     /// Tells the guardians of a forward, and where `wait` says so waits until they know. `None` where it may not go.
     pub async fn before(self: &Rc<Self>, mark: Mark, pod: &str, wait: bool) -> Option<Going> {
         let (go, gone) = oneshot::channel();
-        let now = self.talker.now();
+        let now = self.fellowship.now();
         let nth = self.takeover.borrow_mut().forward(now, mark, pod)?;
         let going = Going { guard: self.clone(), mark, nth, sent: Cell::new(false), told: Cell::new(false) };
         if wait {
@@ -345,7 +298,7 @@
 
     /// Whether a forward of this work may be written at this moment.
     pub fn may(&self, mark: Mark) -> bool {
-        self.takeover.borrow().may(self.talker.now(), mark)
+        self.takeover.borrow().may(self.fellowship.now(), mark)
     }
 
     /// To be held as long as a hit is served.
@@ -363,18 +316,7 @@
         let (held, kept, waiting) = takeover.sizes();
         let (unguarded, turned_away) = (takeover.unguarded, takeover.turned_away);
         let taken_over = takeover.taken_over;
-        self.talker.call(|node, _| Glance {
-            living: node.fellows().living().map(|news| news.who.name.clone()).collect(),
-            held,
-            kept,
-            waiting,
-            unguarded,
-            turned_away,
-            taken_over,
-            sent: node.sent,
-            sent_bytes: node.sent_bytes,
-            refused: node.refused.total(),
-        })
+        Glance { held, kept, waiting, unguarded, turned_away, taken_over }
     }
 }
 
@@ -407,7 +349,7 @@
 impl Drop for Going {
     fn drop(&mut self) {
         if !self.told.get() {
-            let now = self.guard.talker.now();
+            let now = self.guard.fellowship.now();
             let went = if self.sent.get() { Went::MayHaveRun } else { Went::NeverRan };
             self.guard.takeover.borrow_mut().went(now, self.mark, self.nth, went);
             self.guard.act_all();
@@ -429,16 +371,3 @@
 pub fn mark_text(mark: Mark) -> String {
     format!("{mark:032x}")
 }
-
-async fn reload(guard: Rc<Guard>, file: std::path::PathBuf) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
-    while hangups.recv().await.is_some() {
-        match read_keys(&file) {
-            Ok(read) => {
-                tracing::info!(keys = read.len(), "keys read again");
-                guard.talker.call(|node, _| node.rekey(read));
-            }
-            Err(why) => tracing::warn!(why, "keys refused, the old ones stay"),
-        }
-    }
-}
--- a/crates/sidecar/src/guarded.rs
+++ b/crates/sidecar/src/guarded.rs
@@ -3,11 +3,11 @@
 //! by the module.
 
 use crate::answers::{errored, plain};
-use crate::daemon::Shell;
 use crate::engine::Asked;
 use crate::guard::{mark, mark_text, Claim, Going, Guard};
 use crate::heads;
 use crate::proxy::{bounced, Ask, Body};
+use crate::shell::Shell;
 use bytes::Bytes;
 use havenplank::port::{Earlier, Kind, Ns, PodId, Scope};
 use havenplank_settings::{Group, Guard as Mode};
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answers;
 pub mod daemon;
 pub mod engine;
+mod fellowship;
 mod guard;
 mod guarded;
 pub mod heads;
@@ -15,6 +16,8 @@
 mod links;
 mod proxy;
 mod roll;
+mod shell;
 pub mod told;
 
 pub use daemon::{listen, serve, Addresses, StartError};
+pub use fellowship::FellowshipError;
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -1,13 +1,13 @@
 //! A hit's way: read at the door, taken, forwarded as the engine says, answered once.
 
 use crate::answers::{self, and_close, errored, plain};
-use crate::daemon::Shell;
 use crate::engine::Asked;
 use crate::guard::Going;
 use crate::guarded::{self, Guarded};
 use crate::heads;
 use crate::hub::End;
 use crate::links::Lease;
+use crate::shell::Shell;
 use bytes::{Bytes, BytesMut};
 use havenplank::port::{mark_of, Ended, HitId, Kind, Ns, PodId, ProbeEnd};
 use havenplank_settings::Guard;
--- /dev/null
+++ b/crates/sidecar/src/shell.rs
@@ -0,0 +1,122 @@
+//! What all tasks of one sidecar share, and what its engine asks of the world: the door, the pods, the line protocols.
+
+use crate::answers;
+use crate::fellowship::Fellowship;
+use crate::guard::Guard;
+use crate::guarded::Final;
+use crate::hub::{Hub, Outside};
+use crate::links::Links;
+use crate::proxy::{self, Ask, Body};
+use havenplank::port::*;
+use havenplank_feeds::{desk, nodes};
+use havenplank_settings::Site;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::Response;
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The line protocols around the engine, and what all tasks of one sidecar share.
+pub struct Lines {
+    pub site: Site,
+    pub links: Links,
+    pub via: HeaderValue,
+    pub timeout_header: HeaderName,
+    /// `None` where no sidecar knows of another.
+    pub fellowship: Option<Rc<Fellowship>>,
+    /// `None` where no sidecar guards another's work.
+    pub guard: Option<Rc<Guard>>,
+    pub keep: Notify,
+    pub nodes_asks: mpsc::Sender<String>,
+    pub desk_asks: mpsc::Sender<String>,
+    pub desk_up: Cell<bool>,
+    pub stopping: Cell<bool>,
+}
+
+pub type Shell = Hub<Lines>;
+
+impl Outside for Lines {
+    type Ask = Ask;
+    type Answer = Response<Body>;
+
+    fn forward(
+        hub: Rc<Shell>,
+        ask: Rc<Ask>,
+        nth: (HitId, u32),
+        pod: PodId,
+        time_out: Ns,
+    ) -> impl Future<Output = ()> + 'static {
+        proxy::forward(hub, ask, nth, pod, time_out)
+    }
+
+    fn bounced(&self, come_back: Ns) -> Response<Body> {
+        let mut answer = proxy::bounced(come_back);
+        if self.guard.is_some() {
+            answer.extensions_mut().insert(Final::Bounced);
+        }
+        answer
+    }
+
+    fn errored(&self, late: bool) -> Response<Body> {
+        let mut answer = answers::errored(late);
+        if self.guard.is_some() {
+            answer.extensions_mut().insert(Final::Errored);
+        }
+        answer
+    }
+
+    /// Sends a vote and sees to it that it is answered: not sent is refused, no answer in time is unknown.
+    fn vote(hub: &Rc<Shell>, vote: u64, build: Build, stage: usize, voice: Voice) {
+        let line = desk::ask_vote(vote, build, stage, voice);
+        let sent = hub.desk_up.get() && hub.desk_asks.try_send(line).is_ok();
+        let (hub, wait) = (hub.clone(), Duration::from_nanos(hub.site.votes.call_time_out));
+        spawn_local(async move {
+            if sent {
+                sleep(wait).await;
+            }
+            let heard = if sent { Heard::Unknown } else { Heard::Refused };
+            hub.call(|engine, now| engine.voted(now, vote, StageNews { heard, stage: None }));
+        });
+    }
+
+    fn probe(hub: &Rc<Shell>, probe: u64, pod: PodId) {
+        let hub = hub.clone();
+        spawn_local(async move {
+            let end = proxy::probe(&hub, pod).await;
+            hub.call(|engine, now| engine.probed(now, probe, end));
+        });
+    }
+
+    fn ask_list(hub: &Rc<Shell>) {
+        ask_nodes(hub, nodes::ask_whole());
+    }
+
+    fn watch_list(hub: &Rc<Shell>, on: bool) {
+        ask_nodes(hub, nodes::ask_watch(on));
+    }
+}
+
+fn ask_nodes(hub: &Rc<Shell>, line: String) {
+    if hub.nodes_asks.try_send(line).is_err() {
+        // In a task of its own, as the engine may be in the middle of what asked for it.
+        let hub = hub.clone();
+        spawn_local(async move { hub.call(|engine, now| engine.list_failed(now)) });
+    }
+}
+
+impl Shell {
+    /// Whether the door holds as many hits as it may, or stops. Clients that ask and leave at once count until
+    /// their forwards have ended, else they could pile up forwards past the bound.
+    pub fn is_full(&self) -> bool {
+        let guarded = self.guard.as_ref().map_or(0, |guard| guard.hits());
+        self.stopping.get() || self.look().held().max(guarded) >= self.site.door.hits
+    }
+
+    pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
+        HeaderValue::from_str(self.look().pod_name(pod)?).ok()
+    }
+}
--- a/crates/stand/src/hands.rs
+++ b/crates/stand/src/hands.rs
@@ -229,7 +229,8 @@
 votes(control = "any", life = "6s")
 nodes(address = "127.0.0.1:1", keep = "{folder}/pods")
 desk(address = "127.0.0.1:1")
-takeover(listen = "127.0.0.1:0", {advertise} {meet} keys = "{folder}/keys", period = "200ms")
+fellowship(listen = "127.0.0.1:0", {advertise} {meet} keys = "{folder}/keys", period = "200ms")
+takeover()
 "#,
             rank = id % 8,
             advertise = advertise.unwrap_or_default(),
@@ -255,7 +256,7 @@
         sidecar.until("admin=", 1).await?;
         (sidecar.at, sidecar.admin) =
             (sidecar.address("admin=", "listen=")?, sidecar.address("admin=", "admin=")?);
-        let fellow = sidecar.address("work in hand is guarded", "listen=")?;
+        let fellow = sidecar.address("fellowship", "listen=")?;
         match &self.relays {
             Some(relays) => relays.serves(id, fellow),
             None if self.first.is_empty() => self.first = fellow.to_string(),
--- a/crates/takeover/tests/every_order.rs
+++ b/crates/takeover/tests/every_order.rs
@@ -1,7 +1,8 @@
 //! Faults at every point, at small size: a holder and three guardians, one hit that must not run twice. Words come in
 //! the order in which they were said; from there so many faults are placed in all ways, each at every point where it
-//! fits: a word lost, doubled, held back behind all others or for a step of time, a forward that never ran, a sidecar
-//! killed, paused or cut off. How long a pause, a cut or a forward lasts is tried in all ways, too.
+//! fits: a word lost, doubled, held back behind all others or for a step of time, a sidecar killed, paused or cut
+//! off, two that do not hear each other. How long a pause, a cut or a forward lasts is tried in all ways, too, and
+//! whether the first forward ran.
 //!
 //! By hand, more faults: HAVENPLANK_FAULTS=3 cargo test --release -p havenplank-takeover --test every_order
 
@@ -30,7 +31,8 @@
 struct Sidecar {
     takeover: Takeover,
     paused: bool,
-    cut: bool,
+    /// Whom it does not reach, nor they it.
+    cut: [bool; MANY],
     /// Its forward that is at a pod.
     out: Option<usize>,
 }
@@ -54,7 +56,8 @@
     Ran(usize),
     Tick,
     Wakes(usize),
-    Heals(usize),
+    Heals,
+    NeverRan(usize),
     // Faults.
     Lost(usize),
     Doubled(usize),
@@ -62,15 +65,18 @@
     Held(usize),
     /// A step of time passes while words are under way.
     Late,
-    NeverRan(usize),
     Killed(usize),
     Paused(usize),
     Cut(usize),
+    Parted(usize, usize),
 }
 
 impl Act {
     fn fault(self) -> bool {
-        !matches!(self, Act::Comes(_) | Act::Ran(_) | Act::Tick | Act::Wakes(_) | Act::Heals(_))
+        !matches!(
+            self,
+            Act::Comes(_) | Act::Ran(_) | Act::NeverRan(_) | Act::Tick | Act::Wakes(_) | Act::Heals
+        )
     }
 }
 
@@ -79,7 +85,7 @@
         let rules = Rules { keep: 6 * STEP, ..Rules::default() };
         let sidecar = |id| {
             let takeover = Takeover::new(Self::clock(id, 0), id as u64, life(id), rules.clone());
-            Some(Sidecar { takeover, paused: false, cut: false, out: None })
+            Some(Sidecar { takeover, paused: false, cut: [false; MANY], out: None })
         };
         let sidecars = (0..MANY).map(sidecar).collect();
         let (flying, killed, never_ran) = (Vec::new(), false, false);
@@ -110,8 +116,7 @@
         match effect {
             Effect::Say { to, say } => {
                 let to: usize = to.name[2..].parse().unwrap();
-                let cut = sidecar.cut || self.sidecars[to].as_ref().is_none_or(|one| one.cut);
-                if cut {
+                if sidecar.cut[to] || self.sidecars[to].is_none() {
                     return;
                 }
                 // Said again while it is under way: one of them is enough, which comes when the other would.
@@ -144,6 +149,8 @@
         let runs = |id: usize| self.sidecars[id].as_ref().is_some_and(|one| !one.paused);
         let first = self.flying.iter().position(|(_, to, _)| runs(*to));
         let fault = self.faults > 0;
+        let cut = self.sidecars.iter().flatten().any(|one| one.cut.contains(&true));
+        acts.extend((first.is_none() && cut).then_some(Act::Heals));
         match first {
             Some(n) => {
                 acts.push(Act::Comes(n));
@@ -158,14 +165,16 @@
             let Some(one) = &self.sidecars[id] else { continue };
             if one.out.is_some() && !one.paused {
                 acts.push(Act::Ran(id));
-                acts.extend((fault && !self.never_ran).then_some(Act::NeverRan(id)));
+                acts.extend((!self.never_ran).then_some(Act::NeverRan(id)));
             }
             // Between two steps of time only: what comes meanwhile waits for that as well.
             acts.extend((first.is_none() && one.paused).then_some(Act::Wakes(id)));
-            acts.extend((first.is_none() && one.cut).then_some(Act::Heals(id)));
             acts.extend((fault && !self.killed).then_some(Act::Killed(id)));
             acts.extend((fault && !one.paused).then_some(Act::Paused(id)));
-            acts.extend((fault && !one.cut).then_some(Act::Cut(id)));
+            if fault && !cut {
+                acts.push(Act::Cut(id));
+                acts.extend((0..id).map(|other| Act::Parted(id, other)));
+            }
         }
         acts.retain(|act| self.step < STEPS || !matches!(act, Act::Tick | Act::Late));
         acts
@@ -212,13 +221,22 @@
                 next.sidecars[id].iter_mut().for_each(|one| one.paused = false);
                 next.call(id, |takeover, now| takeover.wake(now));
             }
-            Act::Cut(id) => next.sidecars[id].iter_mut().for_each(|one| one.cut = true),
-            Act::Heals(id) => next.sidecars[id].iter_mut().for_each(|one| one.cut = false),
+            Act::Cut(id) => {
+                (0..MANY).filter(|other| *other != id).for_each(|other| next.cut(id, other, true))
+            }
+            Act::Parted(id, other) => next.cut(id, other, true),
+            Act::Heals => next.sidecars.iter_mut().flatten().for_each(|one| one.cut = [false; MANY]),
         }
         next.faults -= act.fault() as usize;
         next
     }
 
+    fn cut(&mut self, one: usize, other: usize, cut: bool) {
+        for (from, to) in [(one, other), (other, one)] {
+            self.sidecars[from].iter_mut().for_each(|sidecar| sidecar.cut[to] = cut);
+        }
+    }
+
     fn comes(&mut self, n: usize, gone: bool) {
         let (from, to, say) = self.flying[n].clone();
         if gone {
