Each sidecar of a fellowship knows its standing: agreed, disputed, few or alone

Need: what a sidecar may believe when others are lost or cut off. Membership forgets who is gone, so a minority takes itself for the whole. A roster does not: one belongs until it says goodbye, or more than half of all who belong, the missing counted, have missed it for ten minutes. Views (kind 3, one datagram a period) carry digests, the first missing and, while rosters differ, rows that merge by the greater. Standing falls at once and rises after 3 s; who comes and goes counts ever later. Shown in /state and in the log; nothing hangs on it yet.

--- /dev/null
+++ b/crates/fellows/src/standing.rs
@@ -0,0 +1,421 @@
+//! The decision: what a sidecar may believe of its own place. Who belongs, how many of those it reaches, whether they
+//! see the same. No I/O; time is handed in.
+//!
+//! Membership says who is likely there now; it forgets who is gone, so that of any part of the fleet it makes a whole.
+//! The roster does not: who met the others once belongs until it says goodbye, or until more than half of all who
+//! belong have missed it for a stated time. So no minority shrinks its world until it is a majority.
+//!
+//! Of the three promises (docs/fellows.md) this is none of the first kind: it says what a sidecar knows, and leases say
+//! what it may do. Standing falls at once and rises only after a while.
+
+use crate::wire::{Life, NAME};
+use crate::Ns;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Rows of the roster in one word, those missing that it names, and those it would have go. The rest goes by digest, or
+/// with a later word.
+const ROWS: usize = 12;
+const NAMED: usize = 8;
+/// How often one may have come and gone and still make its wait longer.
+const FLAPS: u32 = 6;
+
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// How long views may differ before that is a dispute: news takes its time.
+    pub settles: Ns,
+    /// How long a better standing must hold before it is believed, and one that came back stay before it counts.
+    pub calms: Ns,
+    /// How long one must be missed before it may be voted out of the roster.
+    pub leaves: Ns,
+    /// A word counts for so long.
+    pub word: Ns,
+    /// Rows of the roster, at most; further ones are passed over and counted.
+    pub most: usize,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        let s = 1_000_000_000;
+        Rules { settles: 10 * s, calms: 3 * s, leaves: 600 * s, word: 300 * s, most: 4_096 }
+    }
+}
+
+/// From the best to the worst.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// More than half of those who belong are reached, and see the same.
+    Agreed,
+    /// More than half are reached, and some see it otherwise.
+    Disputed,
+    /// Half or less are reached.
+    Few,
+    /// Nobody is reached.
+    Alone,
+}
+
+/// One who belongs, or did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub who: Life,
+    /// Raised by itself alone, to come back after it was voted out.
+    pub entry: u32,
+    pub belongs: bool,
+}
+
+impl Row {
+    /// A later life or entry is newer; of the same one, going is.
+    fn newer(&self, known: &Row) -> bool {
+        (self.who.life, self.entry, !self.belongs) > (known.who.life, known.entry, !known.belongs)
+    }
+}
+
+/// What one says of its view, in one datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// Digests of all who belong, and of those of them that live by its membership.
+    pub roster: u64,
+    pub living: u64,
+    /// Who belongs and does not live, the first of them; and how many there are.
+    pub missing: Vec<String>,
+    pub missed: u32,
+    /// Whom I would have go.
+    pub out: Vec<(String, u64, u32)>,
+    /// Its own row; while rosters differ, or that is not known, also a part of the table, another one each time.
+    pub rows: Vec<Row>,
+}
+
+/// Who sees what otherwise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispute {
+    pub with: String,
+    pub since: Ns,
+    /// Whom it misses and we reach, and whom we miss and it reaches, as far as named.
+    pub it_misses: Vec<String>,
+    pub we_miss: Vec<String>,
+    /// Whether it has another roster.
+    pub roster: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    row: Row,
+    lives: bool,
+    /// Since when it lives, or is missed.
+    since: Ns,
+    flaps: u32,
+    /// Whether it says that it does not reach us, and when.
+    misses_us: Option<Ns>,
+    /// Since when its view differs, and what it was when we last heard it.
+    differs: Option<Ns>,
+    said: Option<(Ns, View)>,
+    /// Who would have it go, and when they last said so.
+    out: BTreeMap<String, Ns>,
+}
+
+pub struct Place {
+    me: Row,
+    rules: Rules,
+    /// By name, those that went among them for `Rules::leaves`; `Rules::most` bounds it.
+    roster: BTreeMap<String, Member>,
+    standing: Standing,
+    since: Ns,
+    /// A better standing than ours, and since when it holds.
+    better: Option<(Standing, Ns)>,
+    /// Where the next part of the roster begins.
+    told: String,
+    pub turned_away: u64,
+}
+
+impl Place {
+    pub fn new(now: Ns, me: Life, rules: Rules) -> Place {
+        let me = Row { who: me, entry: 0, belongs: true };
+        Place {
+            me,
+            rules,
+            roster: BTreeMap::new(),
+            standing: Standing::Alone,
+            since: now,
+            better: None,
+            told: String::new(),
+            turned_away: 0,
+        }
+    }
+
+    /// What holds now, and since when.
+    pub fn standing(&self) -> (Standing, Ns) {
+        (self.standing, self.since)
+    }
+
+    /// How many belong, ourselves among them.
+    pub fn belong(&self) -> usize {
+        1 + self.members().count()
+    }
+
+    /// Who belongs and is not reached.
+    pub fn missing(&self, now: Ns) -> impl Iterator<Item = &str> {
+        self.members().filter(move |m| !self.reaches(now, m)).map(|m| m.row.who.name.as_str())
+    }
+
+    /// Who is heard here but says that it does not hear us.
+    pub fn deaf_to_us(&self, now: Ns) -> impl Iterator<Item = &str> {
+        self.members().filter(move |m| m.lives && self.misses_us(now, m)).map(|m| m.row.who.name.as_str())
+    }
+
+    /// Who came back too often or too lately to count.
+    pub fn unsteady(&self, now: Ns) -> impl Iterator<Item = &str> {
+        self.members().filter(move |m| m.lives && !self.steady(now, m)).map(|m| m.row.who.name.as_str())
+    }
+
+    pub fn disputes(&self, now: Ns) -> Vec<Dispute> {
+        let missing = self.members().filter(|member| !member.lives);
+        let ours: BTreeSet<&str> = missing.map(|member| member.row.who.name.as_str()).collect();
+        let roster = self.digest_roster();
+        let of = |member: &Member| {
+            let since = member.differs.filter(|since| now.saturating_sub(*since) >= self.rules.settles)?;
+            let (_, view) = member.said.as_ref()?;
+            let theirs: BTreeSet<&str> = view.missing.iter().map(String::as_str).collect();
+            let only = |one: &BTreeSet<&str>, other: &BTreeSet<&str>| {
+                one.difference(other).take(NAMED).map(|name| name.to_string()).collect()
+            };
+            let with = member.row.who.name.clone();
+            let (it_misses, we_miss) = (only(&theirs, &ours), only(&ours, &theirs));
+            Some(Dispute { with, since, it_misses, we_miss, roster: view.roster != roster })
+        };
+        self.members().filter(|member| self.reaches(now, member)).filter_map(of).collect()
+    }
+
+    fn members(&self) -> impl Iterator<Item = &Member> {
+        self.roster.values().filter(|member| member.row.belongs)
+    }
+
+    fn steady(&self, now: Ns, member: &Member) -> bool {
+        let wait = self.rules.calms * ((1 << member.flaps) - 1);
+        now.saturating_sub(member.since) >= wait
+    }
+
+    fn misses_us(&self, now: Ns, member: &Member) -> bool {
+        member.misses_us.is_some_and(|at| now.saturating_sub(at) < self.rules.word)
+    }
+
+    fn reaches(&self, now: Ns, member: &Member) -> bool {
+        member.lives && self.steady(now, member) && !self.misses_us(now, member)
+    }
+
+    /// Who lives, by membership; asked for again and again, as often as views are said.
+    pub fn living<'a>(&mut self, now: Ns, living: impl Iterator<Item = &'a Life>) {
+        let living: BTreeMap<&str, &Life> = living.map(|who| (who.name.as_str(), who)).collect();
+        for who in living.values() {
+            let known = self.roster.get(&who.name).is_some_and(|member| member.row.who.life >= who.life);
+            if !known {
+                self.learn(now, Row { who: (*who).clone(), entry: 0, belongs: true });
+            }
+        }
+        for (name, member) in &mut self.roster {
+            let lives = living.get(name.as_str()).is_some_and(|who| **who == member.row.who);
+            if lives == member.lives {
+                continue;
+            }
+            // What was never met here has not come back.
+            if !lives {
+                member.flaps = (member.flaps + 1).min(FLAPS);
+                (member.said, member.differs, member.misses_us) = (None, None, None);
+            }
+            (member.lives, member.since) = (lives, now);
+        }
+        for member in self.roster.values_mut() {
+            if member.lives {
+                member.out.clear();
+            }
+            // Steady for far longer than it had to be: forgiven.
+            let wait = self.rules.calms * ((1 << member.flaps) - 1);
+            if member.lives && member.flaps > 0 && now.saturating_sub(member.since) > 8 * wait {
+                (member.flaps, member.since) = (member.flaps - 1, now - wait);
+            }
+        }
+    }
+
+    /// Our name was known under a later life: ours is this one now.
+    pub fn reborn(&mut self, who: &Life) {
+        self.me = Row { who: who.clone(), entry: 0, belongs: true };
+    }
+
+    /// It said goodbye.
+    pub fn left(&mut self, now: Ns, who: &Life) {
+        let row = self.roster.get(&who.name).map(|member| member.row.clone()).filter(|row| row.who == *who);
+        if let Some(row) = row {
+            self.learn(now, Row { belongs: false, ..row });
+        }
+    }
+
+    fn learn(&mut self, now: Ns, row: Row) {
+        if row.who.name == self.me.who.name {
+            // Voted out while we were away, maybe: we are here.
+            if row.who.life == self.me.who.life && !row.belongs && row.entry >= self.me.entry {
+                self.me.entry = row.entry.saturating_add(1);
+            }
+            return;
+        }
+        if row.who.name.is_empty() || row.who.name.len() > NAME {
+            return;
+        }
+        let full = self.roster.len() >= self.rules.most;
+        match self.roster.get_mut(&row.who.name) {
+            Some(member) if row.newer(&member.row) => {
+                if member.row.who != row.who {
+                    // A start after a goodbye is no coming and going.
+                    member.flaps *= member.row.belongs as u32;
+                    member.lives = false;
+                }
+                if member.row.belongs != row.belongs {
+                    member.since = now;
+                }
+                member.out.clear();
+                member.row = row;
+            }
+            Some(_) => {}
+            None if full => self.turned_away += 1,
+            None => {
+                let name = row.who.name.clone();
+                let (misses_us, differs, said, out) = (None, None, None, BTreeMap::new());
+                let member =
+                    Member { row, lives: false, since: now, flaps: 0, misses_us, differs, said, out };
+                self.roster.insert(name, member);
+            }
+        }
+    }
+
+    /// What a fellow says of its view.
+    pub fn heard(&mut self, now: Ns, from: &Life, view: View) {
+        view.rows.iter().take(ROWS).for_each(|row| self.learn(now, row.clone()));
+        let (roster, living) = (self.digest_roster(), self.digest_living());
+        let us = self.me.who.name.clone();
+        let named: Vec<(String, u64, u32)> = view.out.iter().take(NAMED).cloned().collect();
+        for (name, life, entry) in named {
+            if let Some(member) = self.roster.get_mut(&name).filter(|member| !member.lives) {
+                if (member.row.who.life, member.row.entry) == (life, entry) {
+                    member.out.insert(from.name.clone(), now);
+                }
+            }
+        }
+        let Some(member) = self.roster.get_mut(&from.name).filter(|member| member.row.who == *from) else {
+            return;
+        };
+        member.misses_us = view.missing.contains(&us).then_some(now);
+        let differs = view.roster != roster || view.living != living;
+        member.differs = differs.then(|| member.differs.unwrap_or(now));
+        member.said = Some((now, view));
+    }
+
+    /// What to say to this fellow now.
+    pub fn view(&mut self, now: Ns, to: &Life) -> View {
+        let missing = self.members().filter(|member| !member.lives);
+        let missing: Vec<String> = missing.map(|member| member.row.who.name.clone()).collect();
+        let out = self.members().filter(|member| self.long_missed(now, member));
+        let out = out.take(NAMED).map(|m| (m.row.who.name.clone(), m.row.who.life, m.row.entry)).collect();
+        let (roster, living) = (self.digest_roster(), self.digest_living());
+        let said = self.roster.get(&to.name).and_then(|member| member.said.as_ref());
+        let alike = said.is_some_and(|(_, view)| view.roster == roster);
+        let many = if alike { 1 } else { ROWS };
+        let behind = self
+            .roster
+            .range::<str, _>((std::ops::Bound::Excluded(self.told.as_str()), std::ops::Bound::Unbounded));
+        let mut rows = vec![self.me.clone()];
+        rows.extend(behind.take(many - 1).map(|(_, member)| member.row.clone()));
+        if !alike {
+            let through = rows.len() < ROWS;
+            self.told = if through { String::new() } else { rows[ROWS - 1].who.name.clone() };
+        }
+        let missed = missing.len() as u32;
+        View { roster, living, missing: missing.into_iter().take(NAMED).collect(), missed, out, rows }
+    }
+
+    fn long_missed(&self, now: Ns, member: &Member) -> bool {
+        !member.lives && now.saturating_sub(member.since) >= self.rules.leaves
+    }
+
+    /// Looks again, and tells a change: what was before, and what is.
+    pub fn look(&mut self, now: Ns) -> Option<(Standing, Standing)> {
+        self.vote_out(now);
+        let (leaves, word) = (self.rules.leaves, self.rules.word);
+        let gone = |member: &Member| !member.row.belongs && now.saturating_sub(member.since) >= leaves;
+        self.roster.retain(|_, member| !gone(member));
+        for member in self.roster.values_mut() {
+            member.out.retain(|_, at| now.saturating_sub(*at) < word);
+            if member.said.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) >= word) {
+                (member.said, member.differs) = (None, None);
+            }
+        }
+        let seen = self.seen(now);
+        let was = self.standing;
+        if seen >= was {
+            self.better = None;
+        } else {
+            let (_, since) = *self.better.get_or_insert((seen, now));
+            // The worst of what held since then is what has held all along.
+            self.better = self.better.map(|(held, since)| (held.max(seen), since));
+            let held = self.better.map_or(seen, |(held, _)| held);
+            if now.saturating_sub(since) < self.rules.calms {
+                return None;
+            }
+            self.better = None;
+            (self.standing, self.since) = (held, now);
+            return Some((was, held));
+        }
+        if seen == was {
+            return None;
+        }
+        (self.standing, self.since) = (seen, now);
+        Some((was, seen))
+    }
+
+    fn seen(&self, now: Ns) -> Standing {
+        let reached = 1 + self.members().filter(|member| self.reaches(now, member)).count();
+        if reached == 1 {
+            Standing::Alone
+        } else if 2 * reached <= self.belong() {
+            Standing::Few
+        } else if self.disputes(now).is_empty() {
+            Standing::Agreed
+        } else {
+            Standing::Disputed
+        }
+    }
+
+    /// Who has been missed for long by more than half of all who belong, the missed ones among them, goes.
+    fn vote_out(&mut self, now: Ns) {
+        let (belong, word) = (self.belong(), self.rules.word);
+        let lasts = |at: &Ns| now.saturating_sub(*at) < word;
+        let belongs: BTreeSet<&str> = self.members().map(|member| member.row.who.name.as_str()).collect();
+        let out = self.members().filter(|member| self.long_missed(now, member)).filter(|member| {
+            let by = member.out.iter().filter(|(name, at)| belongs.contains(name.as_str()) && lasts(at));
+            2 * (1 + by.count()) > belong
+        });
+        let out: Vec<Row> = out.map(|member| Row { belongs: false, ..member.row.clone() }).collect();
+        out.into_iter().for_each(|row| self.learn(now, row));
+    }
+
+    fn digest_roster(&self) -> u64 {
+        let rows = self.members().map(|member| &member.row).chain([&self.me]);
+        digest(rows.map(|row| (row.who.name.as_str(), row.who.life, row.entry)))
+    }
+
+    /// By membership alone: who comes and goes counts differently at each for a while.
+    fn digest_living(&self) -> u64 {
+        let rows = self.members().filter(|member| member.lives).map(|member| &member.row);
+        digest(rows.chain([&self.me]).map(|row| (row.who.name.as_str(), row.who.life, 0)))
+    }
+}
+
+fn digest<'a>(rows: impl Iterator<Item = (&'a str, u64, u32)>) -> u64 {
+    let mut rows: Vec<(&str, u64, u32)> = rows.collect();
+    rows.sort_unstable();
+    let mut hash = blake3::Hasher::new();
+    for (name, life, entry) in rows {
+        hash.update(&(name.len() as u64).to_le_bytes()).update(name.as_bytes());
+        hash.update(&life.to_le_bytes()).update(&entry.to_le_bytes());
+    }
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/crates/fellows/tests/standing.rs
@@ -0,0 +1,324 @@
+//! Standing over the simulated network, on the membership that sockets drive: what each believes of its own place.
+
+use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::standing::{Place, Row, Rules, Standing, View};
+use havenplank_fellows::swim::{Event, News, Rules as Membership, State};
+use havenplank_fellows::wire::{Key, Life};
+use havenplank_stand::net::{Clock, Id, Net, Ns, Part, Weather};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+const S: Ns = 1_000_000_000;
+const KIND: u8 = 3;
+const BEAT: Ns = S / 2;
+
+/// A member that says its view to one fellow in turn, as the sidecar does.
+struct Fellow {
+    node: Node,
+    place: Place,
+    next: Ns,
+    turn: usize,
+    changes: Vec<(Ns, Standing, Standing)>,
+}
+
+impl Part for Fellow {
+    fn heard(&mut self, now: Ns, bytes: &[u8]) {
+        self.node.heard(now, bytes);
+        self.look(now);
+    }
+    fn wake(&mut self, now: Ns) {
+        self.node.wake(now);
+        if now >= self.next {
+            self.next = now + BEAT;
+            let living: Vec<Life> = self.node.fellows().living().map(|news| news.who.clone()).collect();
+            self.place.living(now, living.iter());
+            if !living.is_empty() {
+                self.turn = (self.turn + 1) % living.len();
+                let view = postcard::to_stdvec(&self.place.view(now, &living[self.turn])).unwrap();
+                self.node.send(&living[self.turn], KIND, view);
+            }
+        }
+        self.look(now);
+    }
+    fn next_wake(&self) -> Option<Ns> {
+        self.node.next_wake().into_iter().chain([self.next]).min()
+    }
+    fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.node.datagram()
+    }
+}
+
+impl Fellow {
+    fn new(now: Ns, at: SocketAddr, name: String, life: u64, rules: Rules) -> Fellow {
+        let who = Life { name, life };
+        let me = News { who: who.clone(), at, zone: "z".into(), round: 0, state: State::Lives };
+        let seed = at.ip().to_string().bytes().fold(life, |sum, byte| sum * 31 + byte as u64);
+        let seeds = vec![Net::<Fellow>::address(0)];
+        let mut node = Node::new(now, seed, me, seeds, Membership::default(), vec![Key::new([7; 32])]);
+        node.reads(KIND);
+        let place = Place::new(now, who, rules);
+        Fellow { node, place, next: now, turn: 0, changes: Vec::new() }
+    }
+
+    fn look(&mut self, now: Ns) {
+        while let Some(happened) = self.node.happened() {
+            match happened {
+                Happened::Told(Event::Left(who)) => self.place.left(now, &who),
+                Happened::Told(Event::Reborn(who)) => self.place.reborn(&who),
+                Happened::Told(_) => {}
+                Happened::Came { from, body, .. } => {
+                    let view: View = postcard::from_bytes(&body).unwrap();
+                    self.place.heard(now, &from, view);
+                }
+            }
+        }
+        if let Some((was, is)) = self.place.look(now) {
+            self.changes.push((now, was, is));
+        }
+    }
+}
+
+fn name(id: Id) -> String {
+    format!("s-{id:02}")
+}
+
+fn fleet(many: usize, seed: u64, rules: &Rules) -> Net<Fellow> {
+    let mut net = Net::new(seed, Weather { loss: 0.05, ..Weather::default() });
+    for id in 0..many {
+        let clock = Clock { began: id as Ns * 77 * S, drift_ppm: (id as i64 % 3 - 1) * 1_000 };
+        net.join(clock, |now, at| Fellow::new(now, at, name(id), 1, rules.clone()));
+    }
+    net
+}
+
+fn standing(net: &Net<Fellow>, id: Id) -> Standing {
+    net.part(id).unwrap().place.standing().0
+}
+
+fn all(net: &Net<Fellow>, ids: &[Id]) -> Vec<Standing> {
+    ids.iter().map(|id| standing(net, *id)).collect()
+}
+
+#[test]
+fn a_whole_fleet_agrees_and_a_minority_knows_that_it_is_one_however_long_it_lasts() {
+    for seed in 0..6 {
+        let mut net = fleet(9, seed, &Rules { leaves: 40 * S, ..Rules::default() });
+        let (few, many): (Vec<Id>, Vec<Id>) = ((0..4).collect(), (4..9).collect());
+        net.run(60 * S, |_, _| {});
+        let ids: Vec<Id> = net.ids().collect();
+        assert!(
+            all(&net, &ids).iter().all(|is| *is == Standing::Agreed),
+            "seed {seed}: {:?}",
+            all(&net, &ids)
+        );
+        net.split(&[&few, &many]);
+        net.run(120 * S, |_, _| {});
+        assert!(all(&net, &few).iter().all(|is| *is == Standing::Few), "seed {seed}: {:?}", all(&net, &few));
+        // Far longer than it takes the others to vote them out: they still count all nine.
+        net.run(700 * S, |_, _| {});
+        assert!(all(&net, &few).iter().all(|is| *is == Standing::Few), "seed {seed}: {:?}", all(&net, &few));
+        assert!(few.iter().all(|id| net.part(*id).unwrap().place.belong() == 9), "seed {seed}");
+        assert!(
+            all(&net, &many).iter().all(|is| *is == Standing::Agreed),
+            "seed {seed}: {:?}",
+            all(&net, &many)
+        );
+        assert!(many.iter().all(|id| net.part(*id).unwrap().place.belong() == 5), "seed {seed}: voted out");
+        net.heal();
+        net.run(900 * S, |_, _| {});
+        assert!(
+            all(&net, &ids).iter().all(|is| *is == Standing::Agreed),
+            "seed {seed}: {:?}",
+            all(&net, &ids)
+        );
+        assert!(
+            ids.iter().all(|id| net.part(*id).unwrap().place.belong() == 9),
+            "seed {seed}: they are back"
+        );
+    }
+}
+
+#[test]
+fn halves_are_few_on_both_sides_and_thirds_everywhere() {
+    for (seed, parts) in [(1, vec![4, 4]), (2, vec![3, 3, 3]), (3, vec![1, 7])] {
+        let mut net = fleet(parts.iter().sum(), seed, &Rules::default());
+        net.run(60 * S, |_, _| {});
+        let mut next = 0;
+        let groups: Vec<Vec<Id>> = parts
+            .iter()
+            .map(|many| {
+                next += many;
+                (next - many..next).collect()
+            })
+            .collect();
+        net.split(&groups.iter().map(Vec::as_slice).collect::<Vec<_>>());
+        net.run(140 * S, |_, _| {});
+        for group in &groups {
+            let wanted = match (group.len(), 2 * group.len() > next) {
+                (1, _) => Standing::Alone,
+                (_, true) => Standing::Agreed,
+                (_, false) => Standing::Few,
+            };
+            assert!(all(&net, group).iter().all(|is| *is == wanted), "{parts:?}: {:?}", all(&net, group));
+        }
+    }
+}
+
+#[test]
+fn it_falls_at_once_and_rises_only_after_a_while() {
+    let mut net = fleet(5, 4, &Rules::default());
+    net.run(60 * S, |_, _| {});
+    let from = net.part(0).unwrap().changes.len();
+    net.split(&[&[0, 1], &[2, 3, 4]]);
+    net.run(100 * S, |_, _| {});
+    net.heal();
+    net.run(300 * S, |_, _| {});
+    let changes = &net.part(0).unwrap().changes[from..];
+    let ways: Vec<(Standing, Standing)> = changes.iter().map(|(_, was, is)| (*was, *is)).collect();
+    assert_eq!(ways.first(), Some(&(Standing::Agreed, Standing::Few)), "{ways:?}");
+    assert_eq!(standing(&net, 0), Standing::Agreed, "{ways:?}");
+    // Straight to the worse, never from one better to another within less than it must hold.
+    for pair in changes.windows(2) {
+        let ((at, _, was), (then, _, is)) = (pair[0], pair[1]);
+        assert!(is > was || then - at >= Rules::default().calms, "{changes:?}");
+    }
+}
+
+#[test]
+fn goodbyes_shrink_the_roster_and_losses_do_not() {
+    let mut net = fleet(7, 5, &Rules::default());
+    net.run(60 * S, |_, _| {});
+    for id in [5, 6] {
+        net.part_mut(id).unwrap().node.leave();
+        net.post(id);
+        net.run(net.now() + S, |_, _| {});
+        net.kill(id);
+    }
+    net.run(100 * S, |_, _| {});
+    let belong = |net: &Net<Fellow>| net.part(0).unwrap().place.belong();
+    assert_eq!((belong(&net), standing(&net, 0)), (5, Standing::Agreed));
+    [2, 3, 4].into_iter().for_each(|id| net.kill(id));
+    net.run(200 * S, |_, _| {});
+    assert_eq!((belong(&net), standing(&net, 0)), (5, Standing::Few), "two of five, for good");
+    net.restart(2, |now, at| Fellow::new(now, at, name(2), 2, Rules::default()));
+    net.run(260 * S, |_, _| {});
+    assert_eq!((belong(&net), standing(&net, 0)), (5, Standing::Agreed), "a restart belongs as it did");
+    let missing: Vec<String> =
+        net.part(0).unwrap().place.missing(net.own_time(0)).map(str::to_string).collect();
+    assert_eq!(missing, [name(3), name(4)]);
+}
+
+fn view(missing: &[&str], rows: Vec<Row>) -> View {
+    let missing: Vec<String> = missing.iter().map(|name| name.to_string()).collect();
+    View { roster: 0, living: 0, missed: missing.len() as u32, missing, out: Vec::new(), rows }
+}
+
+fn life(id: Id) -> Life {
+    Life { name: name(id), life: 1 }
+}
+
+#[test]
+fn one_that_does_not_hear_us_is_not_reached_and_named_so() {
+    let mut place = Place::new(0, life(0), Rules::default());
+    let others = [life(1), life(2)];
+    place.living(0, others.iter());
+    place.look(0);
+    place.look(4 * S);
+    assert_eq!(place.standing().0, Standing::Agreed);
+    place.heard(5 * S, &life(1), view(&["s-00"], Vec::new()));
+    assert_eq!(place.deaf_to_us(5 * S).collect::<Vec<_>>(), ["s-01"]);
+    assert_eq!(place.missing(5 * S).collect::<Vec<_>>(), ["s-01"]);
+    place.heard(5 * S, &life(2), view(&["s-00"], Vec::new()));
+    assert_eq!(place.look(5 * S), Some((Standing::Agreed, Standing::Alone)));
+}
+
+#[test]
+fn views_that_go_on_differing_are_a_dispute_that_says_who_misses_whom() {
+    let mut place = Place::new(0, life(0), Rules::default());
+    let others: Vec<Life> = (1..5).map(life).collect();
+    place.living(0, others.iter());
+    place.look(0);
+    place.look(4 * S);
+    place.heard(5 * S, &life(1), view(&["s-03"], Vec::new()));
+    assert_eq!(place.look(5 * S), None, "news takes its time");
+    place.heard(16 * S, &life(1), view(&["s-03"], Vec::new()));
+    assert_eq!(place.look(16 * S), Some((Standing::Agreed, Standing::Disputed)));
+    let disputes = place.disputes(16 * S);
+    assert_eq!((disputes.len(), disputes[0].with.as_str(), disputes[0].since), (1, "s-01", 5 * S));
+    assert_eq!(disputes[0].it_misses, ["s-03"]);
+    assert!(disputes[0].roster && disputes[0].we_miss.is_empty());
+}
+
+#[test]
+fn one_that_comes_and_goes_counts_for_less_and_less() {
+    let mut place = Place::new(0, life(0), Rules::default());
+    let (both, one) = ([life(1), life(2)], [life(1)]);
+    place.living(0, both.iter());
+    let mut now = 10 * S;
+    let mut waits = Vec::new();
+    for _ in 0..4 {
+        place.living(now, one.iter());
+        place.living(now + S, both.iter());
+        now += S;
+        let back = now;
+        while place.unsteady(now).next().is_some() {
+            now += S;
+        }
+        waits.push((now - back) / S);
+    }
+    assert_eq!(waits, [3, 9, 21, 45]);
+    // Forgiven after a long steady time.
+    now += 4_000 * S;
+    (0..50).for_each(|n| place.living(now + n * 400 * S, both.iter()));
+    now += 50 * 400 * S;
+    place.living(now, one.iter());
+    place.living(now, both.iter());
+    assert!(place.unsteady(now + 3 * S).next().is_none());
+}
+
+/// A minority's word, however often it is said and by whatever lives, takes nobody out of the roster.
+#[test]
+fn only_more_than_half_of_all_who_belong_vote_one_out() {
+    for (voters, gone) in [(1, false), (2, true)] {
+        let mut place = Place::new(0, life(0), Rules::default());
+        let five: Vec<Life> = (1..5).map(life).collect();
+        place.living(0, five.iter());
+        place.living(S, five[..voters].iter());
+        let now = 700 * S;
+        for _ in 0..3 {
+            for voter in &five[..voters] {
+                let out = vec![(name(4), 1, 0)];
+                place.heard(now, voter, View { out, ..view(&[], Vec::new()) });
+            }
+            // A stranger has no word in it.
+            let out = vec![(name(4), 1, 0)];
+            place.heard(now, &life(9), View { out, ..view(&[], Vec::new()) });
+            place.look(now);
+        }
+        assert_eq!(place.belong() == 4, gone, "{voters} voters beside us, of five");
+    }
+}
+
+fn rows() -> impl Strategy<Value = Vec<Row>> {
+    let row = (1..5usize, 1..3u64, 0..3u32, any::<bool>()).prop_map(|(id, life, entry, belongs)| Row {
+        who: Life { name: name(id), life },
+        entry,
+        belongs,
+    });
+    prop::collection::vec(row, 0..10)
+}
+
+proptest! {
+    /// Rosters merge alike in any order and however often.
+    #[test]
+    fn rosters_merge_in_any_order_and_any_number_of_times(one in rows(), two in rows()) {
+        let tell = |all: &[&Vec<Row>]| {
+            let mut place = Place::new(0, life(0), Rules::default());
+            for rows in all {
+                place.heard(0, &life(1), view(&[], rows.to_vec()));
+            }
+            place.view(0, &life(1)).roster
+        };
+        prop_assert_eq!(tell(&[&one, &two]), tell(&[&two, &one, &two, &one]));
+    }
+}
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -59,6 +59,16 @@
             "living": glance.living, "slowness": glance.slowness, "sent": glance.sent, "sent_bytes": glance.sent_bytes,
             "refused": glance.refused, "overrun": glance.overrun, "unsent": glance.unsent,
         });
+        let disputes = glance.disputes.iter().map(|dispute| {
+            json!({
+                "with": dispute.with, "it_misses": dispute.it_misses, "we_miss": dispute.we_miss, "roster": dispute.roster,
+            })
+        });
+        state["standing"] = json!({
+            "is": glance.standing, "for_ms": glance.stands_for / 1_000_000, "belong": glance.belong,
+            "missing": glance.missing, "deaf_to_us": glance.deaf_to_us, "unsteady": glance.unsteady,
+            "disputes": disputes.collect::<Vec<_>>(),
+        });
     }
     let mut response = Response::new(Body::Whole(Full::new(format!("{state}\n").into())));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/sidecar/src/fellowship.rs
+++ b/crates/sidecar/src/fellowship.rs
@@ -1,17 +1,26 @@
-//! Where a sidecar hears the others: the fellowship's sockets and keys, and who here reads which kind of message.
+//! Where a sidecar hears the others: the fellowship's sockets and keys, who here reads which kind of message, and what
+//! it may believe of its own place.
 
 use havenplank_fellows::node::{Happened, Node};
 use havenplank_fellows::shell::{log, new_life, read_keys, KeysError, Talker};
-use havenplank_fellows::swim::{News, Rules, State};
+use havenplank_fellows::standing::{Dispute, Place, Rules as Belonging, Standing, View};
+use havenplank_fellows::swim::{Event, News, Rules, State};
 use havenplank_fellows::wire::Life;
 use havenplank_settings::Fellowship as Settings;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
+use tokio::time::{interval, MissedTickBehavior};
+
+/// The kind of message in which views are told.
+const VIEWS: u8 = 3;
+/// Names of each sort that an operator is shown, at most; the numbers are whole.
+const SHOWN: usize = 32;
 
 /// Why a sidecar has no fellowship.
 #[derive(Debug, thiserror::Error)]
@@ -30,6 +39,10 @@
     me: Life,
     /// By kind of message. One row a part of the program that talks, set at the start.
     ears: RefCell<BTreeMap<u8, Ear>>,
+    place: RefCell<Place>,
+    /// Views are told to one fellow after the other, once a period.
+    period: Duration,
+    turn: Cell<usize>,
 }
 
 /// What an operator may look at.
@@ -37,6 +50,14 @@
 pub struct Glance {
     pub living: Vec<String>,
     pub slowness: u32,
+    pub standing: Option<Standing>,
+    /// For how long that has held, in ns.
+    pub stands_for: u64,
+    pub belong: usize,
+    pub missing: Vec<String>,
+    pub deaf_to_us: Vec<String>,
+    pub unsteady: Vec<String>,
+    pub disputes: Vec<Dispute>,
     pub sent: u64,
     pub sent_bytes: u64,
     /// Letters refused for what they are, and messages lost for want of room here, on either side.
@@ -66,7 +87,11 @@
             Node::new(now, seed, news, settings.meet.clone(), rules, keys)
         });
         let talker = talker.await.map_err(|error| FellowshipError::Listen { at: settings.listen, error })?;
-        Ok(Rc::new(Fellowship { talker, me, ears: RefCell::default() }))
+        talker.call(|node, _| node.reads(VIEWS));
+        let place = RefCell::new(Place::new(talker.now(), me.clone(), Belonging::default()));
+        let period = Duration::from_nanos(settings.period);
+        let (ears, turn) = (RefCell::default(), Cell::new(0));
+        Ok(Rc::new(Fellowship { talker, me, ears, place, period, turn }))
     }
 
     /// From now on messages of this kind come here. One part of the program owns a kind.
@@ -80,17 +105,57 @@
         let hears = self.clone();
         spawn_local(self.talker.clone().run(move |_, happened| hears.happened(happened)));
         spawn_local(self.clone().reload(keys));
+        spawn_local(self.clone().tell_views());
     }
 
     fn happened(&self, happened: Happened) {
         match happened {
+            Happened::Came { from, kind: VIEWS, body } => match postcard::from_bytes::<View>(&body) {
+                Ok(view) => self.place.borrow_mut().heard(self.now(), &from, view),
+                Err(_) => tracing::warn!(fellow = from.name, "view passed over: not readable"),
+            },
             Happened::Came { from, kind, body } => {
                 let ear = self.ears.borrow().get(&kind).cloned();
                 if let Some(ear) = ear {
                     ear(&from, &body);
                 }
             }
-            Happened::Told(event) => log(event),
+            Happened::Told(event) => {
+                match &event {
+                    Event::Left(who) => self.place.borrow_mut().left(self.now(), who),
+                    Event::Reborn(who) => self.place.borrow_mut().reborn(who),
+                    _ => {}
+                }
+                log(event);
+            }
+        }
+    }
+
+    /// Once a period, who lives is told to the decision on our place, and our view to one fellow.
+    async fn tell_views(self: Rc<Self>) {
+        let mut beat = interval(self.period);
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            beat.tick().await;
+            let now = self.now();
+            let living: Vec<Life> = self.living(|others| others.map(|news| news.who.clone()).collect());
+            let mut place = self.place.borrow_mut();
+            place.living(now, living.iter());
+            if let Some((was, is)) = place.look(now) {
+                let (belong, missing) = (place.belong(), place.missing(now).count());
+                if is > was {
+                    tracing::warn!(?was, ?is, belong, missing, "standing");
+                } else {
+                    tracing::info!(?was, ?is, belong, missing, "standing");
+                }
+            }
+            self.turn.set(self.turn.get().wrapping_add(1));
+            let to = living.get(self.turn.get() % living.len().max(1));
+            let view = to.map(|to| (to, postcard::to_stdvec(&place.view(now, to))));
+            drop(place);
+            if let Some((to, Ok(body))) = view {
+                self.say(to, VIEWS, body);
+            }
         }
     }
 
@@ -138,9 +203,21 @@
 
     pub fn glance(&self) -> Glance {
         let unsent = self.talker.lost();
+        let (now, place) = (self.now(), self.place.borrow());
+        let (standing, since) = place.standing();
+        let shown = |names: &mut dyn Iterator<Item = &str>| names.take(SHOWN).map(str::to_string).collect();
+        let mut disputes = place.disputes(now);
+        disputes.truncate(SHOWN);
         self.talker.call(|node, _| Glance {
             living: node.fellows().living().map(|news| news.who.name.clone()).collect(),
             slowness: node.fellows().slowness(),
+            standing: Some(standing),
+            stands_for: now.saturating_sub(since),
+            belong: place.belong(),
+            missing: shown(&mut place.missing(now)),
+            deaf_to_us: shown(&mut place.deaf_to_us(now)),
+            unsteady: shown(&mut place.unsteady(now)),
+            disputes,
             sent: node.sent,
             sent_bytes: node.sent_bytes,
             refused: node.refused.total(),
