--- a/crates/fellows/tests/standing.rs
+++ b/crates/fellows/tests/standing.rs
@@ -217,6 +217,37 @@
     Life { name: name(id), life: 1 }
 }
 
+#[test]
+fn a_better_standing_is_believed_only_once_it_has_held() {
+    let mut place = Place::new(0, life(0), Rules::default());
+    let (both, none) = ([life(1), life(2)], []);
+    place.living(0, both.iter());
+    assert_eq!((place.look(0), place.look(2 * S)), (None, None));
+    // A moment without them, and it begins anew.
+    place.living(2 * S, none.iter());
+    assert_eq!(place.look(2 * S), None, "it never rose");
+    place.living(2 * S + 1, both.iter());
+    // They came back: steady after 3 s, and then it must hold for as long.
+    assert_eq!((place.look(4 * S), place.look(5 * S + 2), place.look(7 * S)), (None, None, None));
+    assert_eq!(place.look(8 * S + 2), Some((Standing::Alone, Standing::Agreed)));
+}
+
+#[test]
+fn one_that_was_voted_out_comes_back_by_an_entry_of_its_own() {
+    let mut out = Place::new(0, life(0), Rules::default());
+    let gone = Row { who: life(0), entry: 0, belongs: false };
+    out.heard(0, &life(1), view(&[], vec![gone.clone()]));
+    let own = out.view(0, &life(1)).rows[0].clone();
+    assert_eq!(own, Row { who: life(0), entry: 1, belongs: true });
+    let mut other = Place::new(0, life(1), Rules::default());
+    other.heard(0, &life(2), view(&[], vec![gone.clone()]));
+    other.living(0, [life(0)].iter());
+    assert_eq!(other.belong(), 1, "that it lives brings it back for nobody who knows that it is out");
+    other.heard(0, &life(0), view(&[], vec![own]));
+    other.heard(0, &life(2), view(&[], vec![gone]));
+    assert_eq!(other.belong(), 2);
+}
+
 #[test]
 fn one_that_does_not_hear_us_is_not_reached_and_named_so() {
     let mut place = Place::new(0, life(0), Rules::default());
