Standing keeps of a fellow's view only as much as anyone says

Cause: read once more, Place::heard kept a view whole, up to a stream's letter of 1 MiB for each of 4,096 fellows, from anyone who has the key. Change: 12 rows, 8 names of 64 bytes and no votes are kept; a test with 10,000 of each. /state tells how many are reached, as its names stop at 32.

--- a/crates/fellows/src/standing.rs
+++ b/crates/fellows/src/standing.rs
@@ -106,10 +106,10 @@
     flaps: u32,
     /// Whether it says that it does not reach us, and when.
     misses_us: Option<Ns>,
-    /// Since when its view differs, and what it was when we last heard it.
+    /// Since when its view differs, and what it was when we last heard it: digests and `NAMED` names.
     differs: Option<Ns>,
     said: Option<(Ns, View)>,
-    /// Who would have it go, and when they last said so.
+    /// Who would have it go, and when they last said so; a word leaves after `Rules::word`, and all once it lives.
     out: BTreeMap<String, Ns>,
 }
 
@@ -286,12 +286,14 @@
     }
 
     /// What a fellow says of its view.
-    pub fn heard(&mut self, now: Ns, from: &Life, view: View) {
-        view.rows.iter().take(ROWS).for_each(|row| self.learn(now, row.clone()));
+    /// Of a view longer than any that we say only as much is read and kept, whatever its sender had the key for.
+    pub fn heard(&mut self, now: Ns, from: &Life, mut view: View) {
+        view.rows.drain(..).take(ROWS).for_each(|row| self.learn(now, row));
+        view.missing.truncate(NAMED);
+        view.missing.retain(|name| name.len() <= NAME);
         let (roster, living) = (self.digest_roster(), self.digest_living());
         let us = self.me.who.name.clone();
-        let named: Vec<(String, u64, u32)> = view.out.iter().take(NAMED).cloned().collect();
-        for (name, life, entry) in named {
+        for (name, life, entry) in std::mem::take(&mut view.out).into_iter().take(NAMED) {
             if let Some(member) = self.roster.get_mut(&name).filter(|member| !member.lives) {
                 if (member.row.who.life, member.row.entry) == (life, entry) {
                     member.out.insert(from.name.clone(), now);
--- a/crates/fellows/tests/standing.rs
+++ b/crates/fellows/tests/standing.rs
@@ -263,6 +263,18 @@
     assert_eq!(place.look(5 * S), Some((Standing::Agreed, Standing::Alone)));
 }
 
+#[test]
+fn of_an_absurd_view_only_as_much_is_read_as_anyone_says() {
+    let mut place = Place::new(0, life(0), Rules::default());
+    place.living(0, [life(1)].iter());
+    let rows = (100..10_100).map(|id| Row { who: life(id), entry: 0, belongs: true }).collect();
+    let names: Vec<String> = (0..10_000).map(|n| format!("{n:060}")).collect();
+    let mut missing: Vec<&str> = names.iter().map(String::as_str).collect();
+    missing.push("s-00");
+    place.heard(S, &life(1), view(&missing, rows));
+    assert_eq!((place.belong(), place.deaf_to_us(S).count()), (2 + 12, 0));
+}
+
 #[test]
 fn views_that_go_on_differing_are_a_dispute_that_says_who_misses_whom() {
     let mut place = Place::new(0, life(0), Rules::default());
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -65,7 +65,7 @@
             })
         });
         state["standing"] = json!({
-            "is": glance.standing, "for_ms": glance.stands_for / 1_000_000, "belong": glance.belong,
+            "is": glance.standing, "for_ms": glance.stands_for / 1_000_000, "belong": glance.belong, "reached": glance.reached,
             "missing": glance.missing, "deaf_to_us": glance.deaf_to_us, "unsteady": glance.unsteady,
             "disputes": disputes.collect::<Vec<_>>(),
         });
--- a/crates/sidecar/src/fellowship.rs
+++ b/crates/sidecar/src/fellowship.rs
@@ -19,7 +19,7 @@
 
 /// The kind of message in which views are told.
 const VIEWS: u8 = 3;
-/// Names of each sort that an operator is shown, at most; the numbers are whole.
+/// Names of each sort that an operator is shown, at most; `Glance::reached` is whole.
 const SHOWN: usize = 32;
 
 /// Why a sidecar has no fellowship.
@@ -54,6 +54,8 @@
     /// For how long that has held, in ns.
     pub stands_for: u64,
     pub belong: usize,
+    /// Of those who belong, itself counted.
+    pub reached: usize,
     pub missing: Vec<String>,
     pub deaf_to_us: Vec<String>,
     pub unsteady: Vec<String>,
@@ -214,6 +216,7 @@
             standing: Some(standing),
             stands_for: now.saturating_sub(since),
             belong: place.belong(),
+            reached: place.belong() - place.missing(now).count(),
             missing: shown(&mut place.missing(now)),
             deaf_to_us: shown(&mut place.deaf_to_us(now)),
             unsteady: shown(&mut place.unsteady(now)),
