A repeat that waited for a connection past its window does not go out

Cause: Logic::fits checks the window in which pods drop repeats when a pod is chosen; Logic::still, asked again right before the write, looked at pod, build and cap only (logic.rs, still). Seen: in an engine test, may_go said true at the window's end. Change: the engine tells when the first attempt was chosen that may have run, ended or still out, also for a request taken over; still refuses past the window. Test a_repeat_that_waits_for_a_connection_past_its_window_does_not_go fails without it: (true, true) for (true, false).

--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -78,6 +78,8 @@
     key: u64,
     deadline: Ns,
     open: bool,
+    /// When the first forward was chosen that has ended and may have run.
+    ran: Option<Ns>,
     forwards: Vec<Option<Out>>,
 }
 
@@ -338,7 +340,9 @@
         self.saw(|| Told::Hit { hit: id, asked: asked.clone() });
         let Asked { group, customer, key, left, cost_hint, repeat } = asked;
         let deadline = self.desk.now.saturating_add(left);
-        let held = Held { group, key, deadline, open: true, forwards: Vec::new() };
+        let past = self.resumed.iter().flatten().filter(|earlier| earlier.may_have_run);
+        let ran = past.map(|earlier| self.desk.now.saturating_sub(earlier.ago)).min();
+        let held = Held { group, key, deadline, open: true, ran, forwards: Vec::new() };
         self.desk.hits.insert(id, held);
         let hit = Hit { id, group, customer, key, left, cost_hint, repeat };
         match self.resumed.take() {
@@ -373,7 +377,10 @@
         let Some(held) = self.desk.hits.get(&hit).filter(|held| held.open) else { return false };
         let Some(Some(out)) = held.forwards.get(nth as usize) else { return false };
         let (group, key, at) = (held.group, held.key, out.at);
-        out.chosen.is_some_and(|chosen| self.logic.still(self.desk.now, group, key, &chosen, at))
+        // One that is still out may have run as well.
+        let before = held.forwards[..nth as usize].iter().flatten().map(|out| out.at);
+        let ran = before.chain(held.ran).min();
+        out.chosen.is_some_and(|chosen| self.logic.still(self.desk.now, (group, key), &chosen, (at, ran)))
     }
 
     /// How a forward ended. Whether its answer goes to the client as the hit's final one.
@@ -383,6 +390,9 @@
         let Some(out) = held.forwards.get_mut(nth as usize).and_then(Option::take) else { return false };
         let passed = held.open && end == Ended::Delivered;
         held.open &= !passed;
+        if !end.never_ran() {
+            held.ran = Some(held.ran.map_or(out.at, |ran| ran.min(out.at)));
+        }
         let over = !held.open;
         self.saw(|| Told::Ended { hit, nth, end, took, load, passed });
         self.desk.roll.ended(out.pod);
--- a/crates/sidecar/tests/engine.rs
+++ b/crates/sidecar/tests/engine.rs
@@ -176,3 +176,29 @@
     let used_up = (0..4).map(|_| earlier(None, S, false)).collect();
     assert!(matches!(begin(used_up, mutating)[..], [Effect::Bounce { .. }]));
 }
+
+#[test]
+fn a_repeat_that_waits_for_a_connection_past_its_window_does_not_go() {
+    let mut site = site();
+    let (tagged, window) = (1, 200 * MS);
+    site.groups[tagged].1.repeat_window = window;
+    let mut engine = Engine::new(EPOCH, 1, &site);
+    engine.begin(EPOCH);
+    engine.list(EPOCH, true, (0..3).map(|n| listed(n, 1, 1, 60 * S)).collect());
+    // Hits before it, without which there is no budget for a retry.
+    for _ in 0..30 {
+        let hit = engine.hit(EPOCH, asked(0));
+        engine.ended(EPOCH, hit, 0, Ended::Delivered, MS, None);
+    }
+    let mut repeated = |first: Ended| {
+        let hit = engine.hit(EPOCH, Asked { group: tagged, ..asked(0) });
+        effects(&mut engine);
+        assert!(engine.may_go(EPOCH, hit, 0), "no window yet");
+        engine.ended(EPOCH + window / 2, hit, 0, first, MS, None);
+        assert!(matches!(effects(&mut engine)[..], [Effect::Forward { nth: 1, .. }]));
+        let within = engine.may_go(EPOCH + window - 1, hit, 1);
+        (within, engine.may_go(EPOCH + window, hit, 1))
+    };
+    assert_eq!(repeated(Ended::Reset), (true, false), "what may have run");
+    assert_eq!(repeated(Ended::Full), (true, true), "what never ran has no window");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -783,10 +783,13 @@
 
     /// Whether a forward that was chosen a while ago may still go out: while it waits for a connection its
     /// pod may drain or come back as another, or the desk take the share away. One that waited long is
-    /// counted again, lest forwards that were chosen apart leave together and pass the cap at once.
-    pub fn still(&mut self, now: Ns, group: GroupId, key: u64, was: &PodEntry, chosen: Ns) -> bool {
+    /// counted again, lest forwards that were chosen apart leave together and pass the cap at once. What may
+    /// have run since `ran` is not repeated past its window.
+    pub fn still(&mut self, now: Ns, of: (GroupId, u64), was: &PodEntry, at: (Ns, Option<Ns>)) -> bool {
+        let ((group, key), (chosen, ran), rules) = (of, at, self.groups[of.0]);
         let same = |pod: &Pod| pod.runs() && (pod.entry.started, pod.entry.build) == (was.started, was.build);
-        if !self.pods.table.get(was.pod).is_some_and(same) || self.closed(group, key, was.build) {
+        let past = rules.kind == Kind::Tagged && ran.is_some_and(|ran| now >= ran + rules.repeat_window);
+        if past || !self.pods.table.get(was.pod).is_some_and(same) || self.closed(group, key, was.build) {
             return false;
         }
         let waited = now.saturating_sub(chosen) > self.exposure.rules.window / SLICES as Ns;
