--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,84 @@
+//! A sidecar between scripted peers on loopback, for the tests of this folder.
+#![allow(dead_code, reason = "each test file uses its part of it")]
+
+use havenplank_platform::{serve, Config, Orders};
+use havenplank_stand::scripted::{configuration, entry, Peer, Talk};
+use serde_json::Value;
+use std::future::Future;
+use std::net::SocketAddr;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{spawn_local, LocalSet};
+
+pub const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+pub const OK_CLOSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+pub const HEALTH: &str = "GET /healthz HTTP/1.1\r\n\r\n";
+pub const NEVER: &str = "HTTP/1.1 503 Full\r\nx-unprocessed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// A sidecar between peers that say what the test says.
+pub struct Rig {
+    pub at: SocketAddr,
+    pub nodes: Peer,
+    pub desk: Peer,
+    pub pod: Peer,
+    pub orders: mpsc::Sender<Orders>,
+    pub ended: oneshot::Receiver<()>,
+}
+
+pub fn config(whole: &Value) -> Config {
+    Config::read(whole.to_string().as_bytes()).expect("a configuration")
+}
+
+impl Rig {
+    /// One pod, `p`, of build 7; `change` has the last word on the configuration.
+    pub async fn new(change: impl FnOnce(&mut Value)) -> Rig {
+        let [nodes, desk, pod] =
+            [Peer::new().await, Peer::new().await, Peer::new().await].map(Result::unwrap);
+        let hosts = [entry("p", pod.at().unwrap(), 7, "active")];
+        let mut whole = configuration(nodes.at().unwrap(), desk.at().unwrap(), &hosts);
+        change(&mut whole);
+        let (orders, ordered) = mpsc::channel(4);
+        let ((ready, at), (end, ended)) = (oneshot::channel(), oneshot::channel());
+        spawn_local(async move {
+            let ready = |at| ready.send(at).expect("the test waits");
+            serve(config(&whole), ordered, ready).await.expect("a sidecar that starts");
+            let _ = end.send(());
+        });
+        Rig { at: at.await.expect("a sidecar"), nodes, desk, pod, orders, ended }
+    }
+
+    pub async fn client(&self) -> Talk {
+        Talk::to(self.at).await.expect("a sidecar")
+    }
+
+    /// A client's connection with a hit on it, and the pod's with the forward read from it.
+    pub async fn hit(&self, bytes: &str) -> (Talk, Talk) {
+        let mut client = self.client().await;
+        client.say(bytes).await.unwrap();
+        let mut pod = self.pod.accept().await.unwrap();
+        pod.message().await.unwrap();
+        (client, pod)
+    }
+}
+
+pub fn hit(line: &str, id: &str, more: &str, body: &str) -> String {
+    let length = if body.is_empty() { String::new() } else { format!("content-length: {}\r\n", body.len()) };
+    format!("{line} HTTP/1.1\r\nhost: h\r\nx-correlation-id: {id}\r\nx-time-left-ms: 800\r\n{length}{more}\r\n{body}")
+}
+
+pub fn get(id: &str) -> String {
+    hit("GET /read/a?b=1", id, "", "")
+}
+
+pub fn test(work: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(LocalSet::new().run_until(work));
+}
+
+const WORD: &str = r#"{"jsonrpc":"2.0","id":0,"result":true}"#;
+
+pub async fn followed(desk: &Peer) -> Talk {
+    let mut talk = desk.accept().await.unwrap();
+    assert!(talk.line().await.unwrap().contains(r#""method":"follow""#));
+    talk.say(format!("{WORD}\n")).await.unwrap();
+    talk
+}
--- a/crates/platform/tests/traps.rs
+++ b/crates/platform/tests/traps.rs
@@ -1,78 +1,15 @@
 //! The platform's traps, one test each, over loopback between scripted peers.
 
-use havenplank_platform::{serve, Config, Orders};
+mod common;
+
+use common::{config, followed, get, hit, test, Rig, NEVER, OK};
+use havenplank_platform::{Config, Orders};
 use havenplank_stand::scripted::{chunk, configuration, entry, header, list, Peer, Talk, WATCH};
 use serde_json::{json, Value};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-const NEVER: &str = "HTTP/1.1 503 Full\r\nx-unprocessed: 1\r\ncontent-length: 0\r\n\r\n";
-
-/// A sidecar between peers that say what the test says.
-struct Rig {
-    at: SocketAddr,
-    nodes: Peer,
-    desk: Peer,
-    pod: Peer,
-    orders: mpsc::Sender<Orders>,
-    ended: oneshot::Receiver<()>,
-}
-
-fn config(whole: &Value) -> Config {
-    Config::read(whole.to_string().as_bytes()).expect("a configuration")
-}
-
-impl Rig {
-    /// One pod, `p`, of build 7; `change` has the last word on the configuration.
-    async fn new(change: impl FnOnce(&mut Value)) -> Rig {
-        let [nodes, desk, pod] =
-            [Peer::new().await, Peer::new().await, Peer::new().await].map(Result::unwrap);
-        let hosts = [entry("p", pod.at().unwrap(), 7, "active")];
-        let mut whole = configuration(nodes.at().unwrap(), desk.at().unwrap(), &hosts);
-        change(&mut whole);
-        let (orders, ordered) = mpsc::channel(4);
-        let ((ready, at), (end, ended)) = (oneshot::channel(), oneshot::channel());
-        spawn_local(async move {
-            let ready = |at| ready.send(at).expect("the test waits");
-            serve(config(&whole), ordered, ready).await.expect("a sidecar that starts");
-            let _ = end.send(());
-        });
-        Rig { at: at.await.expect("a sidecar"), nodes, desk, pod, orders, ended }
-    }
-
-    async fn client(&self) -> Talk {
-        Talk::to(self.at).await.expect("a sidecar")
-    }
-
-    /// A client's connection with a hit on it, and the pod's with the forward read from it.
-    async fn hit(&self, bytes: &str) -> (Talk, Talk) {
-        let mut client = self.client().await;
-        client.say(bytes).await.unwrap();
-        let mut pod = self.pod.accept().await.unwrap();
-        pod.message().await.unwrap();
-        (client, pod)
-    }
-}
-
-fn hit(line: &str, id: &str, more: &str, body: &str) -> String {
-    let length = if body.is_empty() { String::new() } else { format!("content-length: {}\r\n", body.len()) };
-    format!("{line} HTTP/1.1\r\nhost: h\r\nx-correlation-id: {id}\r\nx-time-left-ms: 800\r\n{length}{more}\r\n{body}")
-}
-
-fn get(id: &str) -> String {
-    hit("GET /read/a?b=1", id, "", "")
-}
-
-fn test(work: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(LocalSet::new().run_until(work));
-}
-
 #[test]
 fn a_hit_goes_on_unchanged_and_its_time_runs_from_its_first_byte() {
     test(async {
@@ -366,15 +303,6 @@
     });
 }
 
-const WORD: &str = r#"{"jsonrpc":"2.0","id":0,"result":true}"#;
-
-async fn followed(desk: &Peer) -> Talk {
-    let mut talk = desk.accept().await.unwrap();
-    assert!(talk.line().await.unwrap().contains(r#""method":"follow""#));
-    talk.say(format!("{WORD}\n")).await.unwrap();
-    talk
-}
-
 /// Wrong answers of the one pod, which runs build 7, told until a vote against it comes.
 async fn vote(talk: &mut Talk) -> Value {
     let news = json!({"image": 7, "ring": 0, "progress": "canary", "ceiling": 0.5, "lag_ms": 0});
