Lists are read whatever their white space, and a doubted watch has a second beside it

Measured with a peer: the second watch was asked for after 4.5 s, the third after more than 8 s more. - Both sessions of a reload shared one version and fed the engine: a word of the one about what lies before the other's set pods back. Change: objects.rs cuts a stream of JSON objects apart, bounded, each byte looked at once; list.rs owns the version and the watches: one in force, at most one to follow it, opened 2.5 s after the last whole word (an empty line comes each 2 s) and anew each second (the agent answers immediately). What is in force is heard until the other speaks. Changes up to a version known already are passed over; a whole list may go back, unless it was asked for before a later word was heard. Ruled out: the old address's late word after the new one spoke was not taken before either (steady.rs drops that session), test after_a_reload_... passes on both. Tests on the version before: an_indented_list_..., a_silent_watch_..., a_late_watch_... fail.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod keep;
 pub mod list;
 pub mod node;
+pub mod objects;
 pub mod pods;
 mod seats;
 mod steady;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -2,10 +2,12 @@
 
 use crate::config;
 use crate::node::Shell;
-use crate::steady::{self, Task, Up};
-use bytes::{Buf, Bytes, BytesMut};
+use crate::objects::{Objects, Piece};
+use crate::steady::Task;
+use bytes::Bytes;
 use havenplank::port::{Build, Ns, PodState};
 use havenplank_adapter::line::Fields;
+use havenplank_feeds::follow::Waits;
 use havenplank_feeds::lines::MOST_PODS;
 use havenplank_feeds::nodes::Listed;
 use http_body_util::{BodyExt, Empty};
@@ -13,19 +15,27 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::sleep_until;
 
-const CONNECT: Duration = Duration::from_secs(1);
-/// An empty line comes every 2 s: one was lost, and then another.
+/// An empty line comes every 2 s, so one is late: a second watch is opened beside the first. What a silent watch
+/// misses counts as told 6 s after it fell silent, maybe right after its last word.
+const LATE: Duration = Duration::from_millis(2500);
+/// Two are missing: the first watch is given up.
 const SILENCE: Duration = Duration::from_millis(4500);
-const LINE_BYTES: usize = 1 << 20;
+/// The agent is on this machine and answers immediately. A watch that has not spoken then, its connect and all, is
+/// opened anew: three of them fit between [`LATE`] and the 6 s.
+const ANSWER: Duration = Duration::from_millis(1000);
+const FIRST_WAIT: Duration = Duration::from_millis(40);
+const LONGEST_WAIT: Duration = Duration::from_millis(800);
+const OBJECT_BYTES: usize = 1 << 20;
+/// Words that wait to be taken; beyond them they wait in their socket.
+const WORDS: usize = 16;
 
 /// Unix time.
 pub fn wall() -> Ns {
@@ -78,61 +88,190 @@
     })
 }
 
+/// One watch, in a task of its own. It hands on what it hears and touches nothing else.
+struct Watch {
+    _task: Task<()>,
+    words: mpsc::Receiver<Result<Word, String>>,
+    address: SocketAddr,
+    /// The version that it asked from.
+    base: u64,
+    opened: Instant,
+}
+
+enum Word {
+    /// An empty line: nothing changed.
+    Alive,
+    Told(Told),
+}
+
+impl Watch {
+    fn open(address: SocketAddr, base: u64) -> Watch {
+        let (to, words) = mpsc::channel(WORDS);
+        let task = spawn_local(async move {
+            let ended = watched(address, base, &to).await;
+            let why = ended.err().unwrap_or_else(|| "closed by the service".to_string());
+            // Where nobody listens any more nobody asks why.
+            let _ = to.send(Err(why)).await;
+        });
+        Watch { _task: Task(task), words, address, base, opened: Instant::now() }
+    }
+
+    async fn word(watch: &mut Option<Watch>) -> Result<Word, String> {
+        match watch {
+            Some(watch) => watch.words.recv().await.unwrap_or_else(|| Err("its task ended".to_string())),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// The list's version and the watches on it: one in force, whose word is taken, and at most one that is to
+/// follow it. The old one stays in force until the new one speaks, so that a move or a doubt leaves no gap.
+struct Watches {
+    shell: Rc<Shell>,
+    /// Where the service is to be had now.
+    address: SocketAddr,
+    version: u64,
+    force: Option<Watch>,
+    next: Option<Watch>,
+    /// The last whole word of the one in force. Half a word is none.
+    heard: Instant,
+    /// Not before then is a new one opened in place of one that ended.
+    retry: Instant,
+    waits: Waits,
+}
+
 /// Follows the list from a version on; never ends by itself.
-pub async fn follow(shell: Rc<Shell>, at: watch::Receiver<SocketAddr>, since: u64, seed: u64) {
-    let since = Rc::new(Cell::new(since));
-    let session = |address, up| watch_once(shell.clone(), address, since.clone(), up);
-    steady::keep("node list", at, seed, Duration::ZERO, session).await;
+pub async fn follow(shell: Rc<Shell>, mut at: watch::Receiver<SocketAddr>, since: u64, seed: u64) {
+    let waits = Waits::new(seed, FIRST_WAIT, LONGEST_WAIT);
+    let now = Instant::now();
+    let address = *at.borrow_and_update();
+    let mut watches =
+        Watches { shell, address, version: since, force: None, next: None, heard: now, retry: now, waits };
+    loop {
+        let due = watches.due();
+        tokio::select! {
+            changed = at.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                watches.address = *at.borrow_and_update();
+                tracing::info!(to = %watches.address, "node list: address changed");
+                watches.open();
+            }
+            word = Watch::word(&mut watches.force) => watches.of_force(word),
+            word = Watch::word(&mut watches.next) => watches.of_next(word),
+            () = sleep_until(due.into()) => watches.wake(),
+        }
+    }
 }
 
-async fn watch_once(shell: Rc<Shell>, address: SocketAddr, since: Rc<Cell<u64>>, up: Up) -> String {
-    watched(&shell, address, &since, &up).await.err().unwrap_or_else(|| "closed by the service".to_string())
+impl Watches {
+    /// When to look again if nothing is heard.
+    fn due(&self) -> Instant {
+        let lost = self.force.as_ref().map(|_| self.heard + SILENCE);
+        let opens = match (&self.next, &self.force) {
+            (Some(next), _) => next.opened + ANSWER,
+            (None, Some(force)) if force.address == self.address => self.retry.max(self.heard + LATE),
+            (None, _) => self.retry,
+        };
+        lost.map_or(opens, |lost| lost.min(opens))
+    }
+
+    fn wake(&mut self) {
+        let now = Instant::now();
+        if self.force.is_some() && now >= self.heard + SILENCE {
+            self.ended(&"no line in time");
+            self.force = None;
+        }
+        if now >= self.due() {
+            self.open();
+        }
+    }
+
+    /// In place of the one that is to follow, if there is one.
+    fn open(&mut self) {
+        self.next = Some(Watch::open(self.address, self.version));
+    }
+
+    fn ended(&self, why: &dyn std::fmt::Display) {
+        tracing::warn!(what = "node list", %why, version = self.version, "connection ended");
+    }
+
+    fn of_force(&mut self, word: Result<Word, String>) {
+        match word {
+            Ok(word) => self.take(word),
+            Err(why) => {
+                self.ended(&why);
+                self.force = None;
+                self.retry = Instant::now() + self.waits.next_wait();
+            }
+        }
+    }
+
+    fn of_next(&mut self, word: Result<Word, String>) {
+        let Some(next) = self.next.take() else { return };
+        match word {
+            // A whole list may go back, but not by a word that was on its way when a later one was heard.
+            Ok(Word::Told(told)) if told.whole && told.seq < self.version && next.base != self.version => {
+                self.open();
+            }
+            Ok(word) => {
+                self.force = Some(next);
+                self.waits.held();
+                self.take(word);
+            }
+            Err(why) => {
+                self.ended(&why);
+                self.retry = Instant::now() + self.waits.next_wait();
+            }
+        }
+    }
+
+    fn take(&mut self, word: Word) {
+        self.heard = Instant::now();
+        let Word::Told(told) = word else { return };
+        tracing::debug!(seq = told.seq, whole = told.whole, pods = told.pods.len(), "node list");
+        // Changes up to a version that is known already: they would set back what was told since.
+        if !told.whole && told.seq < self.version {
+            return;
+        }
+        self.version = told.seq;
+        self.shell.call(|engine, now| engine.list(now, told.whole, told.pods));
+    }
 }
 
-async fn watched(shell: &Rc<Shell>, address: SocketAddr, since: &Cell<u64>, up: &Up) -> Result<(), String> {
-    let late = |what: &'static str| move |_| format!("{what}: no answer in time");
+async fn watched(
+    address: SocketAddr,
+    since: u64,
+    to: &mpsc::Sender<Result<Word, String>>,
+) -> Result<(), String> {
     let text = |error: hyper::Error| error.to_string();
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(late("connect"))?;
-    let stream = stream.map_err(|error| error.to_string())?;
+    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     let _ = stream.set_nodelay(true);
     let (mut sender, connection) =
         http1::Builder::new().max_buf_size(64 << 10).handshake(TokioIo::new(stream)).await.map_err(text)?;
     let _connection = Task(spawn_local(connection));
-    let request = Request::get(format!("/v1/servers?follow=1&since={}", since.get()))
+    let request = Request::get(format!("/v1/servers?follow=1&since={since}"))
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|error| error.to_string())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await.map_err(late("watch"))?;
-    let response = response.map_err(text)?;
+    let response = sender.send_request(request).await.map_err(text)?;
     if response.status() != StatusCode::OK {
         return Err(format!("status {}, expected 200", response.status()));
     }
-    let mut body = response.into_body();
-    let mut read = BytesMut::new();
-    loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(late("next line"))?;
-        let Some(frame) = frame else { return Ok(()) };
+    let (mut body, mut objects) = (response.into_body(), Objects::new(OBJECT_BYTES));
+    while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(text)?.into_data() else { continue };
-        read.extend_from_slice(&data);
-        while let Some(end) = read.iter().position(|byte| *byte == b'\n') {
-            let line = read.split_to(end);
-            read.advance(1);
-            hear(shell, &line, since)?;
-            up.now();
+        objects.feed(&data);
+        while let Some(piece) = objects.cut().map_err(|error| error.to_string())? {
+            let word = match piece {
+                Piece::Line => Word::Alive,
+                Piece::Object(object) => Word::Told(read(&config::object("list", &object)?.of(), wall())?),
+            };
+            if to.send(Ok(word)).await.is_err() {
+                return Ok(());
+            }
         }
-        if read.len() > LINE_BYTES {
-            return Err(format!("a line of over {LINE_BYTES} bytes"));
-        }
-    }
-}
-
-fn hear(shell: &Rc<Shell>, line: &[u8], since: &Cell<u64>) -> Result<(), String> {
-    if line.trim_ascii().is_empty() {
-        return Ok(());
     }
-    let told = read(&config::object("list", line)?.of(), wall())?;
-    tracing::debug!(seq = told.seq, whole = told.whole, pods = told.pods.len(), "node list");
-    since.set(told.seq);
-    shell.call(|engine, now| engine.list(now, told.whole, told.pods));
     Ok(())
 }
--- /dev/null
+++ b/crates/platform/tests/lists.rs
@@ -0,0 +1,255 @@
+//! Crossings of the list with requests, reloads and silence, each held open by scripted peers on loopback.
+
+mod common;
+
+use common::{config, get, test, Rig, HEALTH, OK_CLOSE};
+use havenplank_platform::objects::{Objects, Piece, Spoilt};
+use havenplank_platform::Orders;
+use havenplank_stand::scripted::{chunk, configuration, entry, list, Peer, Talk, WATCH};
+use proptest::prelude::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Some turns of the sidecar's one thread: what lay in its sockets before has been read and acted on.
+async fn turns(rig: &Rig) {
+    let mut client = rig.client().await;
+    for _ in 0..5 {
+        client.say(HEALTH).await.unwrap();
+        client.answer().await.unwrap();
+    }
+}
+
+/// A watch that is in force, its first word said and heard.
+async fn watching(rig: &Rig, seq: u64) -> Talk {
+    let mut watch = rig.nodes.accept().await.unwrap();
+    watch.message().await.unwrap();
+    watch.say(WATCH.to_string() + &chunk(&list(seq, false, &[]))).await.unwrap();
+    turns(rig).await;
+    watch
+}
+
+/// Whether a request goes to that pod now, which answers it.
+async fn reaches(rig: &Rig, pod: &Peer, id: &str) {
+    let mut client = rig.client().await;
+    client.say(get(id)).await.unwrap();
+    let mut pod = pod.accept().await.unwrap_or_else(|error| panic!("{id}: {error}"));
+    pod.message().await.unwrap();
+    // Not kept, so that the next one shows where it goes.
+    pod.say(OK_CLOSE).await.unwrap();
+    assert_eq!(client.answer().await.unwrap().0, 200, "{id}");
+}
+
+#[test]
+fn an_indented_list_is_one_word_wherever_it_is_cut() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut watch = watching(&rig, 4).await;
+        let other = Peer::new().await.unwrap();
+        let moved = entry("p", other.at().unwrap(), 7, "active");
+        let told = json!({"seq": 5, "whole": false, "hosts": [moved]});
+        let told = format!("\t {}\n\n", serde_json::to_string_pretty(&told).unwrap());
+        assert!(told.matches('\n').count() > 10);
+        for byte in told.chars() {
+            watch.say(chunk(&byte.to_string())).await.unwrap();
+        }
+        // Heard by the time that a word after it is.
+        watch.say(chunk("\n")).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &other, "i1").await;
+        // Two on one line, and the watch still stands.
+        let back = entry("p", rig.pod.at().unwrap(), 7, "active");
+        let told = list(6, false, &[]).trim().to_string() + &list(7, false, &[back]);
+        watch.say(chunk(&told)).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &rig.pod, "i2").await;
+        assert!(rig.nodes.is_alone().await, "no new watch was needed");
+    });
+}
+
+/// The silent watch's 6 s, in the worst way: silent right after its last word, but for half a word that dribbles,
+/// and the next watch silent, too.
+#[test]
+fn a_silent_watch_is_made_good_within_its_six_seconds() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut old = watching(&rig, 4).await;
+        let silent = Instant::now();
+        let next = async {
+            let mut next = rig.nodes.accept().await.unwrap();
+            next.message().await.unwrap();
+            // Answers nothing. The one after it does.
+            let mut last = rig.nodes.accept().await.unwrap();
+            assert!(last.message().await.unwrap().0.contains("since=4 "));
+            drop(next);
+            last
+        };
+        let dribble = async {
+            // Stray white space and the start of an object are no word, however often they come.
+            old.say(chunk("{")).await.unwrap();
+            loop {
+                sleep(200 * MS).await;
+                if old.say(chunk(" ")).await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        let mut last = tokio::select! { last = next => last, () = dribble => unreachable!() };
+        let other = Peer::new().await.unwrap();
+        let moved = entry("p", other.at().unwrap(), 7, "active");
+        last.say(WATCH.to_string() + &chunk(&list(5, false, &[moved]))).await.unwrap();
+        turns(&rig).await;
+        assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
+        reaches(&rig, &other, "i1").await;
+    });
+}
+
+/// A watch that is only late is not given up while the one that was opened in doubt says nothing.
+#[test]
+fn a_late_watch_is_still_heard_beside_the_one_that_doubts_it() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut old = watching(&rig, 4).await;
+        let mut next = rig.nodes.accept().await.unwrap();
+        next.message().await.unwrap();
+        let other = Peer::new().await.unwrap();
+        let moved = entry("p", other.at().unwrap(), 7, "active");
+        old.say(chunk(&list(6, false, &[moved]))).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &other, "i1").await;
+        // The second speaks of what lies before that: it sets nothing back, and is in force from then on.
+        let back = entry("p", rig.pod.at().unwrap(), 7, "active");
+        next.say(WATCH.to_string() + &chunk(&list(5, false, std::slice::from_ref(&back)))).await.unwrap();
+        assert!(old.ends().await);
+        reaches(&rig, &other, "i2").await;
+        next.say(chunk(&list(7, false, &[back]))).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &rig.pod, "i3").await;
+    });
+}
+
+/// SIGHUP against two list sessions: only the one in force is heard, and a whole list may go back.
+#[test]
+fn after_a_reload_the_old_list_is_not_heard_and_a_whole_one_may_go_back() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut old = watching(&rig, 8).await;
+        let (nodes, desk) = (Peer::new().await.unwrap(), Peer::new().await.unwrap());
+        let here = entry("p", rig.pod.at().unwrap(), 7, "active");
+        let whole = configuration(nodes.at().unwrap(), desk.at().unwrap(), std::slice::from_ref(&here));
+        // Twice, and a bad one between them was refused before it came here.
+        for _ in 0..2 {
+            rig.orders.send(Orders::Reload(Box::new(config(&whole)))).await.ok().unwrap();
+        }
+        let mut new = nodes.accept().await.unwrap();
+        assert!(new.message().await.unwrap().0.contains("since=8 "));
+        let [one, two] = [Peer::new().await, Peer::new().await].map(Result::unwrap);
+        let at = |peer: &Peer| entry("p", peer.at().unwrap(), 7, "active");
+        // Both speak before the runtime turns: the new one's word is in force, whichever is read first.
+        new.say(WATCH.to_string() + &chunk(&list(3, true, &[at(&one)]))).await.unwrap();
+        turns(&rig).await;
+        let late = old.say(chunk(&list(9, false, &[at(&two)]))).await;
+        turns(&rig).await;
+        reaches(&rig, &one, "i1").await;
+        assert!(late.is_err() || old.ends().await);
+        // Its next changes count from where it went back to.
+        new.say(chunk(&list(4, false, &[at(&two)]))).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &two, "i2").await;
+        // SIGHUP, then SIGTERM at once.
+        rig.orders.try_send(Orders::Reload(Box::new(config(&whole)))).ok().unwrap();
+        rig.orders.try_send(Orders::Stop).ok().unwrap();
+        rig.ended.await.unwrap();
+    });
+}
+
+/// A list session at the old address that speaks on while the new one is out of reach: the new one is tried on.
+#[test]
+fn a_reload_to_an_address_out_of_reach_is_tried_on_while_the_old_list_is_heard() {
+    test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut old = watching(&rig, 4).await;
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = closed.local_addr().unwrap();
+        drop(closed);
+        let desk = Peer::new().await.unwrap();
+        let whole = configuration(at, desk.at().unwrap(), &[]);
+        rig.orders.send(Orders::Reload(Box::new(config(&whole)))).await.ok().unwrap();
+        sleep(100 * MS).await;
+        let other = Peer::new().await.unwrap();
+        let moved = entry("p", other.at().unwrap(), 7, "active");
+        old.say(chunk(&list(5, false, &[moved]))).await.unwrap();
+        turns(&rig).await;
+        reaches(&rig, &other, "i1").await;
+        let opened = tokio::net::TcpListener::bind(at).await.unwrap();
+        tokio::time::timeout(Duration::from_secs(2), opened.accept()).await.expect("tried again").unwrap();
+    });
+}
+
+fn pieces(objects: &mut Objects) -> Result<Vec<Piece>, Spoilt> {
+    std::iter::from_fn(|| objects.cut().transpose()).collect()
+}
+
+const STREAM: &str = "\n {\"a\": [{\"b\\\"}\": \"]{\\\\\"}, 1]}{}\r\n\t{\n \"c\":\n {}\n}\n";
+
+#[test]
+fn objects_come_out_the_same_wherever_they_are_cut() {
+    let mut whole = Objects::new(100);
+    whole.feed(STREAM.as_bytes());
+    let whole = pieces(&mut whole).unwrap();
+    let objects: Vec<serde_json::Value> = whole
+        .iter()
+        .filter_map(|piece| match piece {
+            Piece::Line => None,
+            Piece::Object(object) => Some(serde_json::from_slice(object).unwrap()),
+        })
+        .collect();
+    assert_eq!(objects, [json!({"a": [{"b\"}": "]{\\"}, 1]}), json!({}), json!({"c": {}})]);
+    assert_eq!(whole.len(), 6);
+    for cut in 0..STREAM.len() {
+        let mut parts = Objects::new(100);
+        parts.feed(&STREAM.as_bytes()[..cut]);
+        let mut got = pieces(&mut parts).unwrap();
+        parts.feed(&STREAM.as_bytes()[cut..]);
+        got.extend(pieces(&mut parts).unwrap());
+        assert_eq!(got, whole, "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_is_no_stream_of_objects_is_named() {
+    for (said, why) in [
+        ("x", Spoilt::Stray { byte: b'x' }),
+        ("{} ]", Spoilt::Stray { byte: b']' }),
+        ("{\"a\": \"0123456789\"}", Spoilt::Long { most: 10 }),
+    ] {
+        let mut objects = Objects::new(10);
+        objects.feed(said.as_bytes());
+        assert_eq!(pieces(&mut objects), Err(why), "{said}");
+    }
+}
+
+proptest! {
+    /// A byte flipped anywhere: pieces or a named fault, the same wherever it is cut.
+    #[test]
+    fn a_flipped_stream_reads_the_same_wherever_it_is_cut(
+        at in 0..STREAM.len(), flip in 1u8.., cut in 0..STREAM.len()
+    ) {
+        let mut bytes = STREAM.as_bytes().to_vec();
+        bytes[at] ^= flip;
+        let mut whole = Objects::new(100);
+        whole.feed(&bytes);
+        let whole = pieces(&mut whole);
+        let mut parts = Objects::new(100);
+        parts.feed(&bytes[..cut]);
+        let first = pieces(&mut parts);
+        parts.feed(&bytes[cut..]);
+        let got = first.and_then(|mut first| {
+            first.extend(pieces(&mut parts)?);
+            Ok(first)
+        });
+        prop_assert_eq!(got, whole);
+    }
+}
