A connection closes after its answer is written and its unread request is read

Connections that asked nothing go 0.6 s after SIGTERM, as what is asked past 0.7 s may meet SIGKILL; they stayed for 2 s. Remains: between the last look into the accept queue and the listener's close; the network's own delay of a close against the second request (409 then); over 16 KiB behind a request its close is not looked for.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -17,14 +17,17 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::io::ErrorKind;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{spawn_local, yield_now, AbortHandle};
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep, timeout_at};
 
 const ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const MARK: HeaderName = HeaderName::from_static("idempotency-key");
@@ -32,11 +35,8 @@
 const HEAD_BYTES: usize = 16 << 10;
 const HEADERS: usize = 64;
 const ID_BYTES: usize = 128;
-/// How long new connections go on coming after SIGTERM.
-pub const COMING: Duration = Duration::from_millis(600);
-/// How often a connection with a hit on it is looked at, and while we stop.
-const LOOKS: Duration = Duration::from_secs(2);
-const STOP_LOOKS: Duration = Duration::from_millis(20);
+/// How long a connection that should close is left to HTTP while bytes lie unread on it.
+const UNREAD: Duration = Duration::from_millis(2);
 
 type Answer = Response<Full<Bytes>>;
 
@@ -49,8 +49,23 @@
 
 impl Client {
     fn seat(&self) -> Seat {
+        if let Some(since) = self.tap.take_written() {
+            self.seat.set(Seat { since, serving: false, write_by: None, ..self.seat.get() });
+        }
         Seat { began: self.tap.began(), ..self.seat.get() }
     }
+
+    fn end(&self) {
+        if let Some(task) = self.task.borrow_mut().take() {
+            task.abort();
+        }
+    }
+}
+
+/// Who sent the id of a hit in flight, and the hit once it is taken.
+struct Holder {
+    client: Rc<Client>,
+    hit: Option<HitId>,
 }
 
 /// The clients' connections, and the ids of their hits.
@@ -59,8 +74,8 @@
     /// Bounded by the share of clients; one leaves with its connection.
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
-    /// Ids of hits in flight, one a client at most.
-    ids: RefCell<HashSet<HeaderValue>>,
+    /// By ids of hits in flight, one a client at most.
+    ids: RefCell<HashMap<HeaderValue, Holder>>,
     pub refused: Cell<u64>,
     pub turned_out: Cell<u64>,
 }
@@ -93,49 +108,81 @@
     }
 
     pub fn serving(&self) -> usize {
-        self.clients.borrow().values().filter(|client| client.seat.get().serving).count()
+        self.clients.borrow().values().filter(|client| client.seat().serving).count()
     }
 
-    /// Closes a connection that was chosen to go; whether one was.
-    fn close(&self, chosen: Option<u64>) -> bool {
-        let Some(client) = chosen.and_then(|id| self.clients.borrow_mut().remove(&id)) else { return false };
-        if let Some(task) = client.task.borrow_mut().take() {
-            task.abort();
+    /// Closes the connection that is chosen to go; whether one was. One on which a hit has just come is none to go:
+    /// it lies in the socket, and the runtime has not polled it yet.
+    fn close(&self, choose: impl Fn(&[(u64, Seat)]) -> Option<u64>) -> bool {
+        let mut seats = self.seats();
+        while let Some(chosen) = choose(&seats) {
+            let client = self.clients.borrow().get(&chosen).cloned();
+            let Some(client) =
+                client.filter(|client| client.tap.began().is_some() || !client.tap.has_unread())
+            else {
+                seats.retain(|(id, _)| *id != chosen);
+                continue;
+            };
+            self.clients.borrow_mut().remove(&chosen);
+            client.end();
+            self.turned_out.set(self.turned_out.get() + 1);
+            return true;
         }
-        self.turned_out.set(self.turned_out.get() + 1);
-        true
+        false
     }
 
     fn make_room(&self) -> bool {
-        self.close(seats::turned_out(&self.seats(), Instant::now()))
+        self.close(|seats| seats::turned_out(seats, Instant::now()))
     }
 }
 
-/// Accepts connections; never ends.
-pub async fn accept(shell: Rc<Shell>, listener: TcpListener, stopped: watch::Receiver<bool>) {
+/// Accepts connections until it is told to close, and then what the system had accepted by that time.
+pub async fn accept(
+    shell: Rc<Shell>,
+    listener: TcpListener,
+    stop: watch::Receiver<Option<Instant>>,
+    mut close: oneshot::Receiver<()>,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let door = &shell.door;
-                door.close(seats::longest_idle(&door.seats(), door.shares));
-                if door.open() >= door.shares.clients {
-                    if !door.make_room() {
-                        // Every place has a hit on it; closed unread, the client asks elsewhere.
-                        drop(stream);
-                        continue;
-                    }
-                    // The descriptor goes when its task has been dropped.
-                    yield_now().await;
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => admit(&shell, stream, &stop).await,
+                Err(error) => {
+                    tracing::warn!(%error, "accept failed");
+                    shell.door.make_room();
+                    sleep(Duration::from_millis(20)).await;
                 }
-                seat(&shell, stream, stopped.clone());
-            }
-            Err(error) => {
-                tracing::warn!(%error, "accept failed");
-                shell.door.make_room();
-                sleep(Duration::from_millis(20)).await;
-            }
+            },
+            _ = &mut close => break,
+        }
+    }
+    // Asked of the system itself: dropped with its listener, such a connection is reset, with a hit on it maybe.
+    // What comes between the last look and the drop is reset still; by the protocol none comes that late.
+    let Ok(listener) = listener.into_std() else { return };
+    loop {
+        match listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        }) {
+            Ok(stream) => admit(&shell, stream, &stop).await,
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+            Err(_) => return,
+        }
+    }
+}
+
+async fn admit(shell: &Rc<Shell>, stream: TcpStream, stop: &watch::Receiver<Option<Instant>>) {
+    let door = &shell.door;
+    door.close(|seats| seats::longest_idle(seats, door.shares));
+    if door.open() >= door.shares.clients {
+        if !door.make_room() {
+            // Every place has a hit on it; closed unread, the client asks elsewhere.
+            return drop(stream);
         }
+        // The descriptor goes when its task has been dropped.
+        yield_now().await;
     }
+    seat(shell, stream, stop.clone());
 }
 
 /// Takes the client out of the door's table however its task ends.
@@ -147,7 +194,7 @@
     }
 }
 
-fn seat(shell: &Rc<Shell>, stream: TcpStream, stopped: watch::Receiver<bool>) {
+fn seat(shell: &Rc<Shell>, stream: TcpStream, stop: watch::Receiver<Option<Instant>>) {
     let _ = stream.set_nodelay(true);
     let door = &shell.door;
     let id = door.next.replace(door.next.get() + 1);
@@ -160,20 +207,33 @@
     let seated = Seated(shell.clone(), id);
     let (shell, own) = (shell.clone(), client.clone());
     let task = spawn_local(async move {
-        connection(&shell, &own, stopped).await;
+        connection(&shell, &own, stop).await;
         drop(seated);
     });
     *client.task.borrow_mut() = Some(task.abort_handle());
 }
 
-async fn connection(shell: &Rc<Shell>, client: &Rc<Client>, mut stopped: watch::Receiver<bool>) {
+async fn connection(shell: &Rc<Shell>, client: &Rc<Client>, stop: watch::Receiver<Option<Instant>>) {
+    let by_http = speak(shell, client, stop).await;
+    // What was spoken is dropped by now, and a hit that was on it has ended. Bytes beyond an answer, or a hit that
+    // crosses our close, are read and dropped first. One that was silent from the start, and one that does not read
+    // its answer, may leave that out: a reset destroys nothing that they would still read.
+    if by_http || client.seat().asked && !client.seat().serving {
+        client.tap.drain().await;
+    }
+}
+
+/// Speaks HTTP until either side ends it; whether HTTP did.
+async fn speak(shell: &Rc<Shell>, client: &Rc<Client>, stop: watch::Receiver<Option<Instant>>) -> bool {
     let service = service_fn(|request| {
-        client.seat.set(Seat { serving: true, ..client.seat.get() });
+        // The answer before it is settled first.
+        client.seat.set(Seat { serving: true, write_by: None, ..client.seat() });
         let served = serve(shell.clone(), client.clone(), request);
         async move {
-            let answer = served.await;
-            client.seat.set(Seat { since: Instant::now(), serving: false, ..client.seat.get() });
-            answer
+            let (answer, deadline) = served.await;
+            let write_by = Some(Seat::written_by(Instant::now(), deadline));
+            client.seat.set(Seat { write_by, ..client.seat.get() });
+            Ok::<_, Infallible>(answer.map(|body| client.tap.tell(body)))
         }
     });
     let connection = http1::Builder::new()
@@ -182,41 +242,36 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(client.tap.clone()), service);
     tokio::pin!(connection);
-    let patience = async {
-        loop {
-            match client.seat().closes() {
-                Some(at) if at <= Instant::now() => break,
-                Some(at) => sleep_until(at.into()).await,
-                None => sleep(LOOKS).await,
+    let look = sleep(Duration::ZERO);
+    tokio::pin!(look);
+    let (mut not_before, mut told) = (Instant::now(), stop.clone());
+    loop {
+        // The connection first, so that what is due is seen as it has left it.
+        let due = poll_fn(|cx| {
+            if connection.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(true);
             }
-        }
-    };
-    tokio::select! {
-        // What the client sent beyond an answer that closes is read and dropped first.
-        _ = &mut connection => return client.tap.drain().await,
-        () = patience => return,
-        _ = stopped.wait_for(|stopped| *stopped) => {}
-    }
-    // One that never asked is about to: it came just now.
-    if !client.seat().asked && !client.seat().serving {
+            let Some(at) = client.seat().closes(*stop.borrow()) else { return Poll::Pending };
+            let at = at.max(not_before).into();
+            if look.deadline() != at {
+                look.as_mut().reset(at);
+            }
+            look.as_mut().poll(cx).map(|()| false)
+        });
+        let stopping = stop.borrow().is_some();
         tokio::select! {
-            _ = &mut connection => return client.tap.drain().await,
-            () = sleep(COMING) => {}
+            by_http = due => if by_http { return true },
+            changed = told.changed(), if !stopping => match changed {
+                Ok(()) => continue,
+                Err(_) => return false,
+            },
         }
-    }
-    connection.as_mut().graceful_shutdown();
-    // A hit half read is still taken; what is served has its own time.
-    let half = async {
-        while client.seat().serving {
-            sleep(STOP_LOOKS).await;
-        }
-        if let Some(at) = client.seat().closes() {
-            sleep_until(at.into()).await;
+        let quiet = !client.seat().serving && client.tap.began().is_none();
+        if !(quiet && client.tap.has_unread()) {
+            return false;
         }
-    };
-    tokio::select! {
-        _ = &mut connection => client.tap.drain().await,
-        () = half => {}
+        // A hit came just now: HTTP reads it at its next turn.
+        not_before = Instant::now() + UNREAD;
     }
 }
 
@@ -242,52 +297,92 @@
 /// The id of a hit in flight, free again when it is dropped.
 struct Named {
     shell: Rc<Shell>,
+    client: Rc<Client>,
     id: HeaderValue,
 }
 
+/// Why an id cannot be had.
+enum Taken {
+    /// Its hit is in flight and its client waits.
+    Waits,
+    /// Its client has closed, and the hit may have run: sent on once more it could run twice.
+    MayHaveRun,
+}
+
 impl Named {
-    fn new(shell: &Rc<Shell>, id: &HeaderValue) -> Option<Named> {
-        let new = shell.door.ids.borrow_mut().insert(id.clone());
-        new.then(|| Named { shell: shell.clone(), id: id.clone() })
+    /// A client whose connection ended under a hit that it takes for unread sends that hit once more, and its close
+    /// may be heard here after that: then the first is ended in favour of the second, unless it may have run.
+    fn new(shell: &Rc<Shell>, client: &Rc<Client>, id: &HeaderValue, kind: Kind) -> Result<Named, Taken> {
+        let earlier = shell.door.ids.borrow().get(id).map(|holder| (holder.client.clone(), holder.hit));
+        if let Some((earlier, hit)) = earlier {
+            if !earlier.tap.is_closed() {
+                return Err(Taken::Waits);
+            }
+            if kind != Kind::Repeatable && hit.is_some_and(|hit| shell.sent_on(hit)) {
+                return Err(Taken::MayHaveRun);
+            }
+            earlier.end();
+            hit.into_iter().for_each(|hit| shell.gone(hit));
+        }
+        let holder = Holder { client: client.clone(), hit: None };
+        shell.door.ids.borrow_mut().insert(id.clone(), holder);
+        Ok(Named { shell: shell.clone(), client: client.clone(), id: id.clone() })
+    }
+
+    fn taken(&self, hit: HitId) {
+        if let Some(holder) = self.shell.door.ids.borrow_mut().get_mut(&self.id) {
+            holder.hit = Some(hit);
+        }
     }
 }
 
 impl Drop for Named {
     fn drop(&mut self) {
-        self.shell.door.ids.borrow_mut().remove(&self.id);
+        let mut ids = self.shell.door.ids.borrow_mut();
+        if ids.get(&self.id).is_some_and(|holder| Rc::ptr_eq(&holder.client, &self.client)) {
+            ids.remove(&self.id);
+        }
     }
 }
 
+/// Answers what a client sent; by when, where that is a hit.
 async fn serve(
     shell: Rc<Shell>,
     client: Rc<Client>,
     request: Request<Incoming>,
-) -> Result<Answer, Infallible> {
+) -> (Answer, Option<Instant>) {
     let began = client.tap.take_began().unwrap_or_else(Instant::now);
     let stopping = shell.stopping.get();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         client.seat.set(Seat { asked: true, ..client.seat.get() });
-        return Ok(match stopping {
+        let answer = match stopping {
             false => plain(StatusCode::OK, "ready\n"),
             true => and_close(plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")),
-        });
+        };
+        return (answer, None);
     }
-    let (asked, ask, _named) = match read(&shell, client.seat(), request, began).await {
+    let (asked, ask, named) = match read(&shell, &client, request, began).await {
         Ok(read) => read,
         Err((status, why)) => {
             tracing::debug!(%status, why = why.trim_end(), "refused");
             shell.door.refused.set(shell.door.refused.get() + 1);
-            return Ok(and_close(plain(status, why)));
+            return (and_close(plain(status, why)), None);
         }
     };
     client.seat.set(Seat { asked: true, ..client.seat.get() });
+    let deadline = began + Duration::from_nanos(asked.left);
     let spent = began.elapsed().as_nanos() as Ns + shell.answer_margin;
     let asked = Asked { left: asked.left.saturating_sub(spent), ..asked };
     let (answer, answered) = oneshot::channel();
     let owed = Owed { hit: shell.take(asked, ask, answer), shell };
-    // An engine that stops with a hit in hand is a fault; the client is told that nothing is promised.
-    let answer = answered.await.unwrap_or_else(|_| errored(false));
-    Ok(if owed.shell.stopping.get() { and_close(answer) } else { answer })
+    named.taken(owed.hit);
+    let answer = tokio::select! {
+        // An engine that stops with a hit in hand is a fault; the client is told that nothing is promised.
+        answer = answered => answer.unwrap_or_else(|_| errored(false)),
+        // HTTP looks for its close only while no other bytes lie in front of that. Nobody reads this answer.
+        () = client.tap.closed() => and_close(errored(false)),
+    };
+    (if owed.shell.stopping.get() { and_close(answer) } else { answer }, Some(deadline))
 }
 
 /// Why a hit was refused before it was taken.
@@ -325,7 +420,7 @@
 /// Reads a hit whole, so that it can be sent again, and refuses what is no hit.
 async fn read(
     shell: &Rc<Shell>,
-    seat: Seat,
+    client: &Rc<Client>,
     request: Request<Incoming>,
     began: Instant,
 ) -> Result<(Asked, Ask, Named), Refused> {
@@ -369,13 +464,20 @@
         cost_hint: None,
         repeat: headers.get(REPEAT).is_some_and(|value| value == "1"),
     };
-    let Some(named) = Named::new(shell, id) else {
-        return Err((StatusCode::CONFLICT, "X-Correlation-Id: of another hit in flight\n"));
+    let named = match Named::new(shell, client, id, rules.kind) {
+        Ok(named) => named,
+        Err(Taken::Waits) => {
+            return Err((StatusCode::CONFLICT, "X-Correlation-Id: of another hit in flight\n"))
+        }
+        Err(Taken::MayHaveRun) => {
+            return Err((StatusCode::BAD_GATEWAY, "X-Correlation-Id: sent before, and may have run\n"))
+        }
     };
     let body = if body.is_end_stream() {
         Bytes::new()
     } else {
-        match timeout_at(seat.read_by(began).into(), Limited::new(body, BODY_BYTES).collect()).await {
+        match timeout_at(client.seat().read_by(began).into(), Limited::new(body, BODY_BYTES).collect()).await
+        {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"))
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -4,7 +4,7 @@
 use crate::desk::Votes;
 use crate::door::{self, Door};
 use crate::pods::{self, Ask, Pods};
-use crate::seats::Shares;
+use crate::seats::{Shares, COMING};
 use crate::{desk, list};
 use bytes::Bytes;
 use havenplank::port::*;
@@ -19,11 +19,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, JoinSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 const BEAT: Duration = Duration::from_millis(20);
+/// What a connection may need past the longest client time-out once we stop: its hit is read, and its answer written
+/// and drained.
+const LEFT: Duration = Duration::from_secs(3);
 
 /// What a running sidecar is told by whoever started it.
 pub enum Orders {
@@ -116,14 +119,15 @@
     shell.call(|engine, now| engine.begin(now));
     let (nodes_at, nodes) = watch::channel(config.nodes);
     let (desk_at, desk) = watch::channel(config.desk);
-    let (stopping, stopped) = watch::channel(false);
+    let (stopping, stop) = watch::channel(None);
+    let (close, closes) = oneshot::channel();
     let mut tasks = JoinSet::new();
     tasks.spawn_local(shell.clone().tick());
     tasks.spawn_local(list::follow(shell.clone(), nodes, since, seed ^ 1));
     tasks.spawn_local(desk::follow(shell.clone(), desk, seed ^ 2));
     tasks.spawn_local(sweep(shell.clone()));
     tasks.spawn_local(beat(shell.clone()));
-    let door = spawn_local(door::accept(shell.clone(), listener, stopped));
+    let door = spawn_local(door::accept(shell.clone(), listener, stop, closes));
     ready(address);
     while let Some(order) = orders.recv().await {
         match order {
@@ -135,13 +139,17 @@
             Orders::Stop => break,
         }
     }
+    let told = Instant::now();
     shell.stopping.set(true);
-    let _ = stopping.send(true);
+    let _ = stopping.send(Some(told));
     tracing::info!(hits = shell.owed(), "stopping");
-    sleep(door::COMING).await;
-    door.abort();
+    sleep_until((told + COMING).into()).await;
+    let _ = close.send(());
+    // Until it has taken what had come by then.
+    let _ = door.await;
+    // Each connection that is left ends by its own times; this bounds them all.
     let longest = shell.groups.iter().map(|(_, rules)| rules.client_timeout).max().unwrap_or(0);
-    let until = Instant::now() + Duration::from_nanos(longest);
+    let until = Instant::now() + Duration::from_nanos(longest) + LEFT;
     while shell.door.open() > 0 && Instant::now() < until {
         sleep(Duration::from_millis(10)).await;
     }
--- a/crates/platform/src/seats.rs
+++ b/crates/platform/src/seats.rs
@@ -15,6 +15,10 @@
 const NEW: Duration = Duration::from_millis(200);
 /// From a hit's first byte to its last.
 const READING: Duration = Duration::from_secs(2);
+/// How late an answer may be and still counts as one.
+const LATE: Duration = Duration::from_millis(500);
+/// New connections come for 0.2 to 0.4 s after SIGTERM, and what is asked later than 0.7 s after it may meet SIGKILL.
+pub const COMING: Duration = Duration::from_millis(600);
 /// The protocol lets a connection with no hit on it close after 2 s.
 const IDLE: Duration = Duration::from_secs(2);
 
@@ -45,14 +49,17 @@
     pub since: Instant,
     /// When the first byte came of a hit that is not read yet.
     pub began: Option<Instant>,
+    /// From a hit's reading to the last byte of its answer written.
     pub serving: bool,
+    /// By when the answer that was handed over must be written.
+    pub write_by: Option<Instant>,
     /// Some hit of it was read whole.
     pub asked: bool,
 }
 
 impl Seat {
     pub fn new(now: Instant) -> Seat {
-        Seat { connected: now, since: now, began: None, serving: false, asked: false }
+        Seat { connected: now, since: now, began: None, serving: false, write_by: None, asked: false }
     }
 
     /// By when a hit that began then must be read whole.
@@ -65,14 +72,28 @@
         }
     }
 
-    /// When it closes if nothing more is heard; none while a hit is served.
-    pub fn closes(&self) -> Option<Instant> {
-        match self.began {
-            _ if self.serving => None,
-            Some(began) => Some(self.read_by(began)),
-            None if self.asked => Some(self.since + IDLE),
-            None => Some((self.since + IDLE).min(self.connected + FIRST_HIT)),
-        }
+    /// When it closes if nothing more is heard, `stop` being when we were told to stop; none while a hit waits for
+    /// its answer.
+    pub fn closes(&self, stop: Option<Instant>) -> Option<Instant> {
+        let quiet = match self.began {
+            _ if self.serving => return self.write_by,
+            // A hit half read is still taken.
+            Some(began) => return Some(self.read_by(began)),
+            None if self.asked => self.since + IDLE,
+            None => (self.since + IDLE).min(self.connected + FIRST_HIT),
+        };
+        let stop = stop.map(|stop| match self.asked {
+            true => stop,
+            // It came just now, and is about to ask.
+            false => (stop + COMING).max(self.connected + NEW),
+        });
+        Some(stop.map_or(quiet, |stop| stop.min(quiet)))
+    }
+
+    /// By when the answer to a hit must be written: half a second past its time a client still gets it for nothing,
+    /// and later it counts as never answered. Who does not read it by then holds its place no longer.
+    pub fn written_by(now: Instant, deadline: Option<Instant>) -> Instant {
+        deadline.map_or(now + READING, |deadline| deadline.max(now) + LATE)
     }
 
     fn is_idle(&self) -> bool {
@@ -103,60 +124,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const MS: Duration = Duration::from_millis(1);
-
-    #[test]
-    fn silent_ones_go_first_newcomers_late_and_the_served_never() {
-        let start = Instant::now();
-        let now = start + 1000 * MS;
-        let seat = |at: u32, asked, serving, half: bool| {
-            let since = start + at * MS;
-            Seat { connected: since, since, began: half.then_some(since), serving, asked }
-        };
-        let mut seats = vec![
-            (1, seat(990, false, false, false)),
-            (2, seat(600, true, false, false)),
-            (3, seat(0, true, true, false)),
-            (4, seat(700, false, false, true)),
-            (5, seat(500, false, false, false)),
-            (6, seat(100, true, false, true)),
-            (7, seat(400, true, false, false)),
-        ];
-        for wanted in [5, 4, 7, 2, 1, 6] {
-            assert_eq!(turned_out(&seats, now), Some(wanted));
-            seats.retain(|(id, _)| *id != wanted);
-        }
-        assert_eq!(turned_out(&seats, now), None);
-    }
-
-    #[test]
-    fn those_that_stay_thin_out_before_they_hold_the_clients_third() {
-        let start = Instant::now();
-        let shares = Shares::of(384);
-        assert_eq!(shares, Shares { clients: 160, asked: 102, pods: 196 });
-        let asked = |n: u32| Seat { since: start + n * MS, asked: true, ..Seat::new(start) };
-        let mut seats: Vec<(u64, Seat)> = (0..101).map(|n| (n as u64, asked(n))).collect();
-        seats.push((200, Seat::new(start)));
-        assert_eq!(longest_idle(&seats, shares), None);
-        seats.push((300, asked(300)));
-        seats[0].1.serving = true;
-        assert_eq!(longest_idle(&seats, shares), Some(1));
-    }
-
-    #[test]
-    fn times_by_which_a_connection_closes() {
-        let start = Instant::now();
-        let mut seat = Seat::new(start);
-        assert_eq!(seat.closes(), Some(start + 2000 * MS));
-        // Its first hit, however late it begins, is dealt with well within 3 s.
-        seat.began = Some(start + 1900 * MS);
-        assert_eq!(seat.closes(), Some(start + 2500 * MS));
-        seat.asked = true;
-        assert_eq!(seat.closes(), Some(start + 3900 * MS));
-        seat.serving = true;
-        assert_eq!(seat.closes(), None);
-    }
-}
+#[path = "../tests/unit/seats.rs"]
+mod tests;
--- a/crates/platform/src/tap.rs
+++ b/crates/platform/src/tap.rs
@@ -1,11 +1,18 @@
-//! A client's stream that tells when a hit began, and that can be drained once HTTP is done with it.
+//! A client's stream that tells when a hit began, when its answer was written and when the client closed, and that
+//! can be drained once HTTP is done with it.
 
-use std::cell::Cell;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::pending;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -14,36 +21,109 @@
 /// What is read and thrown away of a connection that closes, at most, and for how long.
 const DRAIN_BYTES: usize = 1 << 20;
 const DRAIN_TIME: Duration = Duration::from_millis(500);
+/// What is read ahead of a client while its hit is served, to see it close behind that. One that sends more is none
+/// of the protocol, which has one request at a time; its close is not looked for.
+const AHEAD_BYTES: usize = 16 << 10;
 
-#[derive(Clone)]
-pub struct Tap {
-    stream: Rc<TcpStream>,
+struct Stream {
+    socket: TcpStream,
     /// When the first byte came that no hit was read from yet.
-    first: Rc<Cell<Option<Instant>>>,
+    first: Cell<Option<Instant>>,
+    /// Read ahead of HTTP, which gets it first; whom to wake then.
+    ahead: RefCell<BytesMut>,
+    reader: Cell<Option<Waker>>,
+    /// HTTP has taken the whole of an answer, and wrote all that it had.
+    taken: Cell<bool>,
+    written: Cell<Option<Instant>>,
 }
 
+#[derive(Clone)]
+pub struct Tap(Rc<Stream>);
+
 impl Tap {
-    pub fn new(stream: TcpStream) -> Tap {
-        Tap { stream: Rc::new(stream), first: Rc::default() }
+    pub fn new(socket: TcpStream) -> Tap {
+        let (first, reader, written) = Default::default();
+        let (ahead, taken) = (RefCell::default(), Cell::new(false));
+        Tap(Rc::new(Stream { socket, first, ahead, reader, taken, written }))
     }
 
     pub fn began(&self) -> Option<Instant> {
-        self.first.get()
+        self.0.first.get()
     }
 
     /// When the hit that was just read began; what comes from here on is the next one.
     pub fn take_began(&self) -> Option<Instant> {
-        self.first.take()
+        self.0.first.take()
+    }
+
+    /// When the last byte of an answer was written, if one was since this was asked.
+    pub fn take_written(&self) -> Option<Instant> {
+        self.0.written.take()
+    }
+
+    /// An answer's body, which tells when HTTP has taken all of it.
+    pub fn tell(&self, body: Full<Bytes>) -> Told {
+        Told { body, tap: self.clone() }
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        let mut byte = [MaybeUninit::uninit()];
+        socket2::SockRef::from(&self.0.socket).peek(&mut byte)
+    }
+
+    /// Whether bytes of the client lie here that HTTP has not read. Asks the socket itself, as the runtime learns of
+    /// bytes only when it polls.
+    pub fn has_unread(&self) -> bool {
+        !self.0.ahead.borrow().is_empty() || self.peek().is_ok_and(|bytes| bytes > 0)
     }
 
-    /// Reads on for a while after the last answer: a close with unread bytes becomes a reset, which may
-    /// overtake that answer.
+    /// Whether the client has closed, as far as no unread bytes lie in front of that.
+    pub fn is_closed(&self) -> bool {
+        match self.peek() {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Ends once the client has closed, also behind bytes that HTTP does not read while a hit is served.
+    pub async fn closed(&self) {
+        let mut read = [0; 512];
+        loop {
+            if self.0.socket.readable().await.is_err() {
+                return;
+            }
+            if self.0.ahead.borrow().len() >= AHEAD_BYTES {
+                return pending().await;
+            }
+            match self.0.socket.try_read(&mut read) {
+                Ok(0) => return,
+                Ok(more) => {
+                    self.note();
+                    self.0.ahead.borrow_mut().extend_from_slice(&read[..more]);
+                    if let Some(reader) = self.0.reader.take() {
+                        reader.wake();
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn note(&self) {
+        if self.0.first.get().is_none() {
+            self.0.first.set(Some(Instant::now()));
+        }
+    }
+
+    /// Shuts the write half, then reads on for a while: a close with unread bytes becomes a reset, which may overtake
+    /// the last answer.
     pub async fn drain(&self) {
-        let _ = socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        let _ = socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write);
         let rest = async {
             let (mut sink, mut read) = ([0u8; 4096], 0);
-            while read < DRAIN_BYTES && self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut sink) {
+            while read < DRAIN_BYTES && self.0.socket.readable().await.is_ok() {
+                match self.0.socket.try_read(&mut sink) {
                     Ok(0) => break,
                     Ok(more) => read += more,
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -57,13 +137,21 @@
 
 impl AsyncRead for Tap {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let part = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..part]);
+            ahead.advance(part);
+            return Poll::Ready(Ok(()));
+        }
+        self.0.reader.set(Some(cx.waker().clone()));
         loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            ready!(self.0.socket.poll_read_ready(cx))?;
+            match self.0.socket.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
                     buf.advance(read);
-                    if read > 0 && self.first.get().is_none() {
-                        self.first.set(Some(Instant::now()));
+                    if read > 0 {
+                        self.note();
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -77,8 +165,8 @@
 impl AsyncWrite for Tap {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
+            ready!(self.0.socket.poll_write_ready(cx))?;
+            match self.0.socket.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -91,8 +179,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bufs) {
+            ready!(self.0.socket.poll_write_ready(cx))?;
+            match self.0.socket.try_write_vectored(bufs) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -103,11 +191,47 @@
         true
     }
 
+    /// Called only where nothing is left to be written of what HTTP has taken.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.taken.take() {
+            self.0.written.set(Some(Instant::now()));
+        }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write))
+    }
+}
+
+/// An answer on its way. HTTP drops it once all of it is taken, before it writes the last of it.
+pub struct Told {
+    body: Full<Bytes>,
+    tap: Tap,
+}
+
+impl Drop for Told {
+    fn drop(&mut self) {
+        self.tap.0.taken.set(true);
+    }
+}
+
+impl Body for Told {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
--- a/crates/sidecar/src/hub.rs
+++ b/crates/sidecar/src/hub.rs
@@ -217,6 +217,11 @@
         }
     }
 
+    /// Whether any forward was begun for a hit that still waits.
+    pub fn sent_on(&self, hit: HitId) -> bool {
+        self.waiting.borrow().get(&hit).is_some_and(|waits| !waits.forwards.is_empty())
+    }
+
     fn answer(&self, hit: HitId, answer: O::Answer) {
         if let Some(waits) = self.waiting.borrow_mut().remove(&hit) {
             // Where the client has left meanwhile nobody is there to be answered.
