--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -5,13 +5,13 @@
 use crate::seats::{self, Seat, Shares};
 use crate::tap::Tap;
 use bytes::Bytes;
-use havenplank::port::{GroupId, HitId, Kind, Ns};
+use havenplank::port::{mark_of, GroupId, HitId, Kind, Ns};
 use havenplank_sidecar::answers::{self, and_close, errored, plain};
 use havenplank_sidecar::engine::Asked;
 use havenplank_sidecar::heads;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, COOKIE, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -32,6 +32,10 @@
 const ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const MARK: HeaderName = HeaderName::from_static("idempotency-key");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
+const TENANT: HeaderName = HeaderName::from_static("x-account");
+const HINT: HeaderName = HeaderName::from_static("x-weight-hint");
+/// The cookie that names what a hit is about: hits that share it belong together.
+const KEY: &[u8] = b"sid=";
 const HEAD_BYTES: usize = 16 << 10;
 const HEADERS: usize = 64;
 const ID_BYTES: usize = 128;
@@ -412,6 +416,13 @@
     digits.then(|| text.parse::<Ns>().ok()).flatten()?.checked_mul(1_000_000)
 }
 
+/// Where the deployment has keys; a cookie that cannot be read is none.
+fn key(headers: &HeaderMap) -> Option<&[u8]> {
+    let mut cookies =
+        headers.get_all(COOKIE).iter().flat_map(|line| line.as_bytes().split(|byte| *byte == b';'));
+    cookies.find_map(|cookie| cookie.trim_ascii().strip_prefix(KEY)).filter(|key| !key.is_empty())
+}
+
 fn group(shell: &Shell, path: &str) -> Option<GroupId> {
     let name = path.strip_prefix('/')?.split('/').next()?;
     shell.groups.iter().position(|(known, _)| known == name)
@@ -458,10 +469,10 @@
     let Some(left) = left else { return bad("X-Time-Left-Ms: expected whole milliseconds\n") };
     let asked = Asked {
         group,
-        customer: None,
-        key: 0,
+        customer: headers.get(TENANT).and_then(|name| shell.customers.iter().position(|known| name == known)),
+        key: key(headers).map_or(0, mark_of),
         left: left.min(rules.client_timeout),
-        cost_hint: None,
+        cost_hint: headers.get(HINT).and_then(|text| heads::cost_hint(text.to_str().ok()?)),
         repeat: headers.get(REPEAT).is_some_and(|value| value == "1"),
     };
     let named = match Named::new(shell, client, id, rules.kind) {
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -39,6 +39,7 @@
 /// The platform around the engine.
 pub struct Node {
     pub groups: Vec<(String, PathGroup)>,
+    pub customers: Vec<String>,
     pub votes: VoteRules,
     pub answer_margin: Ns,
     pub door: Door,
@@ -103,6 +104,7 @@
         engine,
         Node {
             groups: terms.groups.clone(),
+            customers: terms.customers.clone(),
             votes: terms.votes.clone(),
             answer_margin: config.answer_margin,
             door: Door::new(shares),
--- a/crates/platform/tests/traps.rs
+++ b/crates/platform/tests/traps.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{config, followed, get, hit, rested, test, Rig, NEVER, OK};
+use common::{config, followed, get, hit, rested, test, Rig, NEVER, OK, OK_CLOSE};
 use havenplank_platform::{Config, Orders};
 use havenplank_stand::scripted::{chunk, configuration, entry, header, list, Peer, Talk, WATCH};
 use serde_json::{json, Value};
@@ -421,6 +421,41 @@
     });
 }
 
+/// What another customer's settings turn on: requests of one key stay with the newest build once it answered.
+#[test]
+fn a_key_of_the_clients_cookie_holds_its_requests_to_the_newest_build() {
+    test(async {
+        let newer = Peer::new().await.unwrap();
+        let more = entry("q", newer.at().unwrap(), 8, "active");
+        let rig = Rig::new(|whole| {
+            whole["known"]["hosts"].as_array_mut().unwrap().push(more);
+            whole["settings"]["familyInfo"]["oneWay"] = json!(true);
+            whole["settings"]["familyInfo"]["mostShares"] = json!([1.0]);
+            whole["settings"]["orgs"] = json!([{"name": "t", "share": 1.0, "quotaRps": 100.0}]);
+            let news = json!({"image": 8, "ring": 0, "progress": "canary", "ceiling": 1.0, "lag_ms": 9000});
+            whole["deployer"]["news"] = news;
+        })
+        .await;
+        let (mut answered, mut later) = (false, 0);
+        for n in 0..60 {
+            let more = "cookie: other=1; sid=k1\r\nx-account: t\r\nx-weight-hint: 5\r\n";
+            let mut client = rig.client().await;
+            client.say(hit("GET /read", &format!("i{n}"), more, "")).await.unwrap();
+            let (mut pod, is_newer) = tokio::select! {
+                pod = rig.pod.accept() => (pod.unwrap(), false),
+                pod = newer.accept() => (pod.unwrap(), true),
+            };
+            assert!(is_newer || !answered, "request {n} went back to the earlier build");
+            pod.message().await.unwrap();
+            pod.say(OK_CLOSE).await.unwrap();
+            assert_eq!(client.answer().await.unwrap().0, 200);
+            answered |= is_newer;
+            later += answered as u32;
+        }
+        assert!(later > 20, "{later}");
+    });
+}
+
 #[test]
 fn a_bad_configuration_is_named_by_its_field() {
     let at: SocketAddr = "127.0.0.1:9".parse().unwrap();
--- a/crates/sidecar/tests/engine.rs
+++ b/crates/sidecar/tests/engine.rs
@@ -202,3 +202,51 @@
     assert_eq!(repeated(Ended::Reset), (true, false), "what may have run");
     assert_eq!(repeated(Ended::Full), (true, true), "what never ran has no window");
 }
+
+/// Builds that hits of one key go to after a forward of it to the newest, all of which end so.
+fn builds_after(each: Ended) -> Vec<u32> {
+    let mut site = site();
+    site.exposure.one_way = true;
+    let mut engine = Engine::new(EPOCH, 3, &site);
+    engine.begin(EPOCH);
+    let pods = (0..4).map(|n| listed(n, 1, 1, 60 * S)).chain((4..8).map(|n| listed(n, 2, 1, 60 * S)));
+    engine.list(EPOCH, true, pods.collect());
+    engine.news(EPOCH, Stage { build: 2, stage: 0, phase: Phase::Trial, cap: 1.0, age: S });
+    let (mut ended, mut builds) = (false, Vec::new());
+    for n in 0..120 {
+        let now = EPOCH + n * 100 * MS;
+        let hit = engine.hit(now, Asked { key: 5, group: 0, ..asked(0) });
+        let mut after = Vec::new();
+        for effect in effects(&mut engine) {
+            if let Effect::Forward { hit: of, nth, pod, .. } = effect {
+                if of != hit {
+                    continue;
+                }
+                let newest = pod >= 4;
+                if ended {
+                    builds.push(1 + newest as u32);
+                }
+                let end = if newest { each } else { Ended::Delivered };
+                ended |= newest;
+                after.push((nth, end));
+            }
+        }
+        for (nth, end) in after {
+            engine.ended(now + MS, hit, nth, end, MS, None);
+        }
+        engine.left(now + MS, hit);
+        effects(&mut engine);
+    }
+    assert!(builds.len() > 20);
+    builds
+}
+
+#[test]
+fn a_key_that_the_newest_build_may_have_answered_goes_to_no_earlier_one() {
+    for end in [Ended::Delivered, Ended::Reset, Ended::TimeOut, Ended::Cancelled] {
+        assert!(builds_after(end).iter().all(|build| *build == 2), "{end:?}");
+    }
+    for end in [Ended::Full, Ended::NoConnection, Ended::Error] {
+        assert!(builds_after(end).contains(&1), "{end:?}: no answer was made");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -680,7 +680,9 @@
             self.consider(host);
         }
         let newest = self.stage.is_some_and(|(stage, _)| build >= stage.build);
-        if end == Ended::Delivered && self.exposure.rules.one_way && trip.borrow().key != 0 && newest {
+        // An answer may have been made and lost on its way.
+        let answered = !end.never_ran() && end != Ended::Error;
+        if answered && self.exposure.rules.one_way && trip.borrow().key != 0 && newest {
             self.exposure.bound.insert(trip.borrow().key);
         }
         if outcome.over || !host.open(trip.borrow().hit) {
