serve: what lies in the accept queue at a stop is answered, and long answers are not cut

Causes: daemon.rs (accept) dropped the listener at the stop, with what the system had accepted; hyper's graceful_shutdown closes a connection on which it has read nothing, a request in its socket or not; and connection() counted from the hand-over of an answer, so that one passed on for longer than a head may take (5 s by default) was cut. Change: the tap moves from platform to sidecar and tells of both ways in when an answer is written, and since when its client reads nothing; queued() empties the accept queue for both; a stop lets HTTP read what lies unread first.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -3,12 +3,12 @@
 use crate::node::Shell;
 use crate::pods::{Ask, BODY_BYTES, TIME_LEFT};
 use crate::seats::{self, Seat, Shares};
-use crate::tap::Tap;
 use bytes::Bytes;
 use havenplank::port::{mark_of, GroupId, HitId, Kind, Ns};
 use havenplank_sidecar::answers::{self, and_close, errored, plain};
 use havenplank_sidecar::engine::Asked;
-use havenplank_sidecar::heads;
+use havenplank_sidecar::tap::Tap;
+use havenplank_sidecar::{heads, queued};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, COOKIE, TRANSFER_ENCODING};
@@ -20,7 +20,6 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -160,18 +159,8 @@
             _ = &mut close => break,
         }
     }
-    // Asked of the system itself: dropped with its listener, such a connection is reset, with a hit on it maybe.
-    // What comes between the last look and the drop is reset still; by the protocol none comes that late.
-    let Ok(listener) = listener.into_std() else { return };
-    loop {
-        match listener.accept().and_then(|(stream, _)| {
-            stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
-        }) {
-            Ok(stream) => admit(&shell, stream, &stop).await,
-            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-            Err(_) => return,
-        }
+    for stream in queued(listener) {
+        admit(&shell, stream, &stop).await;
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod pods;
 mod seats;
 mod steady;
-mod tap;
 
 pub use config::Config;
 pub use havenplank_sidecar::StartError;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::links::Links;
 use crate::proxy::{self, Body};
 use crate::shell::{Lines, Shell};
+use crate::tap::Tap;
 use crate::told::{Terms, Witness};
 use havenplank::port::*;
 use havenplank_feeds::follow::{follow, Link};
@@ -24,6 +25,7 @@
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -38,6 +40,8 @@
 const ASKS: usize = 64;
 /// Connections of operators at once.
 const ADMINS: usize = 64;
+/// How long a connection that should close is left to HTTP while bytes lie unread on it.
+const UNREAD: Duration = Duration::from_millis(2);
 /// How long a stop waits, past the longest client time-out, for connections to close.
 const STOP_MARGIN: Duration = Duration::from_secs(1);
 
@@ -71,6 +75,23 @@
     bound.await.map_err(|error| StartError::Listen { address, error })
 }
 
+/// What the system has accepted at a listener that closes. Asked of the system itself: dropped with its listener,
+/// such a connection is reset, with a hit on it maybe. What comes between the last look and the drop is reset still.
+pub fn queued(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || loop {
+        let accepted = listener.as_ref()?.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => return Some(stream),
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+            Err(_) => return None,
+        }
+    })
+}
+
 /// Runs a sidecar on the present thread until `stop` is done; then takes no more hits, gives each that it
 /// holds its one final answer, and returns. `ready` is called once it listens; `witness` sees all that the
 /// engine is told and does. Needs a tokio runtime with
@@ -194,6 +215,16 @@
 ) {
     let places = Arc::new(Semaphore::new(most));
     let (mut open, mut told) = (JoinSet::new(), stopped.clone());
+    let seat = |open: &mut JoinSet<()>, stream, place| {
+        let (shell, stopped) = (shell.clone(), stopped.clone());
+        open.spawn_local(async move {
+            match hits {
+                true => connection(&shell, stream, stopped, proxy::serve).await,
+                false => connection(&shell, stream, stopped, admin::serve).await,
+            }
+            drop(place);
+        });
+    };
     loop {
         let next = async {
             let place = places.clone().acquire_owned().await;
@@ -202,16 +233,7 @@
         tokio::select! {
             _ = told.wait_for(|stopped| *stopped) => break,
             (place, accepted) = next => match accepted {
-                Ok((stream, _)) => {
-                    let (shell, stopped) = (shell.clone(), stopped.clone());
-                    open.spawn_local(async move {
-                        match hits {
-                            true => connection(&shell, stream, stopped, proxy::serve).await,
-                            false => connection(&shell, stream, stopped, admin::serve).await,
-                        }
-                        drop(place);
-                    });
-                }
+                Ok((stream, _)) => seat(&mut open, stream, place.ok()),
                 // No descriptors left, most likely: what is open must close first, so wait a little.
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
@@ -221,7 +243,12 @@
             Some(_) = open.join_next() => {}
         }
     }
-    drop(listener);
+    for stream in queued(listener) {
+        // Closed unread where every place is taken: the client asks elsewhere.
+        if let Ok(place) = places.clone().try_acquire_owned() {
+            seat(&mut open, stream, Some(place));
+        }
+    }
     while open.join_next().await.is_some() {}
 }
 
@@ -235,30 +262,32 @@
     Fut: Future<Output = Result<Response<Body>, Infallible>>,
 {
     let _ = stream.set_nodelay(true);
-    let door = &shell.site.door;
-    // Since when it waits for a head; none while a hit of it is served.
-    let waits = Cell::new(Some(Instant::now()));
+    let (door, tap) = (&shell.site.door, Tap::new(stream));
+    // Since when it waits for a head; none from a hit's reading until its answer is written.
+    let idle = Cell::new(Some(Instant::now()));
     let service = service_fn(|request| {
-        waits.set(None);
-        let served = serve(shell.clone(), request);
-        let waits = &waits;
-        async move {
-            let served = served.await;
-            waits.set(Some(Instant::now()));
-            served
-        }
+        // The answer before it is settled by this one.
+        (tap.take_written(), tap.take_began());
+        idle.set(None);
+        let (served, tap) = (serve(shell.clone(), request), &tap);
+        async move { Ok::<_, Infallible>(served.await?.map(|body| tap.tell(body))) }
     });
+    // A client that reads nothing of its answer is waited for as one that sends nothing of its head.
+    let waits = || {
+        idle.set(tap.take_written().or(idle.get()));
+        idle.get().or(tap.stuck())
+    };
     let connection = http1::Builder::new()
         .max_buf_size(door.head_bytes)
         // A client that sends no more may still read: its hit gets its answer.
         .half_close(true)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(tap.clone()), service);
     tokio::pin!(connection);
     let head_time = Duration::from_nanos(door.head_time);
     // One timer for all heads of a connection: one for each is a part of a hit's cost that shows.
     let slow = async {
         loop {
-            let waited = waits.get().map_or(Duration::ZERO, |since| since.elapsed());
+            let waited = waits().map_or(Duration::ZERO, |since| since.elapsed());
             if waited >= head_time {
                 break;
             }
@@ -269,10 +298,21 @@
         ended = &mut connection => ended,
         () = slow => return,
         _ = stopped.wait_for(|stopped| *stopped) => {
+            // A hit that lies unread in its socket is taken: asked to end, HTTP closes where it has read nothing.
+            let unread = async {
+                while waits().is_some() && tap.began().is_none() && tap.has_unread() {
+                    sleep(UNREAD).await;
+                }
+            };
+            tokio::select! {
+                biased;
+                _ = &mut connection => return,
+                () = unread => {}
+            }
             connection.as_mut().graceful_shutdown();
             // A head half sent is not taken any more; what is served is.
             let half = async {
-                while waits.get().is_none() {
+                while waits().is_none() {
                     sleep(Duration::from_millis(50)).await;
                 }
                 sleep(head_time).await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,8 @@
 mod proxy;
 mod roll;
 mod shell;
+pub mod tap;
 pub mod told;
 
-pub use daemon::{listen, serve, Addresses, StartError};
+pub use daemon::{listen, queued, serve, Addresses, StartError};
 pub use fellowship::FellowshipError;
--- a/crates/platform/src/tap.rs
+++ b/crates/sidecar/src/tap.rs
@@ -1,11 +1,9 @@
 //! A client's stream that tells when a hit began, when its answer was written and when the client closed, and that
 //! can be drained once HTTP is done with it.
 
-use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::Full;
+use bytes::{Buf, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
@@ -35,6 +33,8 @@
     /// HTTP has taken the whole of an answer, and wrote all that it had.
     taken: Cell<bool>,
     written: Cell<Option<Instant>>,
+    /// Since when the client takes no more of what is to be written.
+    stuck: Cell<Option<Instant>>,
 }
 
 #[derive(Clone)]
@@ -42,9 +42,9 @@
 
 impl Tap {
     pub fn new(socket: TcpStream) -> Tap {
-        let (first, reader, written) = Default::default();
+        let (first, reader, written, stuck) = Default::default();
         let (ahead, taken) = (RefCell::default(), Cell::new(false));
-        Tap(Rc::new(Stream { socket, first, ahead, reader, taken, written }))
+        Tap(Rc::new(Stream { socket, first, ahead, reader, taken, written, stuck }))
     }
 
     pub fn began(&self) -> Option<Instant> {
@@ -61,8 +61,13 @@
         self.0.written.take()
     }
 
+    /// Since when the client reads nothing of an answer that is there to be written.
+    pub fn stuck(&self) -> Option<Instant> {
+        self.0.stuck.get()
+    }
+
     /// An answer's body, which tells when HTTP has taken all of it.
-    pub fn tell(&self, body: Full<Bytes>) -> Told {
+    pub fn tell<B>(&self, body: B) -> Told<B> {
         Told { body, tap: self.clone() }
     }
 
@@ -110,6 +115,16 @@
         }
     }
 
+    fn waits(&self) -> Poll<io::Result<usize>> {
+        self.0.stuck.set(self.0.stuck.get().or_else(|| Some(Instant::now())));
+        Poll::Pending
+    }
+
+    fn wrote(&self, done: io::Result<usize>) -> Poll<io::Result<usize>> {
+        self.0.stuck.set(None);
+        Poll::Ready(done)
+    }
+
     fn note(&self) {
         if self.0.first.get().is_none() {
             self.0.first.set(Some(Instant::now()));
@@ -165,10 +180,12 @@
 impl AsyncWrite for Tap {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.socket.poll_write_ready(cx))?;
+            if self.0.socket.poll_write_ready(cx)?.is_pending() {
+                return self.waits();
+            }
             match self.0.socket.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
+                done => return self.wrote(done),
             }
         }
     }
@@ -179,10 +196,12 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.socket.poll_write_ready(cx))?;
+            if self.0.socket.poll_write_ready(cx)?.is_pending() {
+                return self.waits();
+            }
             match self.0.socket.try_write_vectored(bufs) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
+                done => return self.wrote(done),
             }
         }
     }
@@ -205,25 +224,25 @@
 }
 
 /// An answer on its way. HTTP drops it once all of it is taken, before it writes the last of it.
-pub struct Told {
-    body: Full<Bytes>,
+pub struct Told<B> {
+    body: B,
     tap: Tap,
 }
 
-impl Drop for Told {
+impl<B> Drop for Told<B> {
     fn drop(&mut self) {
         self.tap.0.taken.set(true);
     }
 }
 
-impl Body for Told {
-    type Data = Bytes;
-    type Error = Infallible;
+impl<B: Body + Unpin> Body for Told<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/sidecar/tests/hard.rs
+++ b/crates/sidecar/tests/hard.rs
@@ -588,3 +588,47 @@
         rig.until("\"pods_running\":1").await;
     });
 }
+
+#[test]
+fn an_answer_that_takes_longer_than_a_head_may_is_passed_on_whole() {
+    rig(8, |rig| async move {
+        let pod = rig.one().await;
+        let mut client = rig.connect().await;
+        client.write_all(&get("/read", "")).await.unwrap();
+        let mut from = pod.accept().await;
+        message(&mut from).await.unwrap();
+        // Over the 4 KiB that are held back, so that it is passed on as it comes; a head may take 300 ms.
+        let part = "y".repeat(5_000);
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 10000\r\n\r\n";
+        from.write_all(format!("{head}{part}").as_bytes()).await.unwrap();
+        let mut first = [0; 4_000];
+        client.read_exact(&mut first).await.unwrap();
+        sleep(Duration::from_millis(450)).await;
+        from.write_all(part.as_bytes()).await.unwrap();
+        let mut text = first.to_vec();
+        while !String::from_utf8_lossy(&text).ends_with(&(part.clone() + &part)) {
+            let read = timeout(Duration::from_secs(5), client.read_buf(&mut text)).await.expect("in time");
+            assert!(read.unwrap() > 0, "cut after {}", text.len());
+        }
+    });
+}
+
+#[test]
+fn a_stop_answers_what_lies_in_the_accept_queue() {
+    rig(64, |rig| async move {
+        // The runtime does not turn between these and the stop.
+        let queued: Vec<std::net::TcpStream> = (0..40)
+            .map(|_| {
+                let mut stream = std::net::TcpStream::connect(rig.at).unwrap();
+                std::io::Write::write_all(&mut stream, &get("/nowhere", "")).unwrap();
+                stream.set_nonblocking(true).unwrap();
+                stream
+            })
+            .collect();
+        rig.stop.borrow_mut().take().unwrap().send(()).unwrap();
+        for stream in queued {
+            let mut stream = TcpStream::from_std(stream).unwrap();
+            assert_eq!(answer(&mut stream).await.0, 404);
+        }
+    });
+}
