--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -267,7 +267,8 @@
     let idle = Cell::new(Some(Instant::now()));
     let service = service_fn(|request| {
         // The answer before it is settled by this one.
-        (tap.take_written(), tap.take_began());
+        let _ = tap.take_written();
+        let _ = tap.take_began();
         idle.set(None);
         let (served, tap) = (serve(shell.clone(), request), &tap);
         async move { Ok::<_, Infallible>(served.await?.map(|body| tap.tell(body))) }
