--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -89,3 +89,12 @@
 pub async fn rested() {
     sleep(Duration::from_millis(35)).await;
 }
+
+/// Some turns of the sidecar's one thread: what lay in its sockets before has been read and acted on.
+pub async fn turns(rig: &Rig) {
+    let mut client = rig.client().await;
+    for _ in 0..5 {
+        client.say(HEALTH).await.unwrap();
+        client.answer().await.unwrap();
+    }
+}
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -3,9 +3,9 @@
 
 mod common;
 
-use common::{get, hit, rested, test, Rig, HEALTH, OK, OK_CLOSE};
+use common::{get, hit, rested, test, turns, Rig, HEALTH, OK, OK_CLOSE};
 use havenplank_platform::Orders;
-use havenplank_stand::scripted::header;
+use havenplank_stand::scripted::{header, Talk};
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -405,3 +405,87 @@
         }
     });
 }
+
+/// A pod whose accept queue is full, so that connects to it hang until it is emptied.
+struct Busy {
+    listener: std::net::TcpListener,
+    fill: Vec<TcpStream>,
+}
+
+impl Busy {
+    fn new() -> Busy {
+        use socket2::{Domain, Socket, Type};
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: std::net::TcpListener = socket.into();
+        let (at, mut fill) = (listener.local_addr().unwrap(), Vec::new());
+        while let Ok(one) = TcpStream::connect_timeout(&at, 100 * MS) {
+            fill.push(one);
+        }
+        Busy { listener, fill }
+    }
+
+    /// The whole of the queue, and then what connects.
+    fn emptied(self) -> tokio::net::TcpListener {
+        for _ in &self.fill {
+            self.listener.accept().unwrap();
+        }
+        self.listener.set_nonblocking(true).unwrap();
+        tokio::net::TcpListener::from_std(self.listener).unwrap()
+    }
+
+    /// A request that waits for its connection there, with time enough for it.
+    async fn waiting(&self) -> (Rig, Talk) {
+        let at = self.listener.local_addr().unwrap();
+        let rig = Rig::new(|whole| {
+            patient(whole);
+            whole["known"]["hosts"][0]["dial"] = json!(at.to_string());
+            whole["settings"]["limits"]["dialTimeoutNs"] = json!(4_000_000_000u64);
+        })
+        .await;
+        let mut client = rig.client().await;
+        client.say(get("i1").replace("800", "8000")).await.unwrap();
+        turns(&rig).await;
+        (rig, client)
+    }
+}
+
+/// A client that closes while its request waits for a connection: nothing is sent on.
+#[test]
+fn a_client_gone_while_its_request_waits_for_a_connection_is_not_sent_on() {
+    test(async {
+        let pod = Busy::new();
+        let (rig, client) = pod.waiting().await;
+        drop(client);
+        turns(&rig).await;
+        let pod = pod.emptied();
+        // A connect that still hung would be tried again by the system after a second.
+        let sent = async {
+            let (stream, _) = pod.accept().await.unwrap();
+            stream.readable().await.unwrap();
+            stream.try_read(&mut [0; 16]).unwrap_or(0)
+        };
+        let sent = tokio::time::timeout(2500 * MS, sent).await;
+        assert!(!sent.is_ok_and(|bytes| bytes > 0), "sent on");
+    });
+}
+
+/// SIGTERM while a request waits for a connection: it is sent on and answered.
+#[test]
+fn a_request_that_waits_for_a_connection_at_a_stop_is_answered() {
+    test(async {
+        let pod = Busy::new();
+        let (rig, mut client) = pod.waiting().await;
+        rig.orders.send(Orders::Stop).await.ok().unwrap();
+        sleep(700 * MS).await;
+        let pod = pod.emptied();
+        let (stream, _) = pod.accept().await.unwrap();
+        let mut stream = Talk::from(stream);
+        stream.message().await.unwrap();
+        stream.say(OK).await.unwrap();
+        let (status, head, _) = client.answer().await.unwrap();
+        assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+        rig.ended.await.unwrap();
+    });
+}
--- a/crates/platform/tests/lists.rs
+++ b/crates/platform/tests/lists.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{config, get, test, Rig, HEALTH, OK_CLOSE};
+use common::{config, get, test, turns, Rig, OK_CLOSE};
 use havenplank_platform::objects::{Objects, Piece, Spoilt};
 use havenplank_platform::Orders;
 use havenplank_stand::scripted::{chunk, configuration, entry, list, Peer, Talk, WATCH};
@@ -13,15 +13,6 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Some turns of the sidecar's one thread: what lay in its sockets before has been read and acted on.
-async fn turns(rig: &Rig) {
-    let mut client = rig.client().await;
-    for _ in 0..5 {
-        client.say(HEALTH).await.unwrap();
-        client.answer().await.unwrap();
-    }
-}
-
 /// A watch that is in force, its first word said and heard.
 async fn watching(rig: &Rig, seq: u64) -> Talk {
     let mut watch = rig.nodes.accept().await.unwrap();
--- a/crates/stand/src/scripted.rs
+++ b/crates/stand/src/scripted.rs
@@ -49,6 +49,12 @@
 /// One side of a connection.
 pub struct Talk(TcpStream);
 
+impl From<TcpStream> for Talk {
+    fn from(stream: TcpStream) -> Talk {
+        Talk(stream)
+    }
+}
+
 impl Talk {
     /// # Errors
     /// Nobody listens there.
