--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration file of the platform, decoded into what the parts take.
 
-use crate::{desk, list};
+use crate::{control_plane, discovery};
 use havenplank::port::{Ns, Stage};
 use havenplank_adapter::line::{Fields, Line};
 use havenplank_adapter::setup;
@@ -92,10 +92,10 @@
         let seed = u64::from_str_radix(seed, 16).map_err(|_| f.complain("seed", "expected 16 hex digits"))?;
         let deployer = f.object("deployer")?;
         let stage = match deployer.maybe_has("news") {
-            true => Some(desk::stage(&deployer.object("news")?)?),
+            true => Some(control_plane::stage(&deployer.object("news")?)?),
             false => None,
         };
-        let known = list::read(&f.object("known")?, list::wall())?;
+        let known = discovery::read(&f.object("known")?, discovery::wall())?;
         let names = setup.names;
         let terms = Terms {
             name: f.text("name")?.to_string(),
--- a/crates/platform/src/keep.rs
+++ b/crates/platform/src/idle_timeout.rs
@@ -25,16 +25,16 @@
     broke: f64,
 }
 
-pub struct Keep {
+pub struct IdleTimeout {
     most: Duration,
     spans: [Span; SPANS],
     faded: Instant,
 }
 
-impl Keep {
+impl IdleTimeout {
     /// `most`: the longest that is right by the settings.
-    pub fn new(now: Instant, most: Duration) -> Keep {
-        Keep { most, spans: [Span::default(); SPANS], faded: now }
+    pub fn new(now: Instant, most: Duration) -> IdleTimeout {
+        IdleTimeout { most, spans: [Span::default(); SPANS], faded: now }
     }
 
     /// A request went out on a connection that had been idle so long; `broke` where it ended before any byte
@@ -72,5 +72,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/keep.rs"]
+#[path = "../tests/unit/idle_timeout.rs"]
 mod tests;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,14 +2,14 @@
 //! decision; all hang on the one engine of `havenplank-sidecar`.
 
 pub mod config;
-pub mod desk;
-pub mod door;
-mod keep;
-pub mod list;
+pub mod control_plane;
+pub mod discovery;
+mod idle_timeout;
+pub mod listener;
 pub mod node;
 pub mod objects;
 pub mod pods;
-mod seats;
+mod slots;
 mod steady;
 
 pub use config::Config;
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Shell;
 use crate::pods::{Ask, BODY_BYTES, TIME_LEFT};
-use crate::seats::{self, Seat, Shares};
+use crate::slots::{self, Shares, Slot};
 use bytes::Bytes;
 use havenplank::port::{mark_of, GroupId, HitId, Kind, Ns};
 use havenplank_sidecar::answers::{self, and_close, errored, plain};
@@ -46,16 +46,16 @@
 /// A client's connection.
 struct Client {
     tap: Tap,
-    seat: Cell<Seat>,
+    slot: Cell<Slot>,
     task: RefCell<Option<AbortHandle>>,
 }
 
 impl Client {
-    fn seat(&self) -> Seat {
+    fn slot(&self) -> Slot {
         if let Some(since) = self.tap.take_written() {
-            self.seat.set(Seat { since, serving: false, write_by: None, ..self.seat.get() });
+            self.slot.set(Slot { since, serving: false, write_by: None, ..self.slot.get() });
         }
-        Seat { began: self.tap.began(), ..self.seat.get() }
+        Slot { began: self.tap.began(), ..self.slot.get() }
     }
 
     fn end(&self) {
@@ -72,7 +72,7 @@
 }
 
 /// The clients' connections, and the ids of their hits.
-pub struct Door {
+pub struct Listener {
     shares: Shares,
     /// Bounded by the share of clients; one leaves with its connection.
     clients: RefCell<HashMap<u64, Rc<Client>>>,
@@ -80,18 +80,18 @@
     /// By ids of hits in flight, one a client at most.
     ids: RefCell<HashMap<HeaderValue, Holder>>,
     pub refused: Cell<u64>,
-    pub turned_out: Cell<u64>,
+    pub evicted: Cell<u64>,
 }
 
-impl Door {
-    pub fn new(shares: Shares) -> Door {
-        Door {
+impl Listener {
+    pub fn new(shares: Shares) -> Listener {
+        Listener {
             shares,
             clients: RefCell::default(),
             next: Cell::new(0),
             ids: RefCell::default(),
             refused: Cell::new(0),
-            turned_out: Cell::new(0),
+            evicted: Cell::new(0),
         }
     }
 
@@ -99,43 +99,43 @@
         self.clients.borrow().len()
     }
 
-    fn seats(&self) -> Vec<(u64, Seat)> {
-        self.clients.borrow().iter().map(|(id, client)| (*id, client.seat())).collect()
+    fn slots(&self) -> Vec<(u64, Slot)> {
+        self.clients.borrow().iter().map(|(id, client)| (*id, client.slot())).collect()
     }
 
     /// Connections on which nothing was asked yet, and those among them that began to.
     pub fn unasked(&self) -> (usize, usize) {
-        let (seats, half) = (self.seats(), |seat: &Seat| seat.began.is_some() as usize);
-        let unasked = seats.iter().filter(|(_, seat)| !seat.asked);
-        unasked.fold((0, 0), |(all, begun), (_, seat)| (all + 1, begun + half(seat)))
+        let (slots, half) = (self.slots(), |slot: &Slot| slot.began.is_some() as usize);
+        let unasked = slots.iter().filter(|(_, slot)| !slot.asked);
+        unasked.fold((0, 0), |(all, begun), (_, slot)| (all + 1, begun + half(slot)))
     }
 
     pub fn serving(&self) -> usize {
-        self.clients.borrow().values().filter(|client| client.seat().serving).count()
+        self.clients.borrow().values().filter(|client| client.slot().serving).count()
     }
 
     /// Closes the connection that is chosen to go; whether one was. One on which a hit has just come is none to go:
     /// it lies in the socket, and the runtime has not polled it yet.
-    fn close(&self, choose: impl Fn(&[(u64, Seat)]) -> Option<u64>) -> bool {
-        let mut seats = self.seats();
-        while let Some(chosen) = choose(&seats) {
+    fn close(&self, choose: impl Fn(&[(u64, Slot)]) -> Option<u64>) -> bool {
+        let mut slots = self.slots();
+        while let Some(chosen) = choose(&slots) {
             let client = self.clients.borrow().get(&chosen).cloned();
             let Some(client) =
                 client.filter(|client| client.tap.began().is_some() || !client.tap.has_unread())
             else {
-                seats.retain(|(id, _)| *id != chosen);
+                slots.retain(|(id, _)| *id != chosen);
                 continue;
             };
             self.clients.borrow_mut().remove(&chosen);
             client.end();
-            self.turned_out.set(self.turned_out.get() + 1);
+            self.evicted.set(self.evicted.get() + 1);
             return true;
         }
         false
     }
 
     fn make_room(&self) -> bool {
-        self.close(|seats| seats::turned_out(seats, Instant::now()))
+        self.close(|slots| slots::evicted(slots, Instant::now()))
     }
 }
 
@@ -152,7 +152,7 @@
                 Ok((stream, _)) => admit(&shell, stream, &stop).await,
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
-                    shell.door.make_room();
+                    shell.listener.make_room();
                     sleep(Duration::from_millis(20)).await;
                 }
             },
@@ -165,43 +165,43 @@
 }
 
 async fn admit(shell: &Rc<Shell>, stream: TcpStream, stop: &watch::Receiver<Option<Instant>>) {
-    let door = &shell.door;
-    door.close(|seats| seats::longest_idle(seats, door.shares));
-    if door.open() >= door.shares.clients {
-        if !door.make_room() {
+    let listener = &shell.listener;
+    listener.close(|slots| slots::longest_idle(slots, listener.shares));
+    if listener.open() >= listener.shares.clients {
+        if !listener.make_room() {
             // Every place has a hit on it; closed unread, the client asks elsewhere.
             return drop(stream);
         }
         // The descriptor goes when its task has been dropped.
         yield_now().await;
     }
-    seat(shell, stream, stop.clone());
+    register(shell, stream, stop.clone());
 }
 
-/// Takes the client out of the door's table however its task ends.
-struct Seated(Rc<Shell>, u64);
+/// Takes the client out of the listener's table however its task ends.
+struct Registered(Rc<Shell>, u64);
 
-impl Drop for Seated {
+impl Drop for Registered {
     fn drop(&mut self) {
-        self.0.door.clients.borrow_mut().remove(&self.1);
+        self.0.listener.clients.borrow_mut().remove(&self.1);
     }
 }
 
-fn seat(shell: &Rc<Shell>, stream: TcpStream, stop: watch::Receiver<Option<Instant>>) {
+fn register(shell: &Rc<Shell>, stream: TcpStream, stop: watch::Receiver<Option<Instant>>) {
     let _ = stream.set_nodelay(true);
-    let door = &shell.door;
-    let id = door.next.replace(door.next.get() + 1);
+    let listener = &shell.listener;
+    let id = listener.next.replace(listener.next.get() + 1);
     let client = Rc::new(Client {
         tap: Tap::new(stream),
-        seat: Cell::new(Seat::new(Instant::now())),
+        slot: Cell::new(Slot::new(Instant::now())),
         task: RefCell::default(),
     });
-    door.clients.borrow_mut().insert(id, client.clone());
-    let seated = Seated(shell.clone(), id);
+    listener.clients.borrow_mut().insert(id, client.clone());
+    let registered = Registered(shell.clone(), id);
     let (shell, own) = (shell.clone(), client.clone());
     let task = spawn_local(async move {
         connection(&shell, &own, stop).await;
-        drop(seated);
+        drop(registered);
     });
     *client.task.borrow_mut() = Some(task.abort_handle());
 }
@@ -211,7 +211,7 @@
     // What was spoken is dropped by now, and a hit that was on it has ended. Bytes beyond an answer, or a hit that
     // crosses our close, are read and dropped first. One that was silent from the start, and one that does not read
     // its answer, may leave that out: a reset destroys nothing that they would still read.
-    if by_http || client.seat().asked && !client.seat().serving {
+    if by_http || client.slot().asked && !client.slot().serving {
         client.tap.drain().await;
     }
 }
@@ -220,12 +220,12 @@
 async fn speak(shell: &Rc<Shell>, client: &Rc<Client>, stop: watch::Receiver<Option<Instant>>) -> bool {
     let service = service_fn(|request| {
         // The answer before it is settled first.
-        client.seat.set(Seat { serving: true, write_by: None, ..client.seat() });
+        client.slot.set(Slot { serving: true, write_by: None, ..client.slot() });
         let served = serve(shell.clone(), client.clone(), request);
         async move {
             let (answer, deadline) = served.await;
-            let write_by = Some(Seat::written_by(Instant::now(), deadline));
-            client.seat.set(Seat { write_by, ..client.seat.get() });
+            let write_by = Some(Slot::written_by(Instant::now(), deadline));
+            client.slot.set(Slot { write_by, ..client.slot.get() });
             Ok::<_, Infallible>(answer.map(|body| client.tap.tell(body)))
         }
     });
@@ -244,7 +244,7 @@
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(true);
             }
-            let Some(at) = client.seat().closes(*stop.borrow()) else { return Poll::Pending };
+            let Some(at) = client.slot().closes(*stop.borrow()) else { return Poll::Pending };
             let at = at.max(not_before).into();
             if look.deadline() != at {
                 look.as_mut().reset(at);
@@ -259,7 +259,7 @@
                 Err(_) => return false,
             },
         }
-        let quiet = !client.seat().serving && client.tap.began().is_none();
+        let quiet = !client.slot().serving && client.tap.began().is_none();
         if !(quiet && client.tap.has_unread()) {
             return false;
         }
@@ -306,7 +306,7 @@
     /// A client whose connection ended under a hit that it takes for unread sends that hit once more, and its close
     /// may be heard here after that: then the first is ended in favour of the second, unless it may have run.
     fn new(shell: &Rc<Shell>, client: &Rc<Client>, id: &HeaderValue, kind: Kind) -> Result<Named, Taken> {
-        let earlier = shell.door.ids.borrow().get(id).map(|holder| (holder.client.clone(), holder.hit));
+        let earlier = shell.listener.ids.borrow().get(id).map(|holder| (holder.client.clone(), holder.hit));
         if let Some((earlier, hit)) = earlier {
             if !earlier.tap.is_closed() {
                 return Err(Taken::Waits);
@@ -318,12 +318,12 @@
             hit.into_iter().for_each(|hit| shell.gone(hit));
         }
         let holder = Holder { client: client.clone(), hit: None };
-        shell.door.ids.borrow_mut().insert(id.clone(), holder);
+        shell.listener.ids.borrow_mut().insert(id.clone(), holder);
         Ok(Named { shell: shell.clone(), client: client.clone(), id: id.clone() })
     }
 
     fn taken(&self, hit: HitId) {
-        if let Some(holder) = self.shell.door.ids.borrow_mut().get_mut(&self.id) {
+        if let Some(holder) = self.shell.listener.ids.borrow_mut().get_mut(&self.id) {
             holder.hit = Some(hit);
         }
     }
@@ -331,7 +331,7 @@
 
 impl Drop for Named {
     fn drop(&mut self) {
-        let mut ids = self.shell.door.ids.borrow_mut();
+        let mut ids = self.shell.listener.ids.borrow_mut();
         if ids.get(&self.id).is_some_and(|holder| Rc::ptr_eq(&holder.client, &self.client)) {
             ids.remove(&self.id);
         }
@@ -347,7 +347,7 @@
     let began = client.tap.take_began().unwrap_or_else(Instant::now);
     let stopping = shell.stopping.get();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        client.seat.set(Seat { asked: true, ..client.seat.get() });
+        client.slot.set(Slot { asked: true, ..client.slot.get() });
         let answer = match stopping {
             false => plain(StatusCode::OK, "ready\n"),
             true => and_close(plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")),
@@ -358,11 +358,11 @@
         Ok(read) => read,
         Err((status, why)) => {
             tracing::debug!(%status, why = why.trim_end(), "refused");
-            shell.door.refused.set(shell.door.refused.get() + 1);
+            shell.listener.refused.set(shell.listener.refused.get() + 1);
             return (and_close(plain(status, why)), None);
         }
     };
-    client.seat.set(Seat { asked: true, ..client.seat.get() });
+    client.slot.set(Slot { asked: true, ..client.slot.get() });
     let deadline = began + Duration::from_nanos(asked.left);
     let spent = began.elapsed().as_nanos() as Ns + shell.answer_margin;
     let asked = Asked { left: asked.left.saturating_sub(spent), ..asked };
@@ -476,7 +476,7 @@
     let body = if body.is_end_stream() {
         Bytes::new()
     } else {
-        match timeout_at(client.seat().read_by(began).into(), Limited::new(body, BODY_BYTES).collect()).await
+        match timeout_at(client.slot().read_by(began).into(), Limited::new(body, BODY_BYTES).collect()).await
         {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -1,11 +1,11 @@
 //! The shell: one engine with its clients, pods, node list and release desk on one thread; start, reload, stop.
 
 use crate::config::Config;
-use crate::desk::Votes;
-use crate::door::{self, Door};
+use crate::control_plane::Votes;
+use crate::listener::{self, Listener};
 use crate::pods::{self, Ask, Pods};
-use crate::seats::{Shares, COMING};
-use crate::{desk, list};
+use crate::slots::{Shares, COMING};
+use crate::{control_plane, discovery};
 use bytes::Bytes;
 use havenplank::port::*;
 use havenplank_sidecar::engine::{Engine, EPOCH};
@@ -42,7 +42,7 @@
     pub customers: Vec<String>,
     pub votes: VoteRules,
     pub answer_margin: Ns,
-    pub door: Door,
+    pub listener: Listener,
     pub pods: Pods,
     pub ballots: Votes,
     pub stopping: Cell<bool>,
@@ -65,7 +65,7 @@
     }
 
     fn bounced(&self, come_back: Ns) -> Response<Full<Bytes>> {
-        door::bounced(come_back)
+        listener::bounced(come_back)
     }
 
     fn errored(&self, late: bool) -> Response<Full<Bytes>> {
@@ -107,7 +107,7 @@
             customers: terms.customers.clone(),
             votes: terms.votes.clone(),
             answer_margin: config.answer_margin,
-            door: Door::new(shares),
+            listener: Listener::new(shares),
             pods: Pods::new(config.links, config.load, shares.pods, config.memory),
             ballots: Votes::default(),
             stopping: Cell::new(false),
@@ -125,11 +125,11 @@
     let (close, closes) = oneshot::channel();
     let mut tasks = JoinSet::new();
     tasks.spawn_local(shell.clone().tick());
-    tasks.spawn_local(list::follow(shell.clone(), nodes, since, seed ^ 1));
-    tasks.spawn_local(desk::follow(shell.clone(), desk, seed ^ 2));
+    tasks.spawn_local(discovery::follow(shell.clone(), nodes, since, seed ^ 1));
+    tasks.spawn_local(control_plane::follow(shell.clone(), desk, seed ^ 2));
     tasks.spawn_local(sweep(shell.clone()));
     tasks.spawn_local(beat(shell.clone()));
-    let door = spawn_local(door::accept(shell.clone(), listener, stop, closes));
+    let accepting = spawn_local(listener::accept(shell.clone(), listener, stop, closes));
     ready(address);
     while let Some(order) = orders.recv().await {
         match order {
@@ -148,11 +148,11 @@
     sleep_until((told + COMING).into()).await;
     let _ = close.send(());
     // Until it has taken what had come by then.
-    let _ = door.await;
+    let _ = accepting.await;
     // Each connection that is left ends by its own times; this bounds them all.
     let longest = shell.groups.iter().map(|(_, rules)| rules.client_timeout).max().unwrap_or(0);
     let until = Instant::now() + Duration::from_nanos(longest) + LEFT;
-    while shell.door.open() > 0 && Instant::now() < until {
+    while shell.listener.open() > 0 && Instant::now() < until {
         sleep(Duration::from_millis(10)).await;
     }
     tracing::info!(hits = shell.owed(), "stopped");
@@ -183,25 +183,25 @@
         if told.elapsed() < Duration::from_secs(1) {
             continue;
         }
-        let (pods, door) = (&shell.pods, &shell.door);
+        let (pods, listener) = (&shell.pods, &shell.listener);
         let (links, idle) = pods.count();
-        let (unasked, half_asked) = door.unasked();
+        let (unasked, half_asked) = listener.unasked();
         let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         tracing::info!(
             hits = shell.look().held(),
-            hits_at_door = door.serving(),
+            hits_at_door = listener.serving(),
             forwards = shell.look().out(),
             forwards_on_wire = pods.seen.out.get(),
             sent = pods.seen.sent.get(),
-            clients = door.open(),
+            clients = listener.open(),
             unasked,
             half_asked,
             links,
             idle_links = idle,
-            keep_ms = pods.keep().as_millis() as u64,
+            keep_ms = pods.idle_timeout().as_millis() as u64,
             links_opened = pods.seen.opened.get(),
-            refused = door.refused.get(),
-            turned_out = door.turned_out.get(),
+            refused = listener.refused.get(),
+            turned_out = listener.evicted.get(),
             descriptors,
             resident_kb = resident_kb().unwrap_or(0),
             longest_gap_us = longest.as_micros() as u64,
--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -4,7 +4,7 @@
 //! whether bytes lie unread on a kept connection, `hyper`'s client does not tell (`tests/beneath.rs`).
 
 use crate::config;
-use crate::keep::Keep;
+use crate::idle_timeout::IdleTimeout;
 use crate::node::Shell;
 use bytes::{Buf, Bytes, BytesMut};
 use havenplank::port::{Ended, HitId, Ns, PodId, ProbeEnd};
@@ -52,20 +52,20 @@
 }
 
 /// No connection was had in time: the pod is down, out of reach or at its cap, or every place is taken.
-enum NoLink {
+enum NoConnection {
     Pod,
-    Places,
+    Permits,
 }
 
 /// A connection to a pod. Dropped, it is closed.
-struct Link {
+struct Connection {
     stream: TcpStream,
     /// How long it was idle before its present request; none where that is its first.
     idle: Option<Duration>,
-    _place: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
 }
 
-impl Link {
+impl Connection {
     /// Whether it is open and nothing lies unread on it: what came behind an answer is no answer to the next
     /// request. Asks the socket itself, as the runtime learns of bytes only when it polls.
     fn is_clean(&self) -> bool {
@@ -88,16 +88,16 @@
     rules: config::Links,
     load: Vec<String>,
     /// One for each connection, idle ones too.
-    places: Arc<Semaphore>,
-    /// Forwards that wait for a place; hits in flight, which the door bounds.
+    permits: Arc<Semaphore>,
+    /// Forwards that wait for a place; hits in flight, which the listener bounds.
     waiting: Cell<usize>,
     most: usize,
     /// By address, the last used at the end. Emptied of what was idle too long or is no longer listed.
-    idle: RefCell<HashMap<SocketAddr, Vec<(Link, Instant)>>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<(Connection, Instant)>>>,
     /// Bytes of answers over the protocol's bound, those that clients still read included. With none left the
     /// next such answer waits in its socket, up to its forward's time.
     large: Arc<Semaphore>,
-    keep: RefCell<Keep>,
+    idle_timeout: RefCell<IdleTimeout>,
     answer_bytes: usize,
     pub seen: Seen,
 }
@@ -105,14 +105,25 @@
 impl Pods {
     /// `most` connections at once, on a machine with so much memory.
     pub fn new(rules: config::Links, load: Vec<String>, most: usize, memory: usize) -> Pods {
-        let places = Arc::new(Semaphore::new(most));
+        let permits = Arc::new(Semaphore::new(most));
         let large = Arc::new(Semaphore::new((memory / LARGE_PART).min(u32::MAX as usize)));
         // Twice as much must fit the semaphore's count of 32 bits.
         let answer_bytes = (memory / ONE_PART).clamp(BODY_BYTES, 1 << 30);
         // The pod closes it at its own limit, maybe just as we write.
-        let keep = RefCell::new(Keep::new(Instant::now(), rules.idle.mul_f64(0.7)));
+        let idle_timeout = RefCell::new(IdleTimeout::new(Instant::now(), rules.idle.mul_f64(0.7)));
         let (idle, seen) = (RefCell::default(), Seen::default());
-        Pods { rules, load, places, waiting: Cell::new(0), most, idle, large, keep, answer_bytes, seen }
+        Pods {
+            rules,
+            load,
+            permits,
+            waiting: Cell::new(0),
+            most,
+            idle,
+            large,
+            idle_timeout,
+            answer_bytes,
+            seen,
+        }
     }
 
     /// Room for an answer of that length; none is needed up to the protocol's bound.
@@ -124,31 +135,31 @@
     }
 
     /// How long a connection is kept idle.
-    pub fn keep(&self) -> Duration {
-        self.keep.borrow().time()
+    pub fn idle_timeout(&self) -> Duration {
+        self.idle_timeout.borrow().time()
     }
 
-    fn used(&self, link: &Link, broke: bool) {
-        if let Some(idle) = link.idle {
-            self.keep.borrow_mut().used(Instant::now(), idle, broke);
+    fn used(&self, connection: &Connection, broke: bool) {
+        if let Some(idle) = connection.idle {
+            self.idle_timeout.borrow_mut().used(Instant::now(), idle, broke);
         }
     }
 
     /// Connections open, and idle ones among them.
     pub fn count(&self) -> (usize, usize) {
-        let open = self.most - self.places.available_permits();
+        let open = self.most - self.permits.available_permits();
         (open, self.idle.borrow().values().map(Vec::len).sum())
     }
 
-    fn idle_one(&self, address: SocketAddr) -> Option<Link> {
-        let (keep, mut idle) = (self.keep(), self.idle.borrow_mut());
+    fn idle_one(&self, address: SocketAddr) -> Option<Connection> {
+        let (idle_timeout, mut idle) = (self.idle_timeout(), self.idle.borrow_mut());
         let kept = idle.get_mut(&address)?;
         while let Some(last) = kept.iter().rposition(|(_, since)| since.elapsed() >= REST) {
-            let (mut link, since) = kept.remove(last);
+            let (mut connection, since) = kept.remove(last);
             let age = since.elapsed();
-            if age < keep && link.is_clean() {
-                link.idle = Some(age);
-                return Some(link);
+            if age < idle_timeout && connection.is_clean() {
+                connection.idle = Some(age);
+                return Some(connection);
             }
         }
         None
@@ -163,46 +174,46 @@
     }
 
     /// An idle connection, else a new one; `fresh` wants a new one.
-    async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Link, NoLink> {
-        if let Some(link) = self.idle_one(address).filter(|_| !fresh) {
-            return Ok(link);
+    async fn take(&self, address: SocketAddr, fresh: bool) -> Result<Connection, NoConnection> {
+        if let Some(connection) = self.idle_one(address).filter(|_| !fresh) {
+            return Ok(connection);
         }
         let began = Instant::now();
-        let mut place = self.places.clone().try_acquire_owned();
-        if place.is_err() && self.close_oldest() {
-            place = self.places.clone().try_acquire_owned();
+        let mut permit = self.permits.clone().try_acquire_owned();
+        if permit.is_err() && self.close_oldest() {
+            permit = self.permits.clone().try_acquire_owned();
         }
-        let place = match place {
-            Ok(place) => place,
+        let permit = match permit {
+            Ok(permit) => permit,
             Err(_) => {
                 let _waits = Counted::new(&self.waiting);
-                let place = timeout(self.rules.connect_time, self.places.clone().acquire_owned()).await;
-                place.map_err(|_| NoLink::Places)?.map_err(|_| NoLink::Places)?
+                let permit = timeout(self.rules.connect_time, self.permits.clone().acquire_owned()).await;
+                permit.map_err(|_| NoConnection::Permits)?.map_err(|_| NoConnection::Permits)?
             }
         };
         let left = self.rules.connect_time.saturating_sub(began.elapsed());
         let stream = timeout(left, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| NoLink::Pod)?.map_err(|_| NoLink::Pod)?;
+        let stream = stream.map_err(|_| NoConnection::Pod)?.map_err(|_| NoConnection::Pod)?;
         let _ = stream.set_nodelay(true);
         self.seen.opened.set(self.seen.opened.get() + 1);
-        Ok(Link { stream, idle: None, _place: place })
+        Ok(Connection { stream, idle: None, _permit: permit })
     }
 
     /// Keeps a connection for its next request. While others wait for a place it is closed: its place would
     /// stay taken, and what waits may be for another pod.
-    fn give_back(&self, address: SocketAddr, link: Link) {
+    fn give_back(&self, address: SocketAddr, connection: Connection) {
         if self.waiting.get() > 0 {
             return;
         }
         let mut idle = self.idle.borrow_mut();
-        idle.entry(address).or_default().push((link, Instant::now()));
+        idle.entry(address).or_default().push((connection, Instant::now()));
     }
 
     /// Closes idle connections to pods no longer listed, and those that were idle too long or were closed.
     pub fn sweep(&self, listed: &HashSet<SocketAddr>) {
-        let keep = self.keep();
+        let idle_timeout = self.idle_timeout();
         self.idle.borrow_mut().retain(|address, kept| {
-            kept.retain(|(link, since)| since.elapsed() < keep && link.is_clean());
+            kept.retain(|(connection, since)| since.elapsed() < idle_timeout && connection.is_clean());
             listed.contains(address) && !kept.is_empty()
         });
     }
@@ -244,15 +255,15 @@
     let (began, pods) = (Instant::now(), &shell.pods);
     let Some(address) = shell.address(pod) else { return Ended::NotSent.into() };
     let mut fresh = false;
-    let mut link = loop {
-        let mut link = match pods.take(address, fresh).await {
-            Ok(link) => link,
-            Err(NoLink::Pod) => return Ended::NoConnection.into(),
-            Err(NoLink::Places) => return Ended::NotSent.into(),
+    let mut connection = loop {
+        let mut connection = match pods.take(address, fresh).await {
+            Ok(connection) => connection,
+            Err(NoConnection::Pod) => return Ended::NoConnection.into(),
+            Err(NoConnection::Permits) => return Ended::NotSent.into(),
         };
         // Chosen when it had no connection yet: the pod may drain by now, or its build be closed.
         if !shell.may_go(hit, nth) {
-            pods.give_back(address, link);
+            pods.give_back(address, connection);
             return Ended::NotSent.into();
         }
         let mut out = Vec::with_capacity(ask.head.len() + ask.body.len() + 40);
@@ -260,11 +271,11 @@
         let left = time.saturating_sub(began.elapsed()).as_millis();
         let _ = write!(out, "{TIME_LEFT}: {left}\r\n\r\n");
         out.extend_from_slice(&ask.body);
-        match link.stream.write_all(&out).await {
-            Ok(()) => break link,
+        match connection.stream.write_all(&out).await {
+            Ok(()) => break connection,
             // A kept one that the pod closed meanwhile; its last byte was never taken.
-            Err(_) if link.idle.is_some() => {
-                pods.used(&link, true);
+            Err(_) if connection.idle.is_some() => {
+                pods.used(&connection, true);
                 fresh = true;
             }
             Err(_) => return Ended::NoConnection.into(),
@@ -274,14 +285,14 @@
     // Written whole, with no end yet.
     let _out = Counted::new(&pods.seen.out);
     pods.seen.sent.set(pods.seen.sent.get() + 1);
-    let came = match read(pods, &mut link).await {
+    let came = match read(pods, &mut connection).await {
         Ok(came) => {
-            pods.used(&link, false);
+            pods.used(&connection, false);
             came
         }
         Err(Spoilt(why)) => {
-            pods.used(&link, matches!(why, NOTHING | RESET));
-            let idle_us = link.idle.map(|idle| idle.as_micros() as u64);
+            pods.used(&connection, matches!(why, NOTHING | RESET));
+            let idle_us = connection.idle.map(|idle| idle.as_micros() as u64);
             tracing::debug!(hit, nth, pod, idle_us, why, "answer spoilt");
             return Ended::Reset.into();
         }
@@ -291,7 +302,7 @@
     let never = matches!(came.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
         && came.headers.get(UNSEEN).is_some_and(|value| value == "1");
     if came.reusable {
-        pods.give_back(address, link);
+        pods.give_back(address, connection);
     }
     let end = match came.status {
         StatusCode::OK => Ended::Delivered,
@@ -344,8 +355,8 @@
 const NOTHING: &str = "closed without an answer";
 const RESET: &str = "reset without an answer";
 
-async fn more(link: &mut Link, read: &mut BytesMut) -> Result<(), Spoilt> {
-    match link.stream.read_buf(read).await {
+async fn more(connection: &mut Connection, read: &mut BytesMut) -> Result<(), Spoilt> {
+    match connection.stream.read_buf(read).await {
         Ok(0) if read.is_empty() => Err(Spoilt(NOTHING)),
         Ok(0) => Err(Spoilt("closed within the answer")),
         Err(_) if read.is_empty() => Err(Spoilt(RESET)),
@@ -354,7 +365,7 @@
     }
 }
 
-async fn read(pods: &Pods, link: &mut Link) -> Result<Came, Spoilt> {
+async fn read(pods: &Pods, connection: &mut Connection) -> Result<Came, Spoilt> {
     let mut read = BytesMut::with_capacity(2048);
     let mut interim = 0;
     let (status, headers) = loop {
@@ -366,7 +377,7 @@
                 }
             }
             Some(head) => break head,
-            None => more(link, &mut read).await?,
+            None => more(connection, &mut read).await?,
         }
     };
     let lengths: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
@@ -382,12 +393,12 @@
             let room = pods.room(length).await;
             read.reserve(length.saturating_sub(read.len()));
             while read.len() < length {
-                more(link, &mut read).await?;
+                more(connection, &mut read).await?;
             }
             held(read.split_to(length).freeze(), room)
         }
         ([], [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-            chunks(pods, link, &mut read).await?
+            chunks(pods, connection, &mut read).await?
         }
         // Two lengths, two framings, or an end by close, which a break looks just like.
         ([], []) => return Err(Spoilt("its length is not told")),
@@ -425,13 +436,13 @@
     Ok(Some((status, headers)))
 }
 
-async fn chunks(pods: &Pods, link: &mut Link, read: &mut BytesMut) -> Result<Bytes, Spoilt> {
+async fn chunks(pods: &Pods, connection: &mut Connection, read: &mut BytesMut) -> Result<Bytes, Spoilt> {
     let (mut body, mut room) = (BytesMut::new(), None);
     loop {
         let (head, size) = match httparse::parse_chunk_size(read) {
             Ok(httparse::Status::Complete(found)) => found,
             Ok(httparse::Status::Partial) if read.len() <= HEAD_BYTES => {
-                more(link, read).await?;
+                more(connection, read).await?;
                 continue;
             }
             _ => return Err(Spoilt("a chunk without a size")),
@@ -446,7 +457,7 @@
         let (size, end) = (size as usize, head + size as usize + 2);
         // The last one has no data; trailers, which nothing here sends, count as spoilt.
         while read.len() < end {
-            more(link, read).await?;
+            more(connection, read).await?;
         }
         if &read[end - 2..end] != b"\r\n" {
             return Err(Spoilt("a chunk without its end"));
@@ -465,18 +476,18 @@
     let path = if pods.load.is_empty() { "/healthz" } else { "/load" };
     let asked = async {
         let Some(address) = shell.address(pod) else { return End::<Answer>::from(Ended::NotSent) };
-        let mut link = match pods.take(address, false).await {
-            Ok(link) => link,
-            Err(NoLink::Pod) => return Ended::NoConnection.into(),
-            Err(NoLink::Places) => return Ended::NotSent.into(),
+        let mut connection = match pods.take(address, false).await {
+            Ok(connection) => connection,
+            Err(NoConnection::Pod) => return Ended::NoConnection.into(),
+            Err(NoConnection::Permits) => return Ended::NotSent.into(),
         };
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        if link.stream.write_all(request.as_bytes()).await.is_err() {
+        if connection.stream.write_all(request.as_bytes()).await.is_err() {
             return Ended::NoConnection.into();
         }
-        let Ok(came) = read(pods, &mut link).await else { return Ended::Reset.into() };
+        let Ok(came) = read(pods, &mut connection).await else { return Ended::Reset.into() };
         if came.reusable {
-            pods.give_back(address, link);
+            pods.give_back(address, connection);
         }
         let end = if came.status == StatusCode::OK { Ended::Delivered } else { Ended::Error };
         End { end, load: load_of(&pods.load, &came.body).filter(|_| !pods.load.is_empty()), answer: None }
--- a/crates/platform/src/seats.rs
+++ b/crates/platform/src/slots.rs
@@ -1,6 +1,6 @@
 //! Which clients' connections are kept and which give their place up; how descriptors are shared out.
 //!
-//! Free of I/O; time is handed in. A door that is full must still take those who ask, whoever holds the places.
+//! Free of I/O; time is handed in. A listener that is full must still take those who ask, whoever holds the places.
 
 use std::time::{Duration, Instant};
 
@@ -43,7 +43,7 @@
 
 /// A client's connection as it stands.
 #[derive(Clone, Copy, Debug)]
-pub struct Seat {
+pub struct Slot {
     pub connected: Instant,
     /// Since when no hit is on it.
     pub since: Instant,
@@ -57,9 +57,9 @@
     pub asked: bool,
 }
 
-impl Seat {
-    pub fn new(now: Instant) -> Seat {
-        Seat { connected: now, since: now, began: None, serving: false, write_by: None, asked: false }
+impl Slot {
+    pub fn new(now: Instant) -> Slot {
+        Slot { connected: now, since: now, began: None, serving: false, write_by: None, asked: false }
     }
 
     /// By when a hit that began then must be read whole.
@@ -102,27 +102,27 @@
 }
 
 /// The one idle the longest, where those that asked are too many.
-pub fn longest_idle(seats: &[(u64, Seat)], shares: Shares) -> Option<u64> {
-    let asked = || seats.iter().filter(|(_, seat)| seat.asked);
+pub fn longest_idle(slots: &[(u64, Slot)], shares: Shares) -> Option<u64> {
+    let asked = || slots.iter().filter(|(_, slot)| slot.asked);
     let many = asked().count() >= shares.asked;
-    let idle = asked().filter(|(_, seat)| many && seat.is_idle());
-    idle.min_by_key(|(_, seat)| seat.since).map(|(id, _)| *id)
+    let idle = asked().filter(|(_, slot)| many && slot.is_idle());
+    idle.min_by_key(|(_, slot)| slot.since).map(|(id, _)| *id)
 }
 
-/// Who makes room at a full door, if anyone can: of those that were silent from the start the oldest, else the
+/// Who makes room at a full listener, if anyone can: of those that were silent from the start the oldest, else the
 /// one idle the longest since its answer. One that came just now is about to ask, and one in the middle of its
 /// next hit has begun to: they come last, and one whose hit is served never.
-pub fn turned_out(seats: &[(u64, Seat)], now: Instant) -> Option<u64> {
-    let class = |seat: &Seat| match (seat.asked, seat.began.is_some()) {
-        (false, _) if now.saturating_duration_since(seat.connected) >= NEW => 0,
+pub fn evicted(slots: &[(u64, Slot)], now: Instant) -> Option<u64> {
+    let class = |slot: &Slot| match (slot.asked, slot.began.is_some()) {
+        (false, _) if now.saturating_duration_since(slot.connected) >= NEW => 0,
         (true, false) => 1,
         (false, _) => 2,
         (true, true) => 3,
     };
-    let free = seats.iter().filter(|(_, seat)| !seat.serving);
-    free.min_by_key(|(_, seat)| (class(seat), seat.since)).map(|(id, _)| *id)
+    let free = slots.iter().filter(|(_, slot)| !slot.serving);
+    free.min_by_key(|(_, slot)| (class(slot), slot.since)).map(|(id, _)| *id)
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/seats.rs"]
+#[path = "../tests/unit/slots.rs"]
 mod tests;
--- a/crates/platform/tests/unit/keep.rs
+++ b/crates/platform/tests/unit/idle_timeout.rs
@@ -1,4 +1,4 @@
-//! Tests of `src/keep.rs`.
+//! Tests of `src/idle_timeout.rs`.
 
 use super::*;
 
@@ -7,7 +7,7 @@
 #[test]
 fn ages_that_break_are_not_waited_for_and_are_tried_again() {
     let (began, most) = (Instant::now(), Duration::from_secs(20));
-    let mut keep = Keep::new(began, most);
+    let mut keep = IdleTimeout::new(began, most);
     // One in ten breaks at any age: no reason to close.
     for n in 0..400u32 {
         keep.used(began, MS * (1 + n % 300), n % 10 == 0);
