--- a/crates/platform/tests/lists.rs
+++ b/crates/platform/tests/lists.rs
@@ -132,7 +132,7 @@
         let (nodes, desk) = (Peer::new().await.unwrap(), Peer::new().await.unwrap());
         let here = entry("p", rig.pod.at().unwrap(), 7, "active");
         let whole = configuration(nodes.at().unwrap(), desk.at().unwrap(), std::slice::from_ref(&here));
-        // Twice, and a bad one between them was refused before it came here.
+        // Twice: the second takes the place of the first, which has not spoken.
         for _ in 0..2 {
             rig.orders.send(Orders::Reload(Box::new(config(&whole)))).await.ok().unwrap();
         }
@@ -140,7 +140,7 @@
         assert!(new.message().await.unwrap().0.contains("since=8 "));
         let [one, two] = [Peer::new().await, Peer::new().await].map(Result::unwrap);
         let at = |peer: &Peer| entry("p", peer.at().unwrap(), 7, "active");
-        // Both speak before the runtime turns: the new one's word is in force, whichever is read first.
+        // The new one's word is in force, and the old one speaks after it.
         new.say(WATCH.to_string() + &chunk(&list(3, true, &[at(&one)]))).await.unwrap();
         turns(&rig).await;
         let late = old.say(chunk(&list(9, false, &[at(&two)]))).await;
