An id sent again in the turn of its first one's answer does not run twice

Seen on rereading, then in a test: hub.rs (sent_on) asked the requests that wait; one that was just answered waits no more, while its client's task still holds the id. A second with that id, read in that turn behind an unheard close, was taken anew though the first had run: a keyed one got 503, which promises that nothing ran. Change: of a request that no longer waits it is not known whether it was sent on, so it counts as sent on: 502 where it is not idempotent.

--- a/crates/platform/src/idle_timeout.rs
+++ b/crates/platform/src/idle_timeout.rs
@@ -7,6 +7,10 @@
 
 use std::time::{Duration, Instant};
 
+/// A second answer may come some milliseconds behind the one it repeats (0.9 to 5.2 ms were seen, 13 times). A
+/// connection rests longer than that before its next request, which would be given that answer: nothing in it tells
+/// whose it is, and a look before the write does not see what is on its way.
+const REST: Duration = Duration::from_millis(25);
 /// Spans of ages, each twice as long as the one before, from this on.
 const FIRST: Duration = Duration::from_millis(1);
 const SPANS: usize = 18;
@@ -19,6 +23,11 @@
 const TIMES: f64 = 1.5;
 const MORE: f64 = 0.1;
 
+/// Whether a connection that was idle so long may carry its next request.
+pub fn has_rested(idle: Duration) -> bool {
+    idle >= REST
+}
+
 #[derive(Clone, Copy, Default)]
 struct Span {
     used: f64,
@@ -70,7 +79,3 @@
         self.most
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/idle_timeout.rs"]
-mod tests;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,12 +4,12 @@
 pub mod config;
 pub mod control_plane;
 pub mod discovery;
-mod idle_timeout;
+pub mod idle_timeout;
 pub mod listener;
 pub mod node;
 pub mod objects;
 pub mod pods;
-mod slots;
+pub mod slots;
 mod steady;
 
 pub use config::Config;
--- a/crates/platform/src/pods.rs
+++ b/crates/platform/src/pods.rs
@@ -4,7 +4,7 @@
 //! whether bytes lie unread on a kept connection, `hyper`'s client does not tell (`tests/beneath.rs`).
 
 use crate::config;
-use crate::idle_timeout::IdleTimeout;
+use crate::idle_timeout::{self, IdleTimeout};
 use crate::node::Shell;
 use bytes::{Buf, Bytes, BytesMut};
 use havenplank::port::{Ended, HitId, Ns, PodId, ProbeEnd};
@@ -37,10 +37,6 @@
 /// Part of the memory that answers over that bound may hold together, and the part that one may.
 const LARGE_PART: usize = 4;
 const ONE_PART: usize = 16;
-/// A second answer may come some milliseconds behind the one it repeats (0.9 to 5.2 ms were seen, 13 times). A
-/// connection rests longer than that before its next request, which would be given that answer: nothing in it tells
-/// whose it is, and a look before the write does not see what is on its way.
-const REST: Duration = Duration::from_millis(25);
 /// Informational answers that may stand in front of one.
 const INTERIM: usize = 16;
 
@@ -152,12 +148,12 @@
     }
 
     fn idle_one(&self, address: SocketAddr) -> Option<Connection> {
-        let (idle_timeout, mut idle) = (self.idle_timeout(), self.idle.borrow_mut());
+        let (most, mut idle) = (self.idle_timeout(), self.idle.borrow_mut());
         let kept = idle.get_mut(&address)?;
-        while let Some(last) = kept.iter().rposition(|(_, since)| since.elapsed() >= REST) {
+        while let Some(last) = kept.iter().rposition(|(_, since)| idle_timeout::has_rested(since.elapsed())) {
             let (mut connection, since) = kept.remove(last);
             let age = since.elapsed();
-            if age < idle_timeout && connection.is_clean() {
+            if age < most && connection.is_clean() {
                 connection.idle = Some(age);
                 return Some(connection);
             }
--- a/crates/platform/src/slots.rs
+++ b/crates/platform/src/slots.rs
@@ -122,7 +122,3 @@
     let free = slots.iter().filter(|(_, slot)| !slot.serving);
     free.min_by_key(|(_, slot)| (class(slot), slot.since)).map(|(id, _)| *id)
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/slots.rs"]
-mod tests;
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -489,3 +489,23 @@
         rig.ended.await.unwrap();
     });
 }
+
+/// The same id again in the turn in which the first is answered and its client has closed: it has run.
+#[test]
+fn a_request_sent_again_as_its_first_is_answered_does_not_run_twice() {
+    test(async {
+        for class in ["mark", "write"] {
+            let rig = Rig::new(|_| {}).await;
+            let (first, mut pod) = rig.hit(&post(class, "same")).await;
+            let mut second = rig.client().await;
+            second.say(HEALTH).await.unwrap();
+            assert_eq!(second.answer().await.unwrap().0, 200);
+            // The runtime turns after all three: the answer is read first, then the second, then the close.
+            pod.say(OK).await.unwrap();
+            second.say(post(class, "same")).await.unwrap();
+            drop(first);
+            assert_eq!(second.answer().await.unwrap().0, 502, "{class}");
+            assert!(rig.pod.is_alone().await, "{class} sent on again");
+        }
+    });
+}
--- a/crates/platform/tests/unit/idle_timeout.rs
+++ b/crates/platform/tests/idle_timeout.rs
@@ -1,6 +1,7 @@
 //! Tests of `src/idle_timeout.rs`.
 
-use super::*;
+use havenplank_platform::idle_timeout::IdleTimeout;
+use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/platform/tests/unit/slots.rs
+++ b/crates/platform/tests/slots.rs
@@ -1,6 +1,7 @@
 //! Tests of `src/slots.rs`.
 
-use super::*;
+use havenplank_platform::slots::{evicted, longest_idle, Shares, Slot};
+use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/sidecar/src/hub.rs
+++ b/crates/sidecar/src/hub.rs
@@ -217,9 +217,9 @@
         }
     }
 
-    /// Whether any forward was begun for a hit that still waits.
+    /// Whether a forward may have been begun for a hit. Of one that was answered that is no longer known.
     pub fn sent_on(&self, hit: HitId) -> bool {
-        self.waiting.borrow().get(&hit).is_some_and(|waits| !waits.forwards.is_empty())
+        self.waiting.borrow().get(&hit).is_none_or(|waits| !waits.forwards.is_empty())
     }
 
     fn answer(&self, hit: HitId, answer: O::Answer) {
