Two packages to begin: configuration and capacity, with versions and fitted figures

Empty but for the order of versions and the table of figures, so that the parts can be built side by side.

--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,6 @@
+//! Scale tests: what each part costs at several sizes, and how that grows.
+//!
+//! Each module measures one part of the program and returns a [`report::Section`]; the program prints them or writes
+//! them as JSON. What is counted (messages, bytes, steps) is the same on every machine; what is timed is not.
+
+pub mod report;
--- /dev/null
+++ b/crates/capacity/src/report.rs
@@ -0,0 +1,103 @@
+//! Measured figures by size, and the slope fitted through them.
+
+use serde::Serialize;
+use std::fmt;
+
+/// One measured figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// What was varied: sidecars, pods, routes or tenants.
+    pub size: f64,
+    pub value: f64,
+}
+
+/// A straight line through the points of a series, by least squares.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fit {
+    /// Growth of the value for each one of size.
+    pub slope: f64,
+    /// The value at size 0.
+    pub intercept: f64,
+    /// Largest distance of a point from the line, as a share of the largest value.
+    pub spread: f64,
+}
+
+/// One quantity at several sizes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Series {
+    /// What is measured, with the unit at its end: `received_bytes_per_s`.
+    pub name: String,
+    /// What `size` counts: `sidecars`, `pods`, `routes`, `tenants`.
+    pub size_of: String,
+    /// How it was measured: `simulated`, `sockets` or `process`.
+    pub measured_on: String,
+    pub points: Vec<Point>,
+    pub fit: Option<Fit>,
+}
+
+impl Series {
+    pub fn new(name: &str, size_of: &str, measured_on: &str, points: Vec<Point>) -> Series {
+        let fit = fit(&points);
+        Series {
+            name: name.to_string(),
+            size_of: size_of.to_string(),
+            measured_on: measured_on.to_string(),
+            points,
+            fit,
+        }
+    }
+
+    /// What the line says of a size, and by which factor that lies beyond the largest measured one.
+    pub fn at(&self, size: f64) -> Option<(f64, f64)> {
+        let largest = self.points.iter().map(|point| point.size).fold(0.0, f64::max);
+        self.fit.map(|fit| (fit.intercept + fit.slope * size, size / largest.max(f64::MIN_POSITIVE)))
+    }
+}
+
+/// Figures that belong together, as one table.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Section {
+    pub title: String,
+    pub series: Vec<Series>,
+    /// What a reader must know of how they came about: seeds, spans, what was left out or refused.
+    pub notes: Vec<String>,
+}
+
+/// Least squares; `None` for fewer than two sizes.
+pub fn fit(points: &[Point]) -> Option<Fit> {
+    let count = points.len() as f64;
+    let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+    let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+    let variance: f64 = points.iter().map(|point| (point.size - mean_size).powi(2)).sum();
+    if points.len() < 2 || variance <= 0.0 {
+        return None;
+    }
+    let together: f64 =
+        points.iter().map(|point| (point.size - mean_size) * (point.value - mean_value)).sum();
+    let slope = together / variance;
+    let intercept = mean_value - slope * mean_size;
+    let distance = |point: &Point| (point.value - intercept - slope * point.size).abs();
+    let largest = points.iter().map(|point| point.value.abs()).fold(0.0, f64::max);
+    let spread = points.iter().map(distance).fold(0.0, f64::max) / largest.max(f64::MIN_POSITIVE);
+    Some(Fit { slope, intercept, spread })
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "## {}", self.title)?;
+        for series in &self.series {
+            writeln!(f, "{} by {} ({})", series.name, series.size_of, series.measured_on)?;
+            for point in &series.points {
+                writeln!(f, "  {:>10} {:>16.4}", point.size, point.value)?;
+            }
+            if let Some(fit) = series.fit {
+                let Fit { slope, intercept, spread } = fit;
+                writeln!(f, "  slope {slope:.6}, at 0 {intercept:.4}, spread {:.1}%", 100.0 * spread)?;
+            }
+        }
+        for note in &self.notes {
+            writeln!(f, "note: {note}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,6 @@
+//! Configuration that reaches every sidecar while it runs.
+//!
+//! A distributor, the single writer of an epoch, compiles the operator's script into an immutable snapshot; each
+//! change of it is a numbered delta. Sidecars hold the newest version they have heard of, whole or not at all.
+
+pub mod version;
