Routes in one table looked up by trie, and slots that outlive a change of routes

Each request searched all path groups in turn, and a path group was an index for the life of the process, so that a change was a restart. A RouteTable now finds the first route that fits by one hash and one walk down a trie; each request holds its own Route. Engine::set_routes replaces all routes between two calls: a changed route gets a slot of its own and goes on with the learnt times and the counts against its cap of the one of its name; a slot is given to another route only when neither a table nor a request holds it. The greatest benefit is kept instead of looked for at each request.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::hub::Hub;
 use crate::links::Links;
 use crate::proxy::{self, Body};
+use crate::routes::RouteTable;
 use crate::shell::{Lines, Shell};
 use crate::tap::Tap;
 use crate::told::{Terms, Witness};
@@ -21,7 +22,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
@@ -141,7 +142,9 @@
     if let Some((settings, fellowship)) = site.fellowship.as_ref().zip(fellowship.as_ref()) {
         fellowship.run(settings.keys.clone());
     }
+    let routes = RouteTable::new(&site.groups, engine.slots(), &site.customers);
     let lines = Lines {
+        routes: RefCell::new(Rc::new(routes)),
         links: Links::new(&site.links),
         keep: Notify::new(),
         nodes_asks,
@@ -192,7 +195,7 @@
     stop.await;
     shell.stopping.set(true);
     let _ = stopping.send(true);
-    let longest = shell.site.groups.iter().map(|group| group.rules.client_timeout).max().unwrap_or(0);
+    let longest = shell.look().longest_time_out();
     let held = shell.glance().hits;
     tracing::info!(hits_in_flight = held, "stopping");
     // Each connection ends with the answer it owes, and none can owe one longer than this.
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -1,6 +1,7 @@
 //! One decision module and what it asks of the world, with time handed in and effects left in a queue.
 
 use crate::roll::Roll;
+use crate::slots::{Slot, SlotCounts, Slots};
 use crate::told::{Terms, Told, Witness};
 use havenplank::logic::Logic;
 use havenplank::port::*;
@@ -75,6 +76,8 @@
 
 struct Held {
     group: GroupId,
+    /// Keeps the group's index from another route until the request has ended.
+    _slot: Option<Slot>,
     key: u64,
     deadline: Ns,
     open: bool,
@@ -206,7 +209,7 @@
 pub struct Engine {
     logic: Logic,
     desk: Desk,
-    groups: Vec<String>,
+    slots: Slots,
     stage: Option<Stage>,
     witness: Option<Box<dyn Witness>>,
     /// What was done elsewhere for the hit that comes next.
@@ -240,8 +243,33 @@
             terms.votes.clone(),
             terms.list.clone(),
         );
-        let groups = terms.groups.iter().map(|(name, _)| name.clone()).collect();
-        Engine { logic, desk, groups, stage: None, witness: None, resumed: None }
+        let slots = Slots::new(terms.groups.iter().cloned());
+        Engine { logic, desk, slots, stage: None, witness: None, resumed: None }
+    }
+
+    /// Puts these routes in force in place of all before, between two requests: each ends by the rules it began with.
+    /// The slot of each route, in their order; its index goes to another route only once every copy of it is dropped.
+    /// A changed route goes on with what was learnt of the one of its name, as its pods answer no other than before.
+    pub fn set_routes(&mut self, now: Ns, routes: &[(String, PathGroup)]) -> Vec<Slot> {
+        self.at(now);
+        let (slots, changes) = self.slots.replace(routes);
+        let in_force: Vec<GroupId> = slots.iter().map(Slot::group).collect();
+        self.logic.set_groups(&changes, &in_force);
+        slots
+    }
+
+    /// The slots in force, in the order of their indices.
+    pub fn slots(&self) -> Vec<Slot> {
+        self.slots.in_force()
+    }
+
+    pub fn slot_counts(&self) -> SlotCounts {
+        self.slots.counts()
+    }
+
+    /// The longest time that a client of any route in force, or of a request that is held, may wait.
+    pub fn longest_time_out(&self) -> Ns {
+        self.slots.longest_time_out()
     }
 
     /// Lets a witness see all that the engine is told and does from here on.
@@ -342,7 +370,8 @@
         let deadline = self.desk.now.saturating_add(left);
         let past = self.resumed.iter().flatten().filter(|earlier| earlier.may_have_run);
         let ran = past.map(|earlier| self.desk.now.saturating_sub(earlier.ago)).min();
-        let held = Held { group, key, deadline, open: true, ran, forwards: Vec::new() };
+        let _slot = self.slots.hold(group);
+        let held = Held { group, _slot, key, deadline, open: true, ran, forwards: Vec::new() };
         self.desk.hits.insert(id, held);
         let hit = Hit { id, group, customer, key, left, cost_hint, repeat };
         match self.resumed.take() {
@@ -499,7 +528,7 @@
     }
 
     fn group(&self, name: &str) -> Option<GroupId> {
-        self.groups.iter().position(|known| known == name)
+        self.slots.find(name)
     }
 
     pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
--- a/crates/sidecar/src/guarded.rs
+++ b/crates/sidecar/src/guarded.rs
@@ -7,10 +7,11 @@
 use crate::guard::{mark, mark_text, Claim, Going, Guard};
 use crate::heads;
 use crate::proxy::{bounced, Ask, Body};
+use crate::routes::Route;
 use crate::shell::Shell;
 use bytes::Bytes;
 use havenplank::port::{Earlier, Kind, Ns, PodId, Scope};
-use havenplank_settings::{Group, Guard as Mode};
+use havenplank_settings::Guard as Mode;
 use havenplank_takeover::record::{Done, Mark, Record, Went};
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -36,6 +37,8 @@
 /// One piece of guarded work.
 pub struct Guarded {
     pub mark: Mark,
+    /// The tenant that asks, where it is one of the configuration.
+    customer: Option<String>,
     /// The client can name it, and so finds it again.
     named: bool,
     sum: u64,
@@ -50,17 +53,19 @@
 /// The work that a hit is: by the client's key or the hit's own mark within its path group.
 pub fn of(
     guard: &Guard,
-    group: &Group,
+    route: &Route,
+    customer: Option<String>,
     named: Option<&HeaderValue>,
     (method, path, body): (&Method, &str, &Bytes),
 ) -> Guarded {
-    let name = named.map(|name| mark(&[group.name.as_bytes(), name.as_bytes()]));
+    let name = named.map(|name| mark(&[route.name.as_bytes(), name.as_bytes()]));
     let sum = mark(&[method.as_str().as_bytes(), path.as_bytes(), body]) as u64;
     Guarded {
         mark: name.unwrap_or_else(|| guard.own_mark()),
+        customer,
         named: name.is_some(),
         sum,
-        wait: group.guard == Mode::BeforeForward,
+        wait: route.guard == Mode::BeforeForward,
         on: Cell::new(true),
         announced: Cell::new(false),
     }
@@ -100,11 +105,10 @@
     heads.iter().filter_map(header).collect()
 }
 
-fn keep(shell: &Shell, asked: &Asked, ask: &Ask) -> Option<Vec<u8>> {
-    let site = &shell.site;
+fn keep(asked: &Asked, ask: &Ask, work: &Guarded) -> Option<Vec<u8>> {
     let kept = Kept {
-        group: site.groups[asked.group].name.clone(),
-        customer: asked.customer.and_then(|at| site.customers.get(at)).cloned(),
+        group: ask.route.name.clone(),
+        customer: work.customer.clone(),
         key: asked.key,
         cost_hint: asked.cost_hint,
         method: ask.method.to_string(),
@@ -132,12 +136,12 @@
     let ask = Rc::new(ask);
     let Some(work) = &ask.guarded else { return errored(false) };
     let (mark, sum, wait) = (work.mark, work.sum, work.wait);
-    let Some(bytes) = keep(shell, &asked, &ask) else {
+    let Some(bytes) = keep(&asked, &ask, work) else {
         work.on.set(false);
         return run(shell, guard, None, asked, ask.clone(), mark).await;
     };
     if wait {
-        let rules = &shell.site.groups[asked.group].rules;
+        let rules = &ask.route.rules;
         let dropped = rules.kind == Kind::Tagged && rules.scope == Scope::All;
         let strict = work.named && rules.kind != Kind::Repeatable && !dropped;
         // Work that was claimed and given up elsewhere leaves nobody who knows it: then it is claimed anew, as long as
@@ -177,7 +181,7 @@
     ask: Rc<Ask>,
     mark: Mark,
 ) -> Response<Body> {
-    let (kind, left) = (shell.site.groups[asked.group].rules.kind, Duration::from_nanos(asked.left));
+    let (kind, left) = (ask.route.rules.kind, Duration::from_nanos(asked.left));
     let began = Instant::now();
     let (lost, told) = guard.watch(mark);
     let (answer, answered) = oneshot::channel();
@@ -310,25 +314,26 @@
 
 fn read(shell: &Shell, record: &Record) -> Option<(Asked, Ask)> {
     let kept: Kept = postcard::from_bytes(&record.ask).ok()?;
-    let site = &shell.site;
-    let group = site.groups.iter().position(|group| group.name == kept.group)?;
+    let routes = shell.routes();
+    let route = routes.named(&kept.group)?.clone();
     let asked = Asked {
-        group,
-        customer: kept.customer.and_then(|name| site.customers.iter().position(|known| *known == name)),
+        group: route.group(),
+        customer: kept.customer.as_ref().and_then(|name| routes.tenant(name)),
         key: kept.key,
-        left: record.left.min(site.groups[group].rules.client_timeout),
+        left: record.left.min(route.rules.client_timeout),
         cost_hint: kept.cost_hint,
         repeat: false,
     };
     let (headers, uri) = heads::apart(&heads_from(&kept.headers), &kept.path);
     let guarded = Guarded {
         mark: record.mark,
+        customer: kept.customer,
         named: false,
         sum: record.sum,
-        wait: site.groups[group].guard != Mode::Behind,
+        wait: route.guard != Mode::Behind,
         on: Cell::new(true),
         announced: Cell::new(true),
     };
-    let (method, stream) = (kept.method.parse().ok()?, site.groups[group].rules.stream);
-    Some((asked, Ask { method, uri, headers, body: kept.body.into(), stream, guarded: Some(guarded) }))
+    let method = kept.method.parse().ok()?;
+    Some((asked, Ask { method, uri, headers, body: kept.body.into(), route, guarded: Some(guarded) }))
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,7 +16,9 @@
 mod links;
 mod proxy;
 mod roll;
+pub mod routes;
 mod shell;
+pub mod slots;
 pub mod tap;
 pub mod told;
 
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -7,6 +7,7 @@
 use crate::heads;
 use crate::hub::End;
 use crate::links::Lease;
+use crate::routes::Route;
 use crate::shell::Shell;
 use bytes::{Bytes, BytesMut};
 use havenplank::port::{mark_of, Ended, HitId, Kind, Ns, PodId, ProbeEnd};
@@ -90,7 +91,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub stream: bool,
+    /// The route that took it: it ends by this version of it, whatever is in force by then.
+    pub route: Rc<Route>,
     /// The work that it is, where sidecars guard it.
     pub guarded: Option<Guarded>,
 }
@@ -144,11 +146,11 @@
 async fn read(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<(Asked, Ask), Refused> {
     let (site, door) = (&shell.site, &shell.site.door);
     let (parts, body) = request.into_parts();
-    let found = site.groups.iter().position(|group| group.fits(parts.method.as_str(), parts.uri.path()));
-    let Some(group) = found else {
+    let routes = shell.routes();
+    let Some(route) = routes.find(parts.method.as_str(), parts.uri.path()).cloned() else {
         return Err((StatusCode::NOT_FOUND, "no path group takes this method and path\n"));
     };
-    let rules = &site.groups[group].rules;
+    let rules = &route.rules;
     let bad = |text| Err((StatusCode::BAD_REQUEST, text));
     let mark = parts.headers.get(MARK);
     if mark.is_some_and(|mark| !heads::is_mark(mark.as_bytes())) {
@@ -162,15 +164,20 @@
     if asked_time == Some(None) {
         return bad("time-out: expected up to 8 digits and H, M, S, m, u or n\n");
     }
+    let customer = text(&site.headers.customer).and_then(|name| Some((routes.tenant(name)?, name)));
     let asked = Asked {
-        group,
-        customer: text(&site.headers.customer).and_then(|name| site.customers.iter().position(|c| c == name)),
+        group: route.group(),
+        customer: customer.map(|(index, _)| index),
         key: parts.headers.get(&site.headers.key).map_or(0, |key| mark_of(key.as_bytes())),
         // A client may wait less than its path group allows, never longer.
         left: asked_time.flatten().unwrap_or(Ns::MAX).min(rules.client_timeout),
         cost_hint: text(&site.headers.cost_hint).and_then(heads::cost_hint),
         repeat: false,
     };
+    let work = shell.guard.as_ref().filter(|_| route.guard != Guard::Off);
+    let customer = work.and(customer).map(|(_, name)| name.to_string());
+    // A request that waits for its body holds its own route, not the table.
+    drop(routes);
     let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit\n");
     if body.size_hint().lower() > door.body_bytes as u64 {
         return Err(too_large);
@@ -191,13 +198,12 @@
     headers.remove(CONTENT_LENGTH);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (mut headers, uri) = heads::apart(&headers, path);
-    let guarded = shell.guard.as_ref().filter(|_| site.groups[group].guard != Guard::Off);
-    let guarded = guarded.map(|guard| {
+    let guarded = work.map(|guard| {
         let named = headers.get(MARK).or(headers.get(&site.headers.mark));
-        guarded::of(guard, &site.groups[group], named, (&parts.method, path, &body))
+        guarded::of(guard, &route, customer, named, (&parts.method, path, &body))
     });
     headers.append(VIA, shell.via.clone());
-    Ok((asked, Ask { method: parts.method, uri, headers, body, stream: rules.stream, guarded }))
+    Ok((asked, Ask { method: parts.method, uri, headers, body, route, guarded }))
 }
 
 /// Carries one forward out and tells the engine how it ended.
@@ -275,7 +281,7 @@
         going.iter().for_each(Going::never_ran);
     }
     heads::strip_hop_by_hop(&mut parts.headers);
-    let read = match ask.stream {
+    let read = match ask.route.rules.stream {
         true => Ok((Bytes::new(), false)),
         false => collect(&mut body, shell.site.door.answer_bytes).await,
     };
--- a/crates/sidecar/src/shell.rs
+++ b/crates/sidecar/src/shell.rs
@@ -7,12 +7,13 @@
 use crate::hub::{Hub, Outside};
 use crate::links::Links;
 use crate::proxy::{self, Ask, Body};
+use crate::routes::RouteTable;
 use havenplank::port::*;
 use havenplank_feeds::{desk, nodes};
 use havenplank_settings::Site;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Response;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,8 @@
 /// The line protocols around the engine, and what all tasks of one sidecar share.
 pub struct Lines {
     pub site: Site,
+    /// The routes in force; swapped whole.
+    pub routes: RefCell<Rc<RouteTable>>,
     pub links: Links,
     pub via: HeaderValue,
     pub timeout_header: HeaderName,
@@ -116,6 +119,11 @@
         self.stopping.get() || self.look().held().max(guarded) >= self.site.door.hits
     }
 
+    /// The routes in force now; whoever holds them goes on by them.
+    pub fn routes(&self) -> Rc<RouteTable> {
+        self.routes.borrow().clone()
+    }
+
     pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
         HeaderValue::from_str(self.look().pod_name(pod)?).ok()
     }
--- /dev/null
+++ b/crates/sidecar/src/slots.rs
@@ -0,0 +1,161 @@
+//! The indices that routes have in the decision module: which are in force, and which a request still holds.
+
+use havenplank::logic::GroupChange;
+use havenplank::port::{GroupId, Ns, PathGroup};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+/// The index of one version of a route. As long as a copy of it lives, the index means that version and no other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slot(Rc<GroupId>);
+
+impl Slot {
+    pub fn group(&self) -> GroupId {
+        *self.0
+    }
+}
+
+/// How many slots there are, for whoever checks that they stay bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotCounts {
+    /// Given out at any time: no more than routes and requests that were held at once.
+    pub all: usize,
+    pub in_force: usize,
+    /// Replaced or removed, and held by a request or a route table.
+    pub retired: usize,
+}
+
+struct Row {
+    name: String,
+    rules: PathGroup,
+    bucket: usize,
+    in_force: bool,
+    slot: Slot,
+}
+
+impl Row {
+    fn is_free(&self) -> bool {
+        !self.in_force && Rc::strong_count(&self.slot.0) == 1
+    }
+}
+
+/// All slots of one engine. A changed route gets a slot of its own; the one before it is given to another route only
+/// when nothing holds it any more.
+pub(crate) struct Slots {
+    rows: Vec<Row>,
+    /// The latest slot of each name; also of a route that was removed, until its slot is given to another.
+    latest: HashMap<String, GroupId>,
+    /// How many slots count their requests in a bucket; one that none uses is free.
+    bucket_users: Vec<usize>,
+}
+
+impl Slots {
+    pub fn new(routes: impl Iterator<Item = (String, PathGroup)>) -> Slots {
+        let mut slots = Slots { rows: Vec::new(), latest: HashMap::new(), bucket_users: Vec::new() };
+        for (name, rules) in routes {
+            let group = slots.rows.len();
+            slots.latest.entry(name.clone()).or_insert(group);
+            slots.bucket_users.push(1);
+            slots.rows.push(Row { name, rules, bucket: group, in_force: true, slot: Slot(Rc::new(group)) });
+        }
+        slots
+    }
+
+    /// The slot of a request that comes under this index.
+    pub fn hold(&self, group: GroupId) -> Option<Slot> {
+        self.rows.get(group).map(|row| row.slot.clone())
+    }
+
+    /// The slot in force of this name.
+    pub fn find(&self, name: &str) -> Option<GroupId> {
+        self.latest.get(name).copied().filter(|group| self.rows[*group].in_force)
+    }
+
+    pub fn in_force(&self) -> Vec<Slot> {
+        self.rows.iter().filter(|row| row.in_force).map(|row| row.slot.clone()).collect()
+    }
+
+    /// The longest client time-out of all that are in force or held.
+    pub fn longest_time_out(&self) -> Ns {
+        let used = self.rows.iter().filter(|row| !row.is_free());
+        used.map(|row| row.rules.client_timeout).max().unwrap_or(0)
+    }
+
+    pub fn counts(&self) -> SlotCounts {
+        let in_force = self.rows.iter().filter(|row| row.in_force).count();
+        let free = self.rows.iter().filter(|row| row.is_free()).count();
+        SlotCounts { all: self.rows.len(), in_force, retired: self.rows.len() - in_force - free }
+    }
+
+    /// Puts these routes in force in place of all before. The slot of each, in their order, and what has changed for
+    /// the decisions. A route that stays as it was keeps its slot; names are expected once each.
+    pub fn replace(&mut self, routes: &[(String, PathGroup)]) -> (Vec<Slot>, Vec<GroupChange>) {
+        let names: HashSet<&str> = routes.iter().map(|(name, _)| name.as_str()).collect();
+        let mut free = self.free_slots(&names);
+        let kept: HashSet<GroupId> = routes.iter().filter_map(|route| self.unchanged(route)).collect();
+        for (group, row) in self.rows.iter_mut().enumerate() {
+            row.in_force &= kept.contains(&group);
+        }
+        let mut free_buckets = None;
+        let (mut slots, mut changes) = (Vec::with_capacity(routes.len()), Vec::new());
+        for route @ (name, rules) in routes {
+            if let Some(group) = self.unchanged(route) {
+                slots.push(self.rows[group].slot.clone());
+                continue;
+            }
+            let predecessor = self.latest.get(name).copied();
+            let bucket = match predecessor {
+                Some(known) => self.rows[known].bucket,
+                None => self.free_bucket(&mut free_buckets),
+            };
+            self.bucket_users[bucket] += 1;
+            let group = free.pop().unwrap_or(self.rows.len());
+            let slot = Slot(Rc::new(group));
+            let row = Row { name: name.clone(), rules: *rules, bucket, in_force: true, slot: slot.clone() };
+            match self.rows.get_mut(group) {
+                None => self.rows.push(row),
+                Some(known) => {
+                    let before = std::mem::replace(known, row);
+                    self.forget(&before, group);
+                }
+            }
+            self.latest.insert(name.clone(), group);
+            slots.push(slot);
+            changes.push(GroupChange { group, rules: *rules, predecessor, bucket });
+        }
+        (slots, changes)
+    }
+
+    /// Slots that nothing holds, but for those whose routes come back under their names: they are predecessors.
+    fn free_slots(&self, names: &HashSet<&str>) -> Vec<GroupId> {
+        let comes_back =
+            |group: GroupId, name: &str| names.contains(name) && self.latest.get(name) == Some(&group);
+        let free = |(group, row): &(GroupId, &Row)| row.is_free() && !comes_back(*group, &row.name);
+        self.rows.iter().enumerate().filter(free).map(|(group, _)| group).collect()
+    }
+
+    /// The slot in force of a route that stays as it is.
+    fn unchanged(&self, (name, rules): &(String, PathGroup)) -> Option<GroupId> {
+        self.find(name).filter(|group| self.rows[*group].rules == *rules)
+    }
+
+    /// A bucket that no slot uses. Those that were free at the start of a replacement are looked up once.
+    fn free_bucket(&mut self, free: &mut Option<Vec<usize>>) -> usize {
+        let users = &self.bucket_users;
+        let free =
+            free.get_or_insert_with(|| (0..users.len()).filter(|bucket| users[*bucket] == 0).collect());
+        let unused = std::iter::from_fn(|| free.pop()).find(|bucket| users[*bucket] == 0);
+        unused.unwrap_or_else(|| {
+            self.bucket_users.push(0);
+            self.bucket_users.len() - 1
+        })
+    }
+
+    /// Ends what a slot was before it was given to another route.
+    fn forget(&mut self, before: &Row, group: GroupId) {
+        self.bucket_users[before.bucket] -= 1;
+        if self.latest.get(&before.name) == Some(&group) {
+            self.latest.remove(&before.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/routes.rs
@@ -0,0 +1,236 @@
+//! The route table against the linear scan it replaces, and the slots that routes have in the decisions.
+
+use havenplank::port::{Ended, Kind, Ns, PathGroup, PodState, Scope};
+use havenplank_feeds::nodes::Listed;
+use havenplank_settings::{Group, Guard};
+use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
+use havenplank_sidecar::routes::RouteTable;
+use havenplank_sidecar::slots::{Slot, SlotCounts};
+use havenplank_sidecar::told::Terms;
+use proptest::prelude::*;
+use std::collections::HashSet;
+use std::path::Path;
+use std::sync::LazyLock;
+
+const MS: Ns = 1_000_000;
+const S: Ns = 1_000 * MS;
+const METHODS: [&str; 3] = ["GET", "POST", "DELETE"];
+
+fn rules(target_latency: Ns) -> PathGroup {
+    PathGroup {
+        kind: Kind::Repeatable,
+        scope: Scope::All,
+        repeat_window: 0,
+        target_latency,
+        client_timeout: 10 * S,
+        benefit: 1.0,
+        late_benefit: 1.0,
+        stream: false,
+    }
+}
+
+fn group(name: String, methods: Vec<String>, paths: Vec<String>) -> Group {
+    Group { name, methods, paths, rules: rules(S), guard: Guard::Off }
+}
+
+/// An engine without routes of its own settings.
+fn engine(per_group: bool) -> Engine {
+    static TERMS: LazyLock<Terms> = LazyLock::new(|| {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/site.star");
+        let site = havenplank_settings::load(&file, &Default::default());
+        Terms::from(&site.unwrap_or_else(|problems| panic!("{problems}")))
+    });
+    let mut terms = TERMS.clone();
+    terms.groups.clear();
+    terms.exposure.per_group = per_group;
+    Engine::new(EPOCH, 1, &terms)
+}
+
+fn slots(engine: &mut Engine, groups: &[Group]) -> Vec<Slot> {
+    let routes: Vec<_> = groups.iter().map(|group| (group.name.clone(), group.rules)).collect();
+    engine.set_routes(EPOCH, &routes)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(1_000) })]
+
+    #[test]
+    fn any_patterns_and_paths_find_what_the_linear_scan_finds(
+        patterns in proptest::collection::vec(
+            (
+                proptest::collection::vec(proptest::sample::select(METHODS.to_vec()), 0..3),
+                proptest::collection::vec("(/[ab/ä*]{0,5}\\*?|\\*|)", 1..4),
+            ),
+            0..12,
+        ),
+        requests in proptest::collection::vec(
+            (proptest::sample::select(METHODS.to_vec()), "(/[ab/ä*]{0,7}|)"),
+            1..12,
+        ),
+    ) {
+        let groups: Vec<Group> = patterns
+            .into_iter()
+            .enumerate()
+            .map(|(n, (methods, paths))| {
+                group(format!("r-{n}"), methods.into_iter().map(str::to_string).collect(), paths)
+            })
+            .collect();
+        let slots = slots(&mut engine(false), &groups);
+        let table = RouteTable::new(&groups, slots, &[]);
+        for (method, path) in requests {
+            let wanted = groups.iter().find(|group| group.fits(method, &path)).map(|group| group.name.as_str());
+            let found = table.find(method, &path).map(|route| route.name.as_str());
+            prop_assert_eq!(found, wanted, "{} {:?}", method, path);
+        }
+    }
+
+    #[test]
+    fn no_two_routes_that_are_held_or_in_force_share_a_slot(
+        versions in proptest::collection::vec(
+            (proptest::collection::vec((0..8usize, 1..4u64), 0..8), any::<bool>()),
+            1..20,
+        ),
+    ) {
+        let mut engine = engine(true);
+        let mut held: Vec<(Slot, (String, PathGroup))> = Vec::new();
+        let mut before: Vec<Slot> = Vec::new();
+        let mut most = 0;
+        for (routes, hold) in versions {
+            let mut names = HashSet::new();
+            let routes: Vec<(String, PathGroup)> = routes
+                .into_iter()
+                .filter(|(name, _)| names.insert(*name))
+                .map(|(name, target)| (format!("r-{name}"), rules(target * S)))
+                .collect();
+            let slots = engine.set_routes(EPOCH, &routes);
+            // The table of the version before is dropped once the new one is in force.
+            before = slots.clone();
+            if hold {
+                held.extend(slots.iter().cloned().zip(routes.iter().cloned()));
+            } else {
+                held.truncate(held.len() / 2);
+            }
+            for (slot, route) in slots.iter().zip(&routes) {
+                for (other, known) in &held {
+                    prop_assert!(slot.group() != other.group() || route == known, "{:?} {:?}", route, known);
+                }
+            }
+            let indices: HashSet<usize> = slots.iter().map(Slot::group).collect();
+            prop_assert_eq!(indices.len(), routes.len());
+            let distinct: HashSet<usize> = held.iter().map(|(slot, _)| slot.group()).chain(indices).collect();
+            let counts = engine.slot_counts();
+            prop_assert_eq!((counts.in_force, counts.in_force + counts.retired), (routes.len(), distinct.len()));
+            // The most that two versions and all that is held could ever ask for.
+            most = most.max(2 * 8 + held.len());
+            prop_assert!(counts.all <= most, "{:?} {}", counts, most);
+        }
+        drop(before);
+    }
+}
+
+#[test]
+fn a_lookup_among_many_routes_finds_the_right_one_and_the_first_wins_across_kinds_of_pattern() {
+    let mut groups: Vec<Group> =
+        (0..4_500).map(|n| group(format!("r-{n}"), vec![], vec![format!("/team-{n}/api/*")])).collect();
+    groups.push(group("late-whole".into(), vec![], vec!["/team-7/api/x".into()]));
+    groups.push(group("rest".into(), vec!["GET".into()], vec!["/*".into()]));
+    let slots = slots(&mut engine(false), &groups);
+    let table = RouteTable::new(&groups, slots, &["first".into(), "second".into(), "first".into()]);
+    assert_eq!(table.len(), 4_502);
+    let name = |method, path| table.find(method, path).map(|route| route.name.as_str());
+    assert_eq!(name("GET", "/team-4321/api/a/b"), Some("r-4321"));
+    assert_eq!(name("GET", "/team-7/api/x"), Some("r-7"), "the first of the script, not the longest pattern");
+    assert_eq!((name("GET", "/other"), name("PUT", "/other")), (Some("rest"), None));
+    assert_eq!(table.named("r-12").map(|route| route.group()), Some(12));
+    assert_eq!((table.tenant("first"), table.tenant("second"), table.tenant("x")), (Some(0), Some(1), None));
+}
+
+fn listed(n: u16) -> Listed {
+    Listed {
+        name: format!("pod-{n}"),
+        address: ([127, 0, 0, 1], 4000 + n).into(),
+        state: PodState::Running,
+        build: 1,
+        life: 1,
+        age: 0,
+        zone: "room-1".to_string(),
+        machine: "three-core".to_string(),
+        cell: 0,
+        size: 3.0,
+    }
+}
+
+fn ask(engine: &mut Engine, slot: &Slot) -> (u64, Ns) {
+    let asked =
+        Asked { group: slot.group(), customer: None, key: 0, left: 10 * S, cost_hint: None, repeat: false };
+    let hit = engine.hit(EPOCH, asked);
+    let effects: Vec<Effect> = std::iter::from_fn(|| engine.effect()).collect();
+    let time_out = effects.iter().find_map(|effect| match effect {
+        Effect::Forward { hit: known, time_out, .. } if *known == hit => Some(*time_out),
+        _ => None,
+    });
+    (hit, time_out.unwrap_or_else(|| panic!("no forward in {effects:?}")))
+}
+
+#[test]
+fn a_request_ends_by_the_rules_it_began_with_and_its_slot_is_free_only_then() {
+    let mut engine = engine(true);
+    engine.begin(EPOCH);
+    engine.list(EPOCH, true, (0..4).map(listed).collect());
+    let old = engine.set_routes(EPOCH, &[("a".into(), rules(2 * S)), ("b".into(), rules(3 * S))]);
+    let (hit, time_out) = ask(&mut engine, &old[0]);
+    assert_eq!(time_out, 2 * S);
+    let mutating = PathGroup { kind: Kind::Mutating, ..rules(5 * S) };
+    let new = engine.set_routes(EPOCH, &[("a".into(), mutating), ("b".into(), rules(3 * S))]);
+    assert_eq!(old[1], new[1], "an unchanged route keeps its slot");
+    assert_ne!(old[0].group(), new[0].group());
+    let (other, time_out) = ask(&mut engine, &new[0]);
+    assert_eq!(time_out, 10 * S, "non-idempotent: the whole time its client waits");
+    // After a failure the old one is tried again, as its rules allow; the new one must not be.
+    drop(old);
+    assert_eq!(engine.slot_counts(), SlotCounts { all: 3, in_force: 2, retired: 1 });
+    for (hit, retried) in [(hit, true), (other, false)] {
+        engine.ended(EPOCH + 10 * MS, hit, 0, Ended::Reset, 10 * MS, None);
+        let effects: Vec<Effect> = std::iter::from_fn(|| engine.effect()).collect();
+        let again = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Forward { hit: known, nth: 1, .. } if *known == hit));
+        let failed = effects.contains(&Effect::Error { hit, late: false });
+        assert_eq!((again, failed), (retried, !retried), "{effects:?}");
+    }
+    // While the old request is out, no route may get its slot.
+    let third = engine.set_routes(EPOCH, &[("a".into(), mutating), ("c".into(), rules(S))]);
+    assert_eq!(third[1].group(), 3, "slot 0 is held by a request, slots 1 and 2 by tables");
+    assert!(engine.ended(EPOCH + 20 * MS, hit, 1, Ended::Delivered, 10 * MS, None));
+    drop((new, third));
+    assert_eq!(engine.slot_counts(), SlotCounts { all: 4, in_force: 2, retired: 0 });
+    let fourth =
+        engine.set_routes(EPOCH, &[("a".into(), mutating), ("c".into(), rules(S)), ("d".into(), rules(S))]);
+    assert!([0, 1].contains(&fourth[2].group()), "free by now");
+    assert_eq!(engine.slot_counts().all, 4);
+}
+
+#[test]
+fn a_thousand_changes_leave_no_more_slots_than_two_versions_need() {
+    let mut engine = engine(true);
+    let mut table = Vec::new();
+    for version in 0..1_000u64 {
+        let routes: Vec<(String, PathGroup)> =
+            (0..50).map(|n| (format!("r-{n}"), rules(S + (version * (n % 2)) * MS))).collect();
+        table = engine.set_routes(EPOCH, &routes);
+    }
+    assert_eq!(table.len(), 50);
+    let counts = engine.slot_counts();
+    assert_eq!((counts.in_force, counts.retired), (50, 0));
+    assert!(counts.all <= 100, "{counts:?}");
+}
+
+#[test]
+fn tallies_and_flags_find_a_route_by_its_name_as_long_as_it_is_in_force() {
+    let mut engine = engine(false);
+    engine.list(EPOCH, true, vec![listed(0)]);
+    engine.set_routes(EPOCH, &[("a".into(), rules(S))]);
+    assert!(engine.flagged(EPOCH, "pod-0", "a", 0));
+    engine.set_routes(EPOCH, &[("b".into(), rules(S))]);
+    assert!(!engine.flagged(EPOCH, "pod-0", "a", 0) && engine.flagged(EPOCH, "pod-0", "b", 0));
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,8 +8,8 @@
 //! failures fall on the build on trial beyond its share of forwards, `Voter` turns the sum into a vote.
 
 use crate::port::*;
-pub use crate::state::Logic;
 use crate::state::*;
+pub use crate::state::{GroupChange, Logic};
 use crate::tail::part_of_chance;
 use oorandom::Rand64;
 use std::cell::RefCell;
@@ -418,8 +418,6 @@
             limit: Limit { most: Limit::START, out: 0, cut_at: 0, late: 0.0 },
             taken: Window::new(Logic::RETRY_WINDOW, SLICES),
             retried: Window::new(Logic::RETRY_WINDOW, SLICES),
-            mean: groups.iter().map(|group| group.target_latency as f64 / 6.0).collect(),
-            slowest: vec![Vec::new(); groups.len()],
             chance: Rand64::new(seed as u128),
             list_wait: 0,
             stage: None,
@@ -427,7 +425,7 @@
             place,
             rules,
             lists,
-            groups,
+            groups: Groups::new(groups, |group| group.target_latency as f64 / 6.0),
         }
     }
 
@@ -583,7 +581,7 @@
         // A time left read from a trace may be anything.
         let until = [hit.left, group.target_latency].map(|span| now.saturating_add(span));
         let trip = Rc::new(RefCell::new(Trip::new(now, &hit, until, past, &self.pods.table)));
-        let worth = group.benefit / self.groups.iter().map(|group| group.benefit).fold(1e-9, f64::max);
+        let worth = group.benefit / self.groups.most_benefit;
         if (self.limit.out as f64) < self.limit.most * (0.75 + 0.25 * worth) {
             return self.step(host, trip);
         }
@@ -636,7 +634,7 @@
     fn plan_copy(&mut self, host: &mut dyn Host, trip: &Rc<RefCell<Trip>>, pod: PodId) {
         let group = trip.borrow().group;
         let entry = self.pods.table.get(pod).map(|pod| pod.entry);
-        let usual = self.slowest[group].get(entry.map_or(0, |e| e.machine)).copied().unwrap_or(0.0);
+        let usual = self.groups.slowest(group, entry.map_or(0, |e| e.machine)).unwrap_or(0.0);
         let after = (Logic::COPY_AFTER * usual) as Ns;
         let in_time = host.now().saturating_add(after) < trip.borrow().target_at;
         let once = trip.borrow().tried.len() == 1 && self.groups[group].kind != Kind::Mutating;
@@ -713,7 +711,7 @@
     fn pace(&mut self, trip: &Trip, sent: &Sent, outcome: &Outcome) -> (bool, f64) {
         let learn = !self.on_trial() || self.hits < Logic::LEARN;
         let answered = outcome.end == Ended::Delivered;
-        let (mean, by_machine) = (&mut self.mean[trip.group], &mut self.slowest[trip.group]);
+        let (mean, by_machine) = self.groups.learnt(trip.group);
         if by_machine.len() <= sent.entry.machine {
             by_machine.resize(sent.entry.machine + 1, 2.5 * *mean);
         }
--- a/src/port.rs
+++ b/src/port.rs
@@ -56,7 +56,7 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct PathGroup {
     pub kind: Kind,
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,8 +4,10 @@
 use crate::port::*;
 use oorandom::Rand64;
 use std::collections::HashSet;
+use std::ops::Index;
 
 /// Counts over a sliding window, kept in slices. Slices empty as the window moves on.
+#[derive(Clone)]
 pub struct Window {
     slice: Ns,
     at: Ns,
@@ -311,12 +313,16 @@
 pub struct Exposure {
     pub rules: ExposureRules,
     pub started: Ns,
+    /// The window of each path group that its hits are counted in. Path groups that follow one another under one name
+    /// share it: a cap counts by name, whatever version of the rules a hit began with.
+    buckets: Vec<usize>,
     pub taken: Vec<Window>,
     /// Emptied of a build when no listed pod runs it and it is no longer on trial.
     pub sent: Vec<(Build, Vec<Window>)>,
     /// The part of the cap in use, and when that was last weighed.
     pub part: f64,
     pub weighed: Ns,
+    slices: usize,
     /// Keys that the newest build has answered, where that binds them to it; emptied when it goes back or the
     /// next one comes, and no longer than `MOST_KEYS`.
     pub bound: HashSet<u64>,
@@ -325,9 +331,27 @@
 impl Exposure {
     pub fn new(rules: ExposureRules, now: Ns, groups: usize, part: f64, slices: usize) -> Exposure {
         let counted = if rules.per_group { groups } else { 1 };
-        let taken = (0..counted).map(|_| Window::new(rules.window, slices)).collect();
+        let (taken, buckets) = (vec![Window::new(rules.window, slices); counted], (0..groups).collect());
         let (sent, bound) = (Vec::new(), HashSet::new());
-        Exposure { rules, started: now, taken, sent, part, weighed: now, bound }
+        Exposure { rules, started: now, buckets, slices, taken, sent, part, weighed: now, bound }
+    }
+
+    /// Counts a path group's hits in this window: its predecessor's, or a fresh one where it has none.
+    fn set_bucket(&mut self, group: GroupId, bucket: usize, fresh: bool) {
+        if self.buckets.len() <= group {
+            self.buckets.resize(group + 1, 0);
+        }
+        self.buckets[group] = bucket;
+        if self.rules.per_group && fresh {
+            let empty = Window::new(self.rules.window, self.slices);
+            let counted = self.sent.iter_mut().map(|(_, windows)| windows).chain([&mut self.taken]);
+            for windows in counted {
+                if windows.len() <= bucket {
+                    windows.resize(bucket + 1, empty.clone());
+                }
+                windows[bucket] = empty.clone();
+            }
+        }
     }
 
     /// What a cap and the free forwards together are of the hits taken in a window.
@@ -339,7 +363,7 @@
 
     /// The window that hits of a path group are counted in.
     pub fn bucket(&self, group: GroupId) -> usize {
-        group * self.rules.per_group as usize
+        self.buckets[group] * self.rules.per_group as usize
     }
 
     /// The windows of a build's forwards, one for each that hits are counted in.
@@ -446,11 +470,80 @@
     pub first: bool,
 }
 
+/// A path group that is new under an index, or whose rules have changed.
+pub struct GroupChange {
+    pub group: GroupId,
+    pub rules: PathGroup,
+    /// The one of the same name before it, whose learnt answer times and counts against the cap it goes on with.
+    pub predecessor: Option<GroupId>,
+    /// The counting window: its predecessor's, else one that no other path group uses.
+    pub bucket: usize,
+}
+
+/// The path groups by index, with what was learnt of each.
+pub struct Groups {
+    rules: Vec<PathGroup>,
+    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep,
+    /// by machine since a new build starts on few.
+    mean: Vec<f64>,
+    slowest: Vec<Vec<f64>>,
+    /// The mean of a path group of which nothing is learnt yet.
+    first_mean: fn(&PathGroup) -> f64,
+    /// The greatest benefit of those in force, so that no hit has to look through them.
+    pub most_benefit: f64,
+}
+
+fn most_benefit<'a>(groups: impl Iterator<Item = &'a PathGroup>) -> f64 {
+    groups.map(|group| group.benefit).fold(1e-9, f64::max)
+}
+
+impl Groups {
+    pub fn new(rules: Vec<PathGroup>, first_mean: fn(&PathGroup) -> f64) -> Groups {
+        let mean = rules.iter().map(first_mean).collect();
+        let (slowest, most_benefit) = (vec![Vec::new(); rules.len()], most_benefit(rules.iter()));
+        Groups { rules, mean, slowest, first_mean, most_benefit }
+    }
+
+    fn set(&mut self, change: &GroupChange) {
+        let GroupChange { group, rules, predecessor, .. } = *change;
+        let (mean, slowest) = match predecessor {
+            Some(known) => (self.mean[known], self.slowest[known].clone()),
+            None => ((self.first_mean)(&rules), Vec::new()),
+        };
+        if self.rules.len() <= group {
+            self.rules.resize(group + 1, rules);
+            self.mean.resize(group + 1, mean);
+            self.slowest.resize(group + 1, Vec::new());
+        }
+        self.rules[group] = rules;
+        self.mean[group] = mean;
+        self.slowest[group] = slowest;
+    }
+
+    /// The mean answer time of a path group, and by machine what nine in ten answers keep.
+    pub fn learnt(&mut self, group: GroupId) -> (&mut f64, &mut Vec<f64>) {
+        (&mut self.mean[group], &mut self.slowest[group])
+    }
+
+    /// What nine in ten answers keep on a machine, where any came.
+    pub fn slowest(&self, group: GroupId, machine: usize) -> Option<f64> {
+        self.slowest[group].get(machine).copied()
+    }
+}
+
+impl Index<GroupId> for Groups {
+    type Output = PathGroup;
+
+    fn index(&self, group: GroupId) -> &PathGroup {
+        &self.rules[group]
+    }
+}
+
 /// The module's state: its parts, and what only their interplay needs.
 pub struct Logic {
     pub(crate) chance: Rand64,
     pub(crate) place: Place,
-    pub(crate) groups: Vec<PathGroup>,
+    pub(crate) groups: Groups,
     pub(crate) rules: ForwardRules,
     pub(crate) lists: ListRules,
     pub(crate) list_wait: Ns,
@@ -463,13 +556,22 @@
     pub(crate) taken: Window,
     pub(crate) retried: Window,
     pub(crate) hits: u32,
-    /// Of each path group the mean answer time, and for each machine the time that nine in ten answers keep,
-    /// by machine since a new build starts on few.
-    pub(crate) mean: Vec<f64>,
-    pub(crate) slowest: Vec<Vec<f64>>,
 }
 
 impl Logic {
+    /// Takes changed path groups in, between two calls: hits under way keep the index, and so the rules, that they
+    /// began with. `in_force` are the path groups that hits may still be taken for.
+    pub fn set_groups(&mut self, changes: &[GroupChange], in_force: &[GroupId]) {
+        for change in changes {
+            self.groups.set(change);
+            self.exposure.set_bucket(change.group, change.bucket, change.predecessor.is_none());
+        }
+        let rules = || in_force.iter().map(|group| &self.groups.rules[*group]);
+        let quiet = rules().map(|group| group.target_latency).min();
+        self.pods.quiet = quiet.unwrap_or(self.pods.quiet);
+        self.groups.most_benefit = most_benefit(rules());
+    }
+
     /// The sums on failures, on slow answers and of the trial by share, for whoever watches.
     pub fn sums(&self) -> (f64, f64, f64) {
         (self.judge.sum, self.judge.slow_sum, self.judge.slot_sum)
