Simulated network: a delay of its own for each two parts, and a queue of wakes

Cause: a fleet in zones and regions needs other delays near and far, and each step looked at every part for the next wake. Change: an optional delay by sender and receiver, and wakes kept in order, entered anew only for parts that were touched.

--- a/crates/stand/src/net.rs
+++ b/crates/stand/src/net.rs
@@ -84,12 +84,17 @@
     pub bytes: Vec<u8>,
 }
 
+/// How long a datagram from the first part to the second is under way, at least and at most.
+pub type Delay = Box<dyn Fn(Id, Id) -> (Ns, Ns)>;
+
 struct Place<P> {
     part: Option<P>,
     at: SocketAddr,
     clock: Clock,
     paused: bool,
     buffer: VecDeque<Vec<u8>>,
+    /// Its entry in [`Net::wakes`].
+    wakes_at: Option<Ns>,
 }
 
 pub struct Net<P> {
@@ -99,7 +104,12 @@
     /// Datagrams under way, by when they arrive.
     flying: BTreeMap<(Ns, u64), (Id, Vec<u8>)>,
     flown: u64,
+    /// When each part that is not paused wakes next; those in `touched` are entered anew before the next step.
+    wakes: BTreeSet<(Ns, Id)>,
+    touched: Vec<Id>,
     pub weather: Weather,
+    /// Takes the place of the weather's delay where it is given: zones and regions lie apart.
+    pub delay: Option<Delay>,
     /// One-way cuts: from the first nothing reaches the second.
     cut: BTreeSet<(Id, Id)>,
     chance: Rand64,
@@ -118,7 +128,10 @@
             by_address: BTreeMap::new(),
             flying: BTreeMap::new(),
             flown: 0,
+            wakes: BTreeSet::new(),
+            touched: Vec::new(),
             weather,
+            delay: None,
             cut: BTreeSet::new(),
             chance: Rand64::new(seed as u128),
             carried: 0,
@@ -150,8 +163,10 @@
     pub fn join(&mut self, clock: Clock, make: impl FnOnce(Ns, SocketAddr) -> P) -> Id {
         let (id, at) = (self.places.len(), Self::address(self.places.len()));
         let part = Some(make(clock.own(self.now), at));
-        self.places.push(Place { part, at, clock, paused: false, buffer: VecDeque::new() });
+        let buffer = VecDeque::new();
+        self.places.push(Place { part, at, clock, paused: false, buffer, wakes_at: None });
         self.by_address.insert(at, id);
+        self.touched.push(id);
         id
     }
 
@@ -160,6 +175,7 @@
     }
 
     pub fn part_mut(&mut self, id: Id) -> Option<&mut P> {
+        self.touched.push(id);
         self.places[id].part.as_mut()
     }
 
@@ -171,6 +187,7 @@
     pub fn kill(&mut self, id: Id) {
         self.places[id].part = None;
         self.places[id].buffer.clear();
+        self.touched.push(id);
     }
 
     pub fn restart(&mut self, id: Id, make: impl FnOnce(Ns, SocketAddr) -> P) {
@@ -178,11 +195,13 @@
         let place = &mut self.places[id];
         place.part = Some(make(own, place.at));
         place.paused = false;
+        self.touched.push(id);
     }
 
     /// Nothing runs in it until it is woken; what comes meanwhile waits, up to a buffer's worth.
     pub fn pause(&mut self, id: Id) {
         self.places[id].paused = true;
+        self.touched.push(id);
     }
 
     pub fn unpause(&mut self, id: Id) {
@@ -241,13 +260,11 @@
     }
 
     /// What comes next: a part's wake, or a datagram where that is due no later.
-    fn next(&self) -> Option<(Ns, Option<Id>)> {
-        let awake = self.places.iter().enumerate().filter(|(_, place)| !place.paused);
-        let due = |(id, place): (Id, &Place<P>)| {
-            let own = place.part.as_ref()?.next_wake()?;
-            Some((place.clock.when(own).max(self.now), Some(id)))
-        };
-        let wake = awake.filter_map(due).min_by_key(|(time, id)| (*time, *id));
+    fn next(&mut self) -> Option<(Ns, Option<Id>)> {
+        while let Some(id) = self.touched.pop() {
+            self.enter_wake(id);
+        }
+        let wake = self.wakes.first().map(|(time, id)| (*time, Some(*id)));
         let flying = self.flying.keys().next().map(|(time, _)| (*time, None));
         match (wake, flying) {
             (Some(wake), Some(flying)) => Some(if flying.0 <= wake.0 { flying } else { wake }),
@@ -255,6 +272,19 @@
         }
     }
 
+    /// Enters when the part wakes next, in place of what stood there.
+    fn enter_wake(&mut self, id: Id) {
+        let place = &mut self.places[id];
+        let part = place.part.as_ref().filter(|_| !place.paused);
+        let due = part.and_then(Part::next_wake).map(|own| place.clock.when(own).max(self.now));
+        if let Some(before) = std::mem::replace(&mut place.wakes_at, due) {
+            self.wakes.remove(&(before, id));
+        }
+        if let Some(due) = due {
+            self.wakes.insert((due, id));
+        }
+    }
+
     fn arrive(&mut self) -> Id {
         let Some((_, (to, bytes))) = self.flying.pop_first() else { return 0 };
         let own = self.own_time(to);
@@ -275,6 +305,7 @@
 
     /// Takes what a part has to send and puts it on its way.
     pub fn post(&mut self, from: Id) {
+        self.touched.push(from);
         while let Some((at, bytes)) = self.places[from].part.as_mut().and_then(Part::datagram) {
             self.carried += 1;
             self.carried_bytes += bytes.len() as u64;
@@ -288,7 +319,7 @@
             let copies = 1 + (self.chance.rand_float() < self.weather.repeat) as usize;
             self.write(Some(from), Some(to), Fate::Goes(copies), &bytes);
             for _ in 0..copies {
-                let (least, most) = self.weather.delay;
+                let (least, most) = self.delay.as_ref().map_or(self.weather.delay, |delay| delay(from, to));
                 let delay = self.chance.rand_range(least..most.max(least) + 1);
                 self.flown += 1;
                 self.flying.insert((self.now + delay, self.flown), (to, bytes.clone()));
