--- /dev/null
+++ b/crates/configuration/src/chunk.rs
@@ -0,0 +1,213 @@
+//! A snapshot in pieces, for peers that are too far behind for deltas.
+
+use crate::bucket::{Bucket, Place, BUCKETS};
+use crate::delta::append;
+use crate::digest::Digest;
+use crate::error::{ChunkError, DecodeError};
+use crate::record::{Record, RecordKind};
+use crate::snapshot::Snapshot;
+use crate::version::Version;
+use serde::{Deserialize, Serialize};
+use std::io::Read;
+use std::sync::Arc;
+
+/// The longest body of a chunk of several buckets, compressed.
+pub const CHUNK_BYTES: usize = 32 << 10;
+/// The longest body of a chunk at all: one bucket alone may be larger than [`CHUNK_BYTES`].
+pub const MAX_CHUNK_BYTES: usize = 1 << 20;
+/// The longest body of a chunk once decompressed.
+pub const MAX_CHUNK_RAW_BYTES: usize = 8 << 20;
+/// What is gathered before it is compressed: tenants shrink to less than a quarter.
+const GATHER_BYTES: usize = 6 * CHUNK_BYTES;
+const COMPRESSION_LEVEL: i32 = 3;
+
+/// What a snapshot consists of, so that a receiver knows which buckets it lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    pub version: Version,
+    pub digest: Digest,
+    /// Of each bucket, in order.
+    pub buckets: Vec<Digest>,
+}
+
+impl Manifest {
+    pub fn of(snapshot: &Snapshot) -> Manifest {
+        Manifest {
+            version: snapshot.version(),
+            digest: snapshot.digest(),
+            buckets: snapshot.bucket_digests(),
+        }
+    }
+}
+
+/// Some whole buckets of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    pub version: Version,
+    pub buckets: Vec<u16>,
+    /// The records of each bucket after their count, compressed with zstd.
+    pub body: Vec<u8>,
+}
+
+/// The next piece: as many of the wanted buckets, from the first on, as fit. `None` when nothing that exists is wanted.
+pub fn chunk(snapshot: &Snapshot, wanted: &[u16]) -> Option<Chunk> {
+    let mut raw = Vec::new();
+    let mut gathered: Vec<(u16, usize)> = Vec::new();
+    for &number in wanted {
+        let Some(bucket) = snapshot.buckets().get(usize::from(number)) else { continue };
+        let start = raw.len();
+        append_bucket(bucket, &mut raw);
+        if raw.len() > GATHER_BYTES && !gathered.is_empty() {
+            raw.truncate(start);
+            break;
+        }
+        gathered.push((number, raw.len()));
+    }
+    while let Some(&(_, end)) = gathered.last() {
+        let body = zstd::bulk::compress(&raw[..end], COMPRESSION_LEVEL).ok()?;
+        if body.len() <= CHUNK_BYTES || gathered.len() == 1 {
+            let buckets = gathered.iter().map(|(number, _)| *number).collect();
+            return Some(Chunk { version: snapshot.version(), buckets, body });
+        }
+        let fitting = gathered.len() * CHUNK_BYTES / body.len();
+        gathered.truncate(fitting.clamp(1, gathered.len() - 1));
+    }
+    None
+}
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub struct Assembly {
+    manifest: Manifest,
+    buckets: Vec<Option<Arc<Bucket>>>,
+}
+
+impl Assembly {
+    /// Begins with the buckets of `base` that are the same.
+    ///
+    /// # Errors
+    /// A manifest that is older than `base` or does not fit itself.
+    pub fn new(base: &Snapshot, manifest: Manifest) -> Result<Assembly, ChunkError> {
+        if manifest.version < base.version() {
+            return Err(ChunkError::OlderVersion { have: base.version(), offered: manifest.version });
+        }
+        if manifest.buckets.len() != BUCKETS {
+            return Err(ChunkError::BucketCount { found: manifest.buckets.len(), expected: BUCKETS });
+        }
+        let mut found = Digest::default();
+        manifest.buckets.iter().for_each(|bucket| found.add_all(bucket));
+        if found != manifest.digest {
+            return Err(ChunkError::ManifestDiffers { expected: manifest.digest, found });
+        }
+        let reused = |(bucket, digest): (&Arc<Bucket>, &Digest)| {
+            (bucket.digest() == *digest).then(|| Arc::clone(bucket))
+        };
+        let buckets = base.buckets().iter().zip(&manifest.buckets).map(reused).collect();
+        Ok(Assembly { manifest, buckets })
+    }
+
+    pub fn version(&self) -> Version {
+        self.manifest.version
+    }
+
+    /// The buckets that are not there yet, in order.
+    pub fn missing(&self) -> Vec<u16> {
+        let numbered = self.buckets.iter().zip(0..);
+        numbered.filter(|(bucket, _)| bucket.is_none()).map(|(_, number)| number).collect()
+    }
+
+    /// Takes a chunk in; one that was taken before changes nothing.
+    ///
+    /// # Errors
+    /// A chunk of another version, or with a bucket that is not what the manifest states. Nothing of it is kept.
+    pub fn take(&mut self, chunk: Chunk) -> Result<(), ChunkError> {
+        if chunk.version != self.manifest.version {
+            return Err(ChunkError::WrongVersion { expected: self.manifest.version, found: chunk.version });
+        }
+        check_numbers(&chunk.buckets)?;
+        let raw = decompress(&chunk.body)?;
+        let mut rest = raw.as_slice();
+        let mut taken = Vec::with_capacity(chunk.buckets.len());
+        for &number in &chunk.buckets {
+            let (bucket, after) = read_bucket(number, rest)?;
+            rest = after;
+            let (expected, found) = (self.manifest.buckets[usize::from(number)], bucket.digest());
+            if found != expected {
+                return Err(ChunkError::DigestDiffers { bucket: number, expected, found });
+            }
+            taken.push((usize::from(number), Arc::new(bucket)));
+        }
+        if !rest.is_empty() {
+            return Err(DecodeError::Trailing { found: rest.len() }.into());
+        }
+        for (at, bucket) in taken {
+            self.buckets[at].get_or_insert(bucket);
+        }
+        Ok(())
+    }
+
+    /// The whole snapshot.
+    ///
+    /// # Errors
+    /// Buckets are missing, or there are too many records.
+    pub fn finish(self) -> Result<Snapshot, ChunkError> {
+        let missing = self.buckets.iter().filter(|bucket| bucket.is_none()).count();
+        if missing > 0 {
+            return Err(ChunkError::Incomplete { missing });
+        }
+        // Each bucket has the digest of the manifest, and those have its digest together.
+        Ok(Snapshot::from_buckets(self.manifest.version, self.buckets.into_iter().flatten().collect())?)
+    }
+}
+
+fn append_bucket(bucket: &Bucket, raw: &mut Vec<u8>) {
+    append(&bucket.records().len(), raw);
+    bucket.records().iter().for_each(|record| append(record, raw));
+}
+
+/// Bucket numbers exist and stand there once each.
+fn check_numbers(numbers: &[u16]) -> Result<(), ChunkError> {
+    let mut seen = [false; BUCKETS];
+    for &bucket in numbers {
+        match seen.get_mut(usize::from(bucket)) {
+            Some(seen) if !*seen => *seen = true,
+            _ => return Err(ChunkError::BadBucket { bucket }),
+        }
+    }
+    Ok(())
+}
+
+fn decompress(body: &[u8]) -> Result<Vec<u8>, ChunkError> {
+    if body.len() > MAX_CHUNK_BYTES {
+        return Err(ChunkError::TooLong { found: body.len(), most: MAX_CHUNK_BYTES });
+    }
+    let refused = ChunkError::Decompress { most: MAX_CHUNK_RAW_BYTES };
+    let Ok(decoder) = zstd::stream::read::Decoder::with_buffer(body) else { return Err(refused) };
+    let mut raw = Vec::new();
+    match decoder.take(MAX_CHUNK_RAW_BYTES as u64 + 1).read_to_end(&mut raw) {
+        Ok(_) if raw.len() <= MAX_CHUNK_RAW_BYTES => Ok(raw),
+        _ => Err(refused),
+    }
+}
+
+/// Reads one bucket; its records are checked, belong there and stand in their order.
+fn read_bucket(number: u16, raw: &[u8]) -> Result<(Bucket, &[u8]), DecodeError> {
+    let (count, mut rest) = postcard::take_from_bytes::<usize>(raw)?;
+    let mut bucket = Bucket::default();
+    let mut last: Option<(RecordKind, u32, String)> = None;
+    for _ in 0..count {
+        let (record, after) = postcard::take_from_bytes::<Record>(rest)?;
+        rest = after;
+        record.check()?;
+        let place = Place::of(record.kind(), record.name());
+        let order = (record.kind(), place.hash, record.name().to_string());
+        let in_order = last.as_ref().is_none_or(|last| *last < order);
+        if !in_order || place.bucket != usize::from(number) {
+            return Err(DecodeError::OutOfOrder { record: record.key() });
+        }
+        last = Some(order);
+        bucket.put(record, place.hash);
+    }
+    bucket.shrink();
+    Ok((bucket, rest))
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -3,4 +3,12 @@
 //! A distributor, the single writer of an epoch, compiles the operator's script into an immutable snapshot; each
 //! change of it is a numbered delta. Sidecars hold the newest version they have heard of, whole or not at all.
 
+mod bucket;
+pub mod chunk;
+pub mod delta;
+pub mod digest;
+pub mod error;
+pub mod history;
+pub mod record;
+pub mod snapshot;
 pub mod version;
--- /dev/null
+++ b/crates/configuration/src/record.rs
@@ -0,0 +1,328 @@
+//! What changes while sidecars run: services, the routes that lead to them, and tenants with their limits.
+
+use crate::error::InvalidRecord;
+use havenplank::port::{Kind, Ns, PathGroup, Scope};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The longest name of a service, route, tenant or zone.
+pub const MAX_NAME_BYTES: usize = 64;
+/// Zones that one service may name.
+pub const MAX_ZONES: usize = 64;
+/// Methods that one route may name.
+pub const MAX_METHODS: usize = 16;
+/// The longest name of a method.
+pub const MAX_METHOD_BYTES: usize = 32;
+/// Path patterns that one route may name.
+pub const MAX_PATHS: usize = 64;
+/// The longest path pattern.
+pub const MAX_PATH_BYTES: usize = 256;
+/// The longest latency target, deadline or idempotency window: a day.
+pub const MAX_SPAN: Ns = 86_400_000_000_000;
+/// The largest benefit of a served request.
+pub const MAX_BENEFIT: f64 = 1e9;
+
+/// A group of pods that answers requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    pub name: String,
+    /// Where its pods may be; empty for any zone.
+    pub zones: Vec<String>,
+}
+
+/// A class of requests and the service that answers them.
+///
+/// Where patterns of several routes match a path, the most specific wins: a whole path before a prefix, a longer
+/// prefix before a shorter one. The order of routes never matters.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    pub name: String,
+    /// The name of a [`Service`].
+    pub service: String,
+    /// Upper case; empty for any.
+    pub methods: Vec<String>,
+    /// Whole paths, or the start of one where the last character is `*`.
+    pub paths: Vec<String>,
+    pub rules: RequestRules,
+}
+
+/// How the requests of a route are treated: [`PathGroup`] and the backup mode, comparable and serialisable.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RequestRules {
+    pub kind: RequestKind,
+    pub scope: IdempotencyScope,
+    /// How long, from the first attempt that may have run, repeats of a keyed request are dropped.
+    pub idempotency_window: Ns,
+    pub latency_target: Ns,
+    pub deadline: Ns,
+    pub benefit: f64,
+    /// Share of the benefit that an answer past the latency target still earns.
+    pub late_benefit: f64,
+    pub stream: bool,
+    pub backup: BackupMode,
+}
+
+/// Whether a request may run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestKind {
+    /// Running it twice does what running it once does.
+    Idempotent,
+    /// It carries an idempotency key, by which pods drop repeats.
+    Keyed,
+    /// Running it twice may do harm.
+    NonIdempotent,
+}
+
+/// The pods that drop a repeat of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IdempotencyScope {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether backups know of a route's requests in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BackupMode {
+    Off,
+    /// Backups know of an attempt before it is sent.
+    BeforeAttempt,
+    /// They are told while it runs; for idempotent requests only.
+    Behind,
+}
+
+/// A customer of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenant {
+    pub name: String,
+    pub limits: TenantLimits,
+}
+
+/// What a tenant may use; `None` for no limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantLimits {
+    pub requests_per_s: Option<u32>,
+    pub in_flight: Option<u32>,
+}
+
+/// One entry of a configuration. A route is boxed, as tenants are many and an enum is as large as its largest variant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Service(Service),
+    Route(Box<Route>),
+    Tenant(Tenant),
+}
+
+/// The kinds of [`Record`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum RecordKind {
+    Service,
+    Route,
+    Tenant,
+}
+
+/// What tells one record from all others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RecordKey {
+    pub kind: RecordKind,
+    pub name: String,
+}
+
+impl Record {
+    pub fn kind(&self) -> RecordKind {
+        match self {
+            Record::Service(_) => RecordKind::Service,
+            Record::Route(_) => RecordKind::Route,
+            Record::Tenant(_) => RecordKind::Tenant,
+        }
+    }
+
+    pub fn name(&self) -> &str {
+        match self {
+            Record::Service(service) => &service.name,
+            Record::Route(route) => &route.name,
+            Record::Tenant(tenant) => &tenant.name,
+        }
+    }
+
+    pub fn key(&self) -> RecordKey {
+        RecordKey { kind: self.kind(), name: self.name().to_string() }
+    }
+
+    /// Checks the bounds of each field.
+    ///
+    /// # Errors
+    /// The first field that breaks its bound.
+    pub fn check(&self) -> Result<(), InvalidRecord> {
+        check_name(self.kind(), self.name())?;
+        match self {
+            Record::Service(service) => check_service(service),
+            Record::Route(route) => check_route(route),
+            Record::Tenant(_) => Ok(()),
+        }
+    }
+}
+
+impl RecordKey {
+    /// Checks the bounds of the name.
+    ///
+    /// # Errors
+    /// The name is empty or too long.
+    pub fn check(&self) -> Result<(), InvalidRecord> {
+        check_name(self.kind, &self.name)
+    }
+}
+
+impl fmt::Display for RecordKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RecordKind::Service => "service",
+            RecordKind::Route => "route",
+            RecordKind::Tenant => "tenant",
+        })
+    }
+}
+
+impl fmt::Display for RecordKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:?}", self.kind, self.name)
+    }
+}
+
+impl From<Service> for Record {
+    fn from(service: Service) -> Record {
+        Record::Service(service)
+    }
+}
+
+impl From<Route> for Record {
+    fn from(route: Route) -> Record {
+        Record::Route(Box::new(route))
+    }
+}
+
+impl From<Tenant> for Record {
+    fn from(tenant: Tenant) -> Record {
+        Record::Tenant(tenant)
+    }
+}
+
+impl From<RequestRules> for PathGroup {
+    fn from(rules: RequestRules) -> PathGroup {
+        PathGroup {
+            kind: match rules.kind {
+                RequestKind::Idempotent => Kind::Repeatable,
+                RequestKind::Keyed => Kind::Tagged,
+                RequestKind::NonIdempotent => Kind::Mutating,
+            },
+            scope: match rules.scope {
+                IdempotencyScope::All => Scope::All,
+                IdempotencyScope::Zone => Scope::Zone,
+                IdempotencyScope::Cell => Scope::Cell,
+            },
+            repeat_window: rules.idempotency_window,
+            target_latency: rules.latency_target,
+            client_timeout: rules.deadline,
+            benefit: rules.benefit,
+            late_benefit: rules.late_benefit,
+            stream: rules.stream,
+        }
+    }
+}
+
+impl RequestRules {
+    /// The rules of a path group of the settings script, and how its requests in flight are backed up.
+    pub fn from_path_group(group: &PathGroup, backup: BackupMode) -> RequestRules {
+        RequestRules {
+            kind: match group.kind {
+                Kind::Repeatable => RequestKind::Idempotent,
+                Kind::Tagged => RequestKind::Keyed,
+                Kind::Mutating => RequestKind::NonIdempotent,
+            },
+            scope: match group.scope {
+                Scope::All => IdempotencyScope::All,
+                Scope::Zone => IdempotencyScope::Zone,
+                Scope::Cell => IdempotencyScope::Cell,
+            },
+            idempotency_window: group.repeat_window,
+            latency_target: group.target_latency,
+            deadline: group.client_timeout,
+            benefit: group.benefit,
+            late_benefit: group.late_benefit,
+            stream: group.stream,
+            backup,
+        }
+    }
+}
+
+fn ensure(
+    valid: bool,
+    key: (RecordKind, &str),
+    field: &'static str,
+    found: impl FnOnce() -> String,
+    expected: impl FnOnce() -> String,
+) -> Result<(), InvalidRecord> {
+    if valid {
+        return Ok(());
+    }
+    let record = RecordKey { kind: key.0, name: key.1.chars().take(MAX_NAME_BYTES).collect() };
+    Err(InvalidRecord { record, field, found: found(), expected: expected() })
+}
+
+fn check_name(kind: RecordKind, name: &str) -> Result<(), InvalidRecord> {
+    let valid = (1..=MAX_NAME_BYTES).contains(&name.len());
+    let expected = || format!("a name of 1 to {MAX_NAME_BYTES} bytes");
+    ensure(valid, (kind, name), "name", || format!("{} bytes", name.len()), expected)
+}
+
+fn check_list(
+    key: (RecordKind, &str),
+    field: &'static str,
+    list: &[String],
+    most: usize,
+    most_bytes: usize,
+) -> Result<(), InvalidRecord> {
+    let expected = || format!("{most} at most, each of 1 to {most_bytes} bytes");
+    ensure(list.len() <= most, key, field, || format!("{} of them", list.len()), expected)?;
+    let wrong = list.iter().find(|text| !(1..=most_bytes).contains(&text.len()));
+    let found = || format!("one of {} bytes", wrong.map_or(0, String::len));
+    ensure(wrong.is_none(), key, field, found, expected)
+}
+
+fn check_service(service: &Service) -> Result<(), InvalidRecord> {
+    let key = (RecordKind::Service, service.name.as_str());
+    check_list(key, "zones", &service.zones, MAX_ZONES, MAX_NAME_BYTES)
+}
+
+fn check_route(route: &Route) -> Result<(), InvalidRecord> {
+    let key = (RecordKind::Route, route.name.as_str());
+    let service_bytes = route.service.len();
+    let expected = || format!("a name of 1 to {MAX_NAME_BYTES} bytes");
+    let valid = (1..=MAX_NAME_BYTES).contains(&service_bytes);
+    ensure(valid, key, "service", || format!("{service_bytes} bytes"), expected)?;
+    check_list(key, "methods", &route.methods, MAX_METHODS, MAX_METHOD_BYTES)?;
+    check_list(key, "paths", &route.paths, MAX_PATHS, MAX_PATH_BYTES)?;
+    ensure(!route.paths.is_empty(), key, "paths", || "none".to_string(), || "one at least".to_string())?;
+    check_rules(key, &route.rules)
+}
+
+fn check_rules(key: (RecordKind, &str), rules: &RequestRules) -> Result<(), InvalidRecord> {
+    let spans = [
+        ("idempotency_window", rules.idempotency_window, 0),
+        ("latency_target", rules.latency_target, 1),
+        ("deadline", rules.deadline, 1),
+    ];
+    for (field, span, least) in spans {
+        let expected = || format!("{least} to {MAX_SPAN} ns");
+        ensure((least..=MAX_SPAN).contains(&span), key, field, || format!("{span} ns"), expected)?;
+    }
+    // NaN is in no range.
+    let shares = [("benefit", rules.benefit, MAX_BENEFIT), ("late_benefit", rules.late_benefit, 1.0)];
+    for (field, share, most) in shares {
+        let expected = || format!("a number from 0 to {most}");
+        ensure((0.0..=most).contains(&share), key, field, || share.to_string(), expected)?;
+    }
+    let fits = rules.backup != BackupMode::Behind || rules.kind == RequestKind::Idempotent;
+    let expected = || "BeforeAttempt, as a repeat could do harm".to_string();
+    ensure(fits, key, "backup", || "Behind".to_string(), expected)
+}
--- /dev/null
+++ b/crates/configuration/src/snapshot.rs
@@ -0,0 +1,236 @@
+//! One whole configuration, immutable and cheap to clone, that shares what it has in common with earlier ones.
+
+use crate::bucket::{Bucket, Place};
+use crate::delta::{Change, Delta};
+use crate::digest::Digest;
+use crate::error::ApplyError;
+use crate::record::{Record, RecordKey, RecordKind, Route, Service, Tenant};
+use crate::version::Version;
+use std::fmt;
+use std::sync::Arc;
+
+pub use crate::bucket::BUCKETS;
+
+/// Services in one configuration: five times the size to plan with.
+pub const MAX_SERVICES: usize = 2_000;
+/// Routes in one configuration: over four times the size to plan with.
+pub const MAX_ROUTES: usize = 20_000;
+/// Tenants in one configuration: over three times the size to plan with.
+pub const MAX_TENANTS: usize = 500_000;
+
+impl RecordKind {
+    pub const ALL: [RecordKind; 3] = [RecordKind::Service, RecordKind::Route, RecordKind::Tenant];
+
+    /// How many of this kind a configuration may have.
+    pub fn limit(self) -> usize {
+        match self {
+            RecordKind::Service => MAX_SERVICES,
+            RecordKind::Route => MAX_ROUTES,
+            RecordKind::Tenant => MAX_TENANTS,
+        }
+    }
+}
+
+/// A configuration of one version: [`BUCKETS`] shards by hash of the key, shared until one changes.
+#[derive(Clone)]
+pub struct Snapshot {
+    version: Version,
+    digest: Digest,
+    buckets: Arc<Vec<Arc<Bucket>>>,
+}
+
+impl Snapshot {
+    /// Before the first configuration.
+    pub fn empty() -> Snapshot {
+        let bucket = Arc::new(Bucket::default());
+        let buckets = Arc::new(vec![bucket; BUCKETS]);
+        Snapshot { version: Version::NONE, digest: Digest::default(), buckets }
+    }
+
+    /// A snapshot of these records.
+    ///
+    /// # Errors
+    /// A record out of bounds, two with one key, or too many of a kind.
+    pub fn from_records(
+        version: Version,
+        records: impl IntoIterator<Item = Record>,
+    ) -> Result<Snapshot, ApplyError> {
+        let mut buckets = vec![Bucket::default(); BUCKETS];
+        for record in records {
+            record.check()?;
+            let place = Place::of(record.kind(), record.name());
+            let bucket = &mut buckets[place.bucket];
+            if bucket.get(record.kind(), record.name(), place.hash).is_some() {
+                return Err(ApplyError::Duplicate { record: record.key() });
+            }
+            bucket.put(record, place.hash);
+        }
+        buckets.iter_mut().for_each(Bucket::shrink);
+        Snapshot::from_buckets(version, buckets.into_iter().map(Arc::new).collect())
+    }
+
+    /// A snapshot of whole buckets, which the caller has made of checked records.
+    pub(crate) fn from_buckets(version: Version, buckets: Vec<Arc<Bucket>>) -> Result<Snapshot, ApplyError> {
+        let mut digest = Digest::default();
+        buckets.iter().for_each(|bucket| digest.add_all(&bucket.digest()));
+        let snapshot = Snapshot { version, digest, buckets: Arc::new(buckets) };
+        for kind in RecordKind::ALL {
+            let (found, most) = (snapshot.count(kind), kind.limit());
+            if found > most {
+                return Err(ApplyError::TooMany { kind, found, most });
+            }
+        }
+        Ok(snapshot)
+    }
+
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The same records as another version.
+    pub fn with_version(&self, version: Version) -> Snapshot {
+        Snapshot { version, ..self.clone() }
+    }
+
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    pub fn get(&self, key: &RecordKey) -> Option<&Record> {
+        self.find(key.kind, &key.name)
+    }
+
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        match self.find(RecordKind::Service, name) {
+            Some(Record::Service(service)) => Some(service),
+            _ => None,
+        }
+    }
+
+    pub fn route(&self, name: &str) -> Option<&Route> {
+        match self.find(RecordKind::Route, name) {
+            Some(Record::Route(route)) => Some(route),
+            _ => None,
+        }
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<&Tenant> {
+        match self.find(RecordKind::Tenant, name) {
+            Some(Record::Tenant(tenant)) => Some(tenant),
+            _ => None,
+        }
+    }
+
+    /// All services, in no useful order.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.of_kind(RecordKind::Service).filter_map(|record| match record {
+            Record::Service(service) => Some(service),
+            _ => None,
+        })
+    }
+
+    /// All routes, in no useful order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.of_kind(RecordKind::Route).filter_map(|record| match record {
+            Record::Route(route) => Some(&**route),
+            _ => None,
+        })
+    }
+
+    /// All tenants, in no useful order.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.of_kind(RecordKind::Tenant).filter_map(|record| match record {
+            Record::Tenant(tenant) => Some(tenant),
+            _ => None,
+        })
+    }
+
+    /// All records, in no useful order.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.buckets.iter().flat_map(|bucket| bucket.records())
+    }
+
+    pub fn count(&self, kind: RecordKind) -> usize {
+        self.buckets.iter().map(|bucket| bucket.count(kind)).sum()
+    }
+
+    /// The configuration that follows; this one stays as it is.
+    ///
+    /// # Errors
+    /// The delta begins elsewhere, holds a record out of bounds, or does not lead to the digest that it states.
+    pub fn apply(&self, delta: &Delta) -> Result<Snapshot, ApplyError> {
+        if delta.from != self.version {
+            return Err(ApplyError::WrongBase { have: self.version, wants: delta.from });
+        }
+        if delta.to <= delta.from {
+            return Err(ApplyError::NotNewer { from: delta.from, to: delta.to });
+        }
+        let mut buckets = Vec::clone(&self.buckets);
+        for change in &delta.changes {
+            apply_change(&mut buckets, change)?;
+        }
+        let next = Snapshot::from_buckets(delta.to, buckets)?;
+        if next.digest != delta.digest {
+            return Err(ApplyError::DigestDiffers { expected: delta.digest, found: next.digest });
+        }
+        Ok(next)
+    }
+
+    /// The digest of each bucket; two snapshots agree in a bucket where its digests are equal.
+    pub fn bucket_digests(&self) -> Vec<Digest> {
+        self.buckets.iter().map(|bucket| bucket.digest()).collect()
+    }
+
+    pub(crate) fn buckets(&self) -> &[Arc<Bucket>] {
+        &self.buckets
+    }
+
+    /// The record held under the key of another one.
+    pub(crate) fn find_record(&self, other: &Record) -> Option<&Record> {
+        self.find(other.kind(), other.name())
+    }
+
+    fn find(&self, kind: RecordKind, name: &str) -> Option<&Record> {
+        let place = Place::of(kind, name);
+        self.buckets[place.bucket].get(kind, name, place.hash)
+    }
+
+    fn of_kind(&self, kind: RecordKind) -> impl Iterator<Item = &Record> {
+        self.buckets.iter().flat_map(move |bucket| bucket.of_kind(kind))
+    }
+}
+
+fn apply_change(buckets: &mut [Arc<Bucket>], change: &Change) -> Result<(), ApplyError> {
+    match change {
+        Change::Put(record) => {
+            record.check()?;
+            let place = Place::of(record.kind(), record.name());
+            Arc::make_mut(&mut buckets[place.bucket]).put(record.clone(), place.hash);
+        }
+        Change::Remove(key) => {
+            let place = Place::of(key.kind, &key.name);
+            Arc::make_mut(&mut buckets[place.bucket]).remove(key, place.hash);
+        }
+    }
+    Ok(())
+}
+
+/// By version, digest and counts: a whole snapshot is no line of a log.
+impl fmt::Debug for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = f.debug_struct("Snapshot");
+        shown.field("version", &self.version).field("digest", &self.digest.to_string());
+        shown.field("services", &self.count(RecordKind::Service));
+        shown.field("routes", &self.count(RecordKind::Route));
+        shown.field("tenants", &self.count(RecordKind::Tenant)).finish()
+    }
+}
+
+/// Snapshots are equal when version and all records are.
+impl PartialEq for Snapshot {
+    fn eq(&self, other: &Snapshot) -> bool {
+        let pairs = || self.buckets.iter().zip(other.buckets.iter());
+        let same = |(a, b): (&Arc<Bucket>, &Arc<Bucket>)| Arc::ptr_eq(a, b) || a.records() == b.records();
+        self.version == other.version && self.digest == other.digest && pairs().all(same)
+    }
+}
