--- a/crates/configuration/src/bucket.rs
+++ b/crates/configuration/src/bucket.rs
@@ -80,6 +80,22 @@
         }
     }
 
+    /// Whether a record belongs behind all that are there.
+    pub fn follows(&self, record: &Record, hash: u32) -> bool {
+        let last = self.records.last().zip(self.hashes.last());
+        last.is_none_or(|(last, last_hash)| {
+            (last.kind(), *last_hash, last.name()) < (record.kind(), hash, record.name())
+        })
+    }
+
+    /// Puts a record behind all that are there, which it [follows](Bucket::follows).
+    pub fn push(&mut self, record: Record, hash: u32) {
+        self.digest.add(&record);
+        self.counts[record.kind() as usize] += 1;
+        self.hashes.push(hash);
+        self.records.push(record);
+    }
+
     /// Takes a record out. Returns whether it was there.
     pub fn remove(&mut self, key: &RecordKey, hash: u32) -> bool {
         let Ok(at) = self.position(key.kind, &key.name, hash) else { return false };
--- a/crates/configuration/src/chunk.rs
+++ b/crates/configuration/src/chunk.rs
@@ -1,14 +1,12 @@
 //! A snapshot in pieces, for peers that are too far behind for deltas.
 
-use crate::bucket::{Bucket, Place, BUCKETS};
-use crate::delta::append;
+use crate::bucket::{Bucket, BUCKETS};
 use crate::digest::Digest;
+use crate::encoding::{append_bucket, compress, decompress, read_bucket};
 use crate::error::{ChunkError, DecodeError};
-use crate::record::{Record, RecordKind};
 use crate::snapshot::Snapshot;
 use crate::version::Version;
 use serde::{Deserialize, Serialize};
-use std::io::Read;
 use std::sync::Arc;
 
 /// The longest body of a chunk of several buckets, compressed.
@@ -19,7 +17,6 @@
 pub const MAX_CHUNK_RAW_BYTES: usize = 8 << 20;
 /// What is gathered before it is compressed: tenants shrink to less than a quarter.
 const GATHER_BYTES: usize = 6 * CHUNK_BYTES;
-const COMPRESSION_LEVEL: i32 = 3;
 
 /// What a snapshot consists of, so that a receiver knows which buckets it lacks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,7 +61,7 @@
         gathered.push((number, raw.len()));
     }
     while let Some(&(_, end)) = gathered.last() {
-        let body = zstd::bulk::compress(&raw[..end], COMPRESSION_LEVEL).ok()?;
+        let body = compress(&raw[..end])?;
         if body.len() <= CHUNK_BYTES || gathered.len() == 1 {
             let buckets = gathered.iter().map(|(number, _)| *number).collect();
             return Some(Chunk { version: snapshot.version(), buckets, body });
@@ -76,7 +73,7 @@
 }
 
 /// A snapshot that is being received.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Assembly {
     manifest: Manifest,
     buckets: Vec<Option<Arc<Bucket>>>,
@@ -125,11 +122,11 @@
             return Err(ChunkError::WrongVersion { expected: self.manifest.version, found: chunk.version });
         }
         check_numbers(&chunk.buckets)?;
-        let raw = decompress(&chunk.body)?;
+        let raw = decompress_chunk(&chunk.body)?;
         let mut rest = raw.as_slice();
         let mut taken = Vec::with_capacity(chunk.buckets.len());
         for &number in &chunk.buckets {
-            let (bucket, after) = read_bucket(number, rest)?;
+            let (bucket, after) = read_bucket(usize::from(number), rest)?;
             rest = after;
             let (expected, found) = (self.manifest.buckets[usize::from(number)], bucket.digest());
             if found != expected {
@@ -160,11 +157,6 @@
     }
 }
 
-fn append_bucket(bucket: &Bucket, raw: &mut Vec<u8>) {
-    append(&bucket.records().len(), raw);
-    bucket.records().iter().for_each(|record| append(record, raw));
-}
-
 /// Bucket numbers exist and stand there once each.
 fn check_numbers(numbers: &[u16]) -> Result<(), ChunkError> {
     let mut seen = [false; BUCKETS];
@@ -177,37 +169,9 @@
     Ok(())
 }
 
-fn decompress(body: &[u8]) -> Result<Vec<u8>, ChunkError> {
+fn decompress_chunk(body: &[u8]) -> Result<Vec<u8>, ChunkError> {
     if body.len() > MAX_CHUNK_BYTES {
         return Err(ChunkError::TooLong { found: body.len(), most: MAX_CHUNK_BYTES });
     }
-    let refused = ChunkError::Decompress { most: MAX_CHUNK_RAW_BYTES };
-    let Ok(decoder) = zstd::stream::read::Decoder::with_buffer(body) else { return Err(refused) };
-    let mut raw = Vec::new();
-    match decoder.take(MAX_CHUNK_RAW_BYTES as u64 + 1).read_to_end(&mut raw) {
-        Ok(_) if raw.len() <= MAX_CHUNK_RAW_BYTES => Ok(raw),
-        _ => Err(refused),
-    }
-}
-
-/// Reads one bucket; its records are checked, belong there and stand in their order.
-fn read_bucket(number: u16, raw: &[u8]) -> Result<(Bucket, &[u8]), DecodeError> {
-    let (count, mut rest) = postcard::take_from_bytes::<usize>(raw)?;
-    let mut bucket = Bucket::default();
-    let mut last: Option<(RecordKind, u32, String)> = None;
-    for _ in 0..count {
-        let (record, after) = postcard::take_from_bytes::<Record>(rest)?;
-        rest = after;
-        record.check()?;
-        let place = Place::of(record.kind(), record.name());
-        let order = (record.kind(), place.hash, record.name().to_string());
-        let in_order = last.as_ref().is_none_or(|last| *last < order);
-        if !in_order || place.bucket != usize::from(number) {
-            return Err(DecodeError::OutOfOrder { record: record.key() });
-        }
-        last = Some(order);
-        bucket.put(record, place.hash);
-    }
-    bucket.shrink();
-    Ok((bucket, rest))
+    decompress(body, MAX_CHUNK_RAW_BYTES).ok_or(ChunkError::Decompress { most: MAX_CHUNK_RAW_BYTES })
 }
--- a/crates/configuration/src/delta.rs
+++ b/crates/configuration/src/delta.rs
@@ -1,6 +1,7 @@
 //! What changed between two versions, and its encoding.
 
 use crate::digest::Digest;
+use crate::encoding::append;
 use crate::error::DecodeError;
 use crate::record::{Record, RecordKey};
 use crate::snapshot::Snapshot;
@@ -125,9 +126,3 @@
     }
     Ok(())
 }
-
-/// Appends the canonical bytes of a value; a vector takes every byte and no type here has a part that postcard refuses.
-pub(crate) fn append<T: Serialize>(value: &T, bytes: &mut Vec<u8>) {
-    let written = postcard::to_io(value, bytes);
-    debug_assert!(written.is_ok(), "the types of a configuration always have canonical bytes");
-}
