Settings: a script of records for a configuration that changes while running

Cause: services, routes and tenants are compiled once by a distributor, with the machinery that reads the settings but not its vocabulary nor its bounds. Change: configuration_rows() runs a script with service, route, tenant and tenants; the bounds of a run are a value; Reader and Row are public; load() keeps its bounds and its words.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,12 +2,12 @@
 //!
 //! [`load`] runs a Starlark script (source language: the Starlark specification; `load` works for files
 //! beside it) and returns a [`Site`], or every mistake found in it, each with file, line, field and what was
-//! expected. Times become whole nanoseconds and sizes bytes here. Nothing here decides or tunes anything.
+//! expected. [`configuration_rows`] runs the script of a configuration that changes while sidecars run. Times become whole nanoseconds and sizes bytes here. Nothing here decides or tunes anything.
 
 mod reader;
 mod records;
 mod script;
 
-pub use reader::{Problem, Problems};
+pub use reader::{Problem, Problems, Reader, Row};
 pub use records::*;
-pub use script::{load, Given};
+pub use script::{configuration_rows, load, Given};
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -31,7 +31,8 @@
 pub struct Problems(pub Vec<Problem>);
 
 /// A call of a record function in the script, as it stands there.
-pub(crate) struct Row {
+#[derive(Clone, Debug)]
+pub struct Row {
     pub kind: &'static str,
     pub file: String,
     pub line: usize,
@@ -40,7 +41,7 @@
 
 /// Hands out the fields of a row. A field that is missing or wrong yields a stand-in value and a problem, so
 /// that the rest is still read; `finish` complains of fields nobody asked for.
-pub(crate) struct Reader<'a> {
+pub struct Reader<'a> {
     row: &'a Row,
     asked: BTreeSet<&'static str>,
     problems: &'a mut Vec<Problem>,
@@ -116,6 +117,12 @@
         self.take(field, &wanted, within).unwrap_or(*range.start())
     }
 
+    /// A whole number where there is one.
+    pub fn maybe_whole(&mut self, field: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        self.asked.insert(field);
+        self.has(field).then(|| self.whole(field, range))
+    }
+
     pub fn whole_or(&mut self, field: &'static str, range: RangeInclusive<u64>, absent: u64) -> u64 {
         self.asked.insert(field);
         if self.has(field) {
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -22,6 +22,22 @@
 const LOADS: usize = 32;
 const RECORDS: usize = 4_096;
 
+/// What one run may take.
+#[derive(Clone, Copy)]
+struct Bounds {
+    ticks: u64,
+    heap_bytes: usize,
+    file_bytes: u64,
+    records: usize,
+}
+
+const SETTINGS_BOUNDS: Bounds =
+    Bounds { ticks: TICKS, heap_bytes: HEAP, file_bytes: FILE_BYTES, records: RECORDS };
+/// A configuration is compiled by one process and may have every service and route on a line of its own. Tenants
+/// have a form in bulk, and as many lines again are left for those that have not.
+const CONFIGURATION_BOUNDS: Bounds =
+    Bounds { ticks: 2_000_000, heap_bytes: 256 << 20, file_bytes: 8 << 20, records: 200_000 };
+
 /// Values handed to the script from outside, which it reads with `given(name, otherwise)`.
 pub type Given = BTreeMap<String, String>;
 
@@ -29,6 +45,7 @@
 struct Sheet {
     rows: Vec<Row>,
     given: Given,
+    most_rows: usize,
 }
 
 thread_local! {
@@ -57,42 +74,48 @@
     };
     let fields = fields.into_iter().map(read).collect();
     with_sheet(|sheet| {
-        anyhow::ensure!(sheet.rows.len() < RECORDS, "more than {RECORDS} records");
+        anyhow::ensure!(sheet.rows.len() < sheet.most_rows, "more than {} records", sheet.most_rows);
         sheet.rows.push(Row { kind, file, line, fields });
         Ok(NoneType)
     })
 }
 
 macro_rules! record_functions {
-    ($($name:ident),*) => {
+    ($module:ident: $($name:ident),*) => {
         #[starlark_module]
-        fn record_functions(builder: &mut GlobalsBuilder) {
+        fn $module(builder: &mut GlobalsBuilder) {
             $(fn $name<'v>(
                 #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
                 eval: &mut Evaluator<'v, '_, '_>,
             ) -> anyhow::Result<NoneType> {
                 add(stringify!($name), fields, eval)
             })*
-
-            /// What was handed in from outside under this name, else the second argument.
-            fn given(
-                #[starlark(require = pos)] name: &str,
-                #[starlark(require = pos)] otherwise: &str,
-            ) -> anyhow::Result<String> {
-                with_sheet(|sheet| Ok(sheet.given.get(name).cloned().unwrap_or_else(|| otherwise.to_string())))
-            }
         }
     };
 }
 
 record_functions!(
-    sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, fellowship, takeover
+    settings_functions: sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, fellowship,
+    takeover
 );
+record_functions!(configuration_functions: service, route, tenant, tenants);
+
+#[starlark_module]
+fn input_functions(builder: &mut GlobalsBuilder) {
+    /// What was handed in from outside under this name, else the second argument.
+    fn given(
+        #[starlark(require = pos)] name: &str,
+        #[starlark(require = pos)] otherwise: &str,
+    ) -> anyhow::Result<String> {
+        with_sheet(|sheet| Ok(sheet.given.get(name).cloned().unwrap_or_else(|| otherwise.to_string())))
+    }
+}
 
 /// Reads files beside the script, each once.
 struct Beside<'a> {
     folder: PathBuf,
     globals: &'a Globals,
+    bounds: Bounds,
     done: RefCell<BTreeMap<String, FrozenModule>>,
     open: RefCell<Vec<String>>,
 }
@@ -115,7 +138,7 @@
             return refuse(format!("more than {LOADS} files"));
         }
         let file = self.folder.join(path);
-        let text = match read(&file) {
+        let text = match read(&file, self.bounds.file_bytes) {
             Ok(text) => text,
             Err(why) => return refuse(why),
         };
@@ -130,7 +153,9 @@
 
 /// The evaluator looks at its memory once in a thousand steps; by then a text that doubles with each would
 /// have taken all there is.
-struct Frugal;
+struct Frugal {
+    heap_bytes: usize,
+}
 
 impl<'e> BeforeStmtFuncDyn<'e> for Frugal {
     fn call<'v>(
@@ -140,18 +165,19 @@
         eval: &mut Evaluator<'v, '_, 'e>,
     ) -> starlark::Result<()> {
         match eval.heap().allocated_bytes() {
-            0..=HEAP => Ok(()),
+            bytes if bytes <= self.heap_bytes => Ok(()),
             bytes => {
-                Err(starlark::Error::new_other(anyhow::anyhow!("{bytes} bytes of values, {HEAP} at most")))
+                let most = self.heap_bytes;
+                Err(starlark::Error::new_other(anyhow::anyhow!("{bytes} bytes of values, {most} at most")))
             }
         }
     }
 }
 
-fn read(file: &Path) -> Result<String, String> {
+fn read(file: &Path, most_bytes: u64) -> Result<String, String> {
     let size = std::fs::metadata(file).map_err(|e| format!("cannot be read ({e})"))?.len();
-    if size > FILE_BYTES {
-        return Err(format!("{size} bytes, expected {FILE_BYTES} at most"));
+    if size > most_bytes {
+        return Err(format!("{size} bytes, expected {most_bytes} at most"));
     }
     std::fs::read_to_string(file).map_err(|e| format!("cannot be read ({e})"))
 }
@@ -162,10 +188,11 @@
     Module::with_temp_heap(|module| {
         {
             let mut eval = Evaluator::new(&module);
-            let bounded = eval.set_max_tick_count(TICKS).and_then(|()| eval.set_max_heap_size(HEAP));
+            let Bounds { ticks, heap_bytes, .. } = loader.bounds;
+            let bounded = eval.set_max_tick_count(ticks).and_then(|()| eval.set_max_heap_size(heap_bytes));
             bounded.and_then(|()| eval.set_max_callstack_size(64)).map_err(starlark::Error::new_other)?;
             eval.set_loader(loader);
-            eval.before_stmt_for_dap(BeforeStmtFunc::from_dyn(Box::new(Frugal)));
+            eval.before_stmt_for_dap(BeforeStmtFunc::from_dyn(Box::new(Frugal { heap_bytes })));
             eval.eval_module(ast, globals)?;
         }
         module.freeze().map_err(|e| starlark::Error::new_other(anyhow::anyhow!("{e:?}")))
@@ -178,20 +205,48 @@
 /// Every mistake found, in order. A script that does not run to its end (syntax, a name not known, past a
 /// bound of steps or memory) yields that one with its place, and no others.
 pub fn load(file: &Path, given: &Given) -> Result<Site, Problems> {
+    let globals = globals().with(settings_functions).build();
+    let rows = collect(file, given, &globals, SETTINGS_BOUNDS)?;
+    let mut problems = Vec::new();
+    let site = records::site(&file.display().to_string(), &rows, &mut problems);
+    problems.sort_by_key(|problem| problem.line);
+    match site {
+        Some(site) if problems.is_empty() => Ok(site),
+        _ => Err(Problems(problems)),
+    }
+}
+
+/// Runs the script of a configuration that changes while sidecars run and returns the calls of its record
+/// functions: `service`, `route`, `tenant`, `tenants`. Those of the settings are known here too, so that the
+/// caller can refuse them with their place.
+///
+/// # Errors
+/// The script does not run to its end.
+pub fn configuration_rows(file: &Path, given: &Given) -> Result<Vec<Row>, Problems> {
+    let globals = globals().with(settings_functions).with(configuration_functions).build();
+    collect(file, given, &globals, CONFIGURATION_BOUNDS)
+}
+
+fn globals() -> GlobalsBuilder {
+    GlobalsBuilder::extended_by(&[LibraryExtension::Print, LibraryExtension::StructType])
+        .with(input_functions)
+}
+
+/// Runs a script and returns the calls of its record functions, in order.
+fn collect(file: &Path, given: &Given, globals: &Globals, bounds: Bounds) -> Result<Vec<Row>, Problems> {
     let shown = file.display().to_string();
     let problem = |line: usize, field: &str, found: String, expected: &str| {
         let (file, field, expected) = (shown.clone(), field.to_string(), expected.to_string());
         Problem { file, line, field, found, expected }
     };
-    let text = read(file).map_err(|why| Problems(vec![problem(0, "script", why, "a readable file")]))?;
-    let more = [LibraryExtension::Print, LibraryExtension::StructType];
-    let globals = GlobalsBuilder::extended_by(&more).with(record_functions).build();
+    let text = read(file, bounds.file_bytes)
+        .map_err(|why| Problems(vec![problem(0, "script", why, "a readable file")]))?;
     let folder = file.parent().unwrap_or(Path::new("")).to_path_buf();
     let (done, open) = (RefCell::default(), RefCell::default());
-    let beside = Beside { folder, globals: &globals, done, open };
-    SHEET.set(Some(Sheet { rows: Vec::new(), given: given.clone() }));
+    let beside = Beside { folder, globals, bounds, done, open };
+    SHEET.set(Some(Sheet { rows: Vec::new(), given: given.clone(), most_rows: bounds.records }));
     // A value past what the interpreter can hold at all makes it panic.
-    let ran = catch_unwind(AssertUnwindSafe(|| run(&shown, text, &globals, &beside)));
+    let ran = catch_unwind(AssertUnwindSafe(|| run(&shown, text, globals, &beside)));
     let rows = SHEET.take().map_or_else(Vec::new, |sheet| sheet.rows);
     let Ok(ran) = ran else {
         let found = "a value too large for the interpreter".to_string();
@@ -205,11 +260,5 @@
         }
         return Err(Problems(vec![found]));
     }
-    let mut problems = Vec::new();
-    let site = records::site(&shown, &rows, &mut problems);
-    problems.sort_by_key(|problem| problem.line);
-    match site {
-        Some(site) if problems.is_empty() => Ok(site),
-        _ => Err(Problems(problems)),
-    }
+    Ok(rows)
 }
