Settings: configuration(...) for routes and tenants that change while running

A sidecar that takes routes and tenants from its peers needs a folder for the version in force and bounds on bytes. With it, path_group and customers of the script, and a trace, are refused by line with their new place.

--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -8,6 +8,8 @@
 const MS: Ns = 1_000_000;
 const S: Ns = 1_000 * MS;
 const KIB: u64 = 1024;
+/// The zone that distributors of a configuration tell their peers; no sidecar is in it.
+pub const DISTRIBUTOR_ZONE: &str = "distributor";
 
 /// Everything a sidecar is told before it starts.
 #[derive(Clone, Debug)]
@@ -35,6 +37,19 @@
     pub fellowship: Option<Fellowship>,
     /// `None`: work in hand is lost with its sidecar.
     pub takeover: Option<Takeover>,
+    /// `None`: routes and tenants are those of the script, for the life of the process.
+    pub configuration: Option<Configuration>,
+}
+
+/// How a sidecar takes in routes and tenants that change while it runs.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Folder with the version in force, from which a restart serves at once.
+    pub keep: PathBuf,
+    /// What it fetches from peers at most, in steady running.
+    pub fetch_bytes_per_s: u64,
+    /// What it gives to peers at most.
+    pub serve_bytes_per_s: u64,
 }
 
 /// Where sidecars hear each other.
@@ -267,6 +282,36 @@
     takeover
 }
 
+fn configuration(r: &mut Reader) -> Configuration {
+    Configuration {
+        keep: PathBuf::from(r.text("keep")),
+        fetch_bytes_per_s: r.size_or("fetch_bytes_per_s", KIB..=1 << 30, 8_000),
+        serve_bytes_per_s: r.size_or("serve_bytes_per_s", KIB..=1 << 30, 8_000),
+    }
+}
+
+/// What the script states where a configuration brings it is refused by line, with its new place.
+fn refuse_static(rows: &[Row], problems: &mut Vec<Problem>) {
+    const MOVED: [(&str, Option<&str>, &str); 3] = [
+        ("path_group", None, "route(...) in the script of `havenplank distribute`, as configuration(...) brings routes"),
+        (
+            "sidecar",
+            Some("customers"),
+            "tenant(...) in the script of `havenplank distribute`, as configuration(...) brings tenants",
+        ),
+        ("trace", Some("folder"), "no trace beside configuration(...), as a trace holds one set of routes"),
+    ];
+    for (kind, field, expected) in MOVED {
+        let stands = |row: &&Row| row.kind == kind && field.is_none_or(|field| row.fields.contains_key(field));
+        for row in rows.iter().filter(stands) {
+            let field = field.map_or(kind.to_string(), |field| format!("{kind}.{field}"));
+            let (file, line) = (row.file.clone(), row.line);
+            let (found, expected) = ("found beside configuration(...)".to_string(), expected.to_string());
+            problems.push(Problem { file, line, field, found, expected });
+        }
+    }
+}
+
 fn limits(r: &mut Reader) -> (ForwardRules, Door) {
     let forwards = ForwardRules {
         max_forwards: r.whole_or("forwards", 1..=16, 4) as u32,
@@ -312,13 +357,13 @@
     (rules, links)
 }
 
-fn exposure(r: &mut Reader, groups: usize) -> ExposureRules {
+fn exposure(r: &mut Reader, has_groups: bool) -> ExposureRules {
     let caps = r.shares("caps");
     let window = r.span_above_0("window");
     ExposureRules {
         window,
         free: r.number_or("free", 0.0..=1e6, 0.0),
-        per_group: r.flag_or("per_group", false) && groups > 0,
+        per_group: r.flag_or("per_group", false) && has_groups,
         guarded_stages: r.whole_or("guarded_stages", 0..=caps.len() as u64, 0) as usize,
         one_way: r.flag_or("one_way", false),
         beside: r.flag_or("beside", true),
@@ -383,7 +428,7 @@
 
 /// Turns the rows of a script into a site. `None` only where there are problems.
 pub(crate) fn site(file: &str, rows: &[Row], problems: &mut Vec<Problem>) -> Option<Site> {
-    const ONCE: [&str; 11] = [
+    const ONCE: [&str; 12] = [
         "sidecar",
         "headers",
         "limits",
@@ -395,6 +440,7 @@
         "trace",
         "fellowship",
         "takeover",
+        "configuration",
     ];
     const NEEDED: [&str; 6] = ["sidecar", "pods", "exposure", "votes", "nodes", "desk"];
     for kind in ONCE {
@@ -408,8 +454,13 @@
         let (found, expected) = ("missing".to_string(), format!("a call of {kind}(...)"));
         problems.push(Problem { file: file.to_string(), line: 0, field: kind.to_string(), found, expected });
     };
-    for kind in NEEDED.iter().chain(&["path_group"]) {
-        if !rows.iter().any(|row| row.kind == *kind) {
+    let is_configured = rows.iter().any(|row| row.kind == "configuration");
+    if is_configured {
+        refuse_static(rows, problems);
+    }
+    let routes = if is_configured { None } else { Some("path_group") };
+    for kind in NEEDED.iter().copied().chain(routes) {
+        if !rows.iter().any(|row| row.kind == kind) {
             missing(kind, problems);
         }
     }
@@ -444,6 +495,9 @@
         customers = r.texts_or_none("customers");
         let zone = r.text("zone");
         match zones.iter().position(|known| *known == zone) {
+            _ if zones.iter().any(|zone| zone == DISTRIBUTOR_ZONE) => {
+                r.complain("zones", format!("found {DISTRIBUTOR_ZONE:?}"), "another name, as distributors have it");
+            }
             Some(at) => place.zone = at,
             None => r.complain("zone", format!("found {zone:?}"), "one of zones"),
         }
@@ -463,8 +517,8 @@
     let (mut exposed, mut voting, mut listed, mut kept_list) = (None, None, None, None);
     read("limits", &mut |r| limit = Some(limits(r)));
     read("pods", &mut |r| pod = Some(pods(r)));
-    let count = rows.iter().filter(|row| row.kind == "path_group").count();
-    read("exposure", &mut |r| exposed = Some(exposure(r, count)));
+    let has_groups = is_configured || rows.iter().any(|row| row.kind == "path_group");
+    read("exposure", &mut |r| exposed = Some(exposure(r, has_groups)));
     let instances = place.instances;
     read("votes", &mut |r| voting = Some(votes(r, instances)));
     read("nodes", &mut |r| {
@@ -486,6 +540,15 @@
             }
         });
     }
+    let mut configured = None;
+    if is_configured {
+        read("configuration", &mut |r| {
+            configured = Some(configuration(r));
+            if met.is_none() {
+                r.complain("fellowship", "no call of fellowship(...)", "one, as peers bring the configuration");
+            }
+        });
+    }
     let mut groups: Vec<Group> = Vec::new();
     for row in rows.iter().filter(|row| row.kind == "path_group") {
         let mut reader = Reader::new(row, problems);
@@ -525,5 +588,6 @@
         trace: recorded,
         fellowship: met,
         takeover: guarded,
+        configuration: configured,
     })
 }
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -96,7 +96,7 @@
 
 record_functions!(
     settings_functions: sidecar, path_group, headers, limits, pods, exposure, votes, nodes, desk, trace, fellowship,
-    takeover
+    takeover, configuration
 );
 record_functions!(configuration_functions: service, route, tenant, tenants);
 
