A compiler from the operator's script to a configuration

Cause: a distributor compiles services, routes and tenants once for all sidecars. Change: service, route, tenant and tenants(names or a file of JSON lines); every mistake at once with file, line, field, found and the way out; static records of the settings refused by name.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod bucket;
 pub mod chunk;
+pub mod compile;
 pub mod delta;
 pub mod digest;
 pub mod disk;
@@ -12,8 +13,10 @@
 pub mod error;
 pub mod history;
 mod log_file;
+mod patterns;
 pub mod record;
 pub mod snapshot;
 mod snapshot_file;
 pub mod store;
+mod tenant_file;
 pub mod version;
--- a/crates/configuration/src/record.rs
+++ b/crates/configuration/src/record.rs
@@ -17,6 +17,10 @@
 pub const MAX_PATHS: usize = 64;
 /// The longest path pattern.
 pub const MAX_PATH_BYTES: usize = 256;
+/// The highest limit of a tenant's requests per second.
+pub const MAX_REQUESTS_PER_S: u32 = 10_000_000;
+/// The highest limit of a tenant's requests in flight.
+pub const MAX_IN_FLIGHT: u32 = 1_000_000;
 /// The longest latency target, deadline or idempotency window: a day.
 pub const MAX_SPAN: Ns = 86_400_000_000_000;
 /// The largest benefit of a served request.
@@ -158,7 +162,7 @@
         match self {
             Record::Service(service) => check_service(service),
             Record::Route(route) => check_route(route),
-            Record::Tenant(_) => Ok(()),
+            Record::Tenant(tenant) => check_tenant(tenant),
         }
     }
 }
@@ -272,7 +276,22 @@
 fn check_name(kind: RecordKind, name: &str) -> Result<(), InvalidRecord> {
     let valid = (1..=MAX_NAME_BYTES).contains(&name.len());
     let expected = || format!("a name of 1 to {MAX_NAME_BYTES} bytes");
-    ensure(valid, (kind, name), "name", || format!("{} bytes", name.len()), expected)
+    ensure(valid, (kind, name), "name", || format!("{} bytes", name.len()), expected)?;
+    let expected = || "a name without control characters".to_string();
+    ensure(!name.contains(char::is_control), (kind, name), "name", || format!("{name:?}"), expected)
+}
+
+fn check_tenant(tenant: &Tenant) -> Result<(), InvalidRecord> {
+    let limits = [
+        ("requests_per_s", tenant.limits.requests_per_s, MAX_REQUESTS_PER_S),
+        ("in_flight", tenant.limits.in_flight, MAX_IN_FLIGHT),
+    ];
+    for (field, limit, most) in limits {
+        let limit = limit.unwrap_or(0);
+        let key = (RecordKind::Tenant, tenant.name.as_str());
+        ensure(limit <= most, key, field, || limit.to_string(), || format!("{most} at most"))?;
+    }
+    Ok(())
 }
 
 fn check_list(
