A sidecar takes routes and tenants from its peers, and a distributor publishes them

Cause: a change of routes or tenants was a restart of every sidecar. Change: configuration(...) lets a sidecar put a version in force between two requests, check it against its settings and keep it on a thread of its own; havenplank distribute compiles a script, stores each version and publishes it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod bench_takeover;
 mod bench_trace;
 mod day;
+mod distribute;
 mod fellow;
 mod platform;
 mod serve;
@@ -53,6 +54,8 @@
     },
     /// Run a sidecar on the operators' platform, by the file that PROXY_CONFIG names.
     Platform,
+    /// Compile a script of routes and tenants and give it out to running sidecars.
+    Distribute(distribute::Distribute),
     /// Run one member of the fellowship by itself, to try its network and key.
     Fellow(fellow::Fellow),
     /// Check a settings script and print every mistake in it.
@@ -128,7 +131,10 @@
             return if error.use_stderr() { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
         }
     };
-    let runs = matches!(args.command, Command::Serve { .. } | Command::Platform | Command::Fellow(_));
+    let runs = matches!(
+        args.command,
+        Command::Serve { .. } | Command::Platform | Command::Fellow(_) | Command::Distribute(_)
+    );
     let usual = if runs { "info" } else { "warn" };
     let filter = tracing_subscriber::EnvFilter::try_new(args.log.as_deref().unwrap_or(usual));
     let filter = match filter {
@@ -162,9 +168,14 @@
         },
         Command::Platform => platform::platform(),
         Command::Fellow(args) => fellow::fellow(args),
+        Command::Distribute(args) => distribute::distribute(args),
         Command::Check { settings, given } => match settings_of(&settings, &given)? {
             Some(site) => {
-                println!("{}: {} path groups, no mistakes", settings.display(), site.groups.len());
+                let routes = match site.configuration {
+                    Some(_) => "routes from a distributor".to_string(),
+                    None => format!("{} path groups", site.groups.len()),
+                };
+                println!("{}: {routes}, no mistakes", settings.display());
                 Ok(0)
             }
             None => Ok(USAGE),
@@ -200,15 +211,21 @@
     }
 }
 
-/// The checked settings; `None` after its mistakes were printed.
-fn settings_of(file: &Path, given: &[String]) -> anyhow::Result<Option<Site>> {
+/// Values handed to a script.
+fn given_of(pairs: &[String]) -> anyhow::Result<Given> {
     let mut values = Given::new();
-    for pair in given {
+    for pair in pairs {
         let Some((name, value)) = pair.split_once('=') else {
             bail!("--given {pair:?}: expected NAME=VALUE");
         };
         values.insert(name.to_string(), value.to_string());
     }
+    Ok(values)
+}
+
+/// The checked settings; `None` after its mistakes were printed.
+fn settings_of(file: &Path, given: &[String]) -> anyhow::Result<Option<Site>> {
+    let values = given_of(given)?;
     match havenplank_settings::load(file, &values) {
         Ok(site) => Ok(Some(site)),
         Err(problems) => {
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -46,6 +46,9 @@
         "stage": stage,
         "sums": {"failures": failures, "slow": slow, "by_share": by_share},
     });
+    if let Some(configuration) = shell.configuration.get() {
+        state["configuration"] = configuration.state();
+    }
     if let Some(guard) = &shell.guard {
         let glance = guard.glance();
         state["takeover"] = json!({
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The shell of a sidecar: sockets, feeds and time around one engine, on one thread.
 
 use crate::admin;
+use crate::configuration::{self, Kept};
 use crate::engine::{Engine, EPOCH};
 use crate::fellowship::{Fellowship, FellowshipError};
 use crate::guard::Guard;
@@ -13,6 +14,7 @@
 use crate::tap::Tap;
 use crate::told::{Terms, Witness};
 use havenplank::port::*;
+use havenplank_configuration::store::StoreError;
 use havenplank_feeds::follow::{follow, Link};
 use havenplank_feeds::nodes::Listed;
 use havenplank_feeds::{desk, nodes, FeedError};
@@ -22,7 +24,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
@@ -54,6 +56,8 @@
     Name(String),
     #[error("{0}")]
     Fellowship(#[from] FellowshipError),
+    #[error("configuration.keep: {0}")]
+    Configuration(#[from] StoreError),
 }
 
 /// Where a running sidecar listens.
@@ -112,6 +116,7 @@
     if let Some(witness) = witness {
         engine = engine.watched_by(witness);
     }
+    let kept = site.configuration.as_ref().map(|settings| Kept::open(&settings.keep)).transpose()?;
     let (hits, at) = listen(site.door.listen).await?;
     let (admins, admin) = listen(site.door.admin).await?;
     let via = HeaderValue::from_str(&format!("1.1 {}", site.name));
@@ -138,13 +143,10 @@
             (Some(guard), Some(begins))
         }
     };
-    // Once all who talk have said which kinds they read.
-    if let Some((settings, fellowship)) = site.fellowship.as_ref().zip(fellowship.as_ref()) {
-        fellowship.run(settings.keys.clone());
-    }
-    let routes = RouteTable::new(&site.groups, engine.slots(), &site.customers);
+    let routes = RouteTable::from_settings(&site.groups, engine.slots(), &site.customers);
     let lines = Lines {
         routes: RefCell::new(Rc::new(routes)),
+        configuration: OnceCell::new(),
         links: Links::new(&site.links),
         keep: Notify::new(),
         nodes_asks,
@@ -158,7 +160,14 @@
         site,
     };
     let shell = Hub::new(engine, lines);
+    if let Some(kept) = kept {
+        configuration::start(&shell, kept, seed);
+    }
     let site = &shell.site;
+    // Once all who talk have said which kinds they read.
+    if let Some((settings, fellowship)) = site.fellowship.as_ref().zip(shell.fellowship.as_ref()) {
+        fellowship.run(settings.keys.clone());
+    }
     if let Some(path) = &site.kept_list {
         start_from_kept(&shell, path);
     }
--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -3,7 +3,7 @@
 
 use crate::fellowship::Fellowship;
 use havenplank_fellows::wire::Life;
-use havenplank_settings::Takeover as Settings;
+use havenplank_settings::{Takeover as Settings, DISTRIBUTOR_ZONE};
 use havenplank_takeover::guardians::{pick, Candidate};
 use havenplank_takeover::hold::{Effect, Rules, Takeover};
 use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
@@ -202,8 +202,10 @@
 
     fn guardians(&self, mark: Mark) -> Vec<Life> {
         self.fellowship.living(|others| {
+            // A distributor of the configuration takes nobody's work over.
+            let sidecars = others.filter(|news| news.zone != DISTRIBUTOR_ZONE);
             let others: Vec<Candidate<'_>> =
-                others.map(|news| Candidate { who: &news.who, zone: &news.zone }).collect();
+                sidecars.map(|news| Candidate { who: &news.who, zone: &news.zone }).collect();
             pick(mark, &others, self.many)
         })
     }
--- a/crates/sidecar/src/guarded.rs
+++ b/crates/sidecar/src/guarded.rs
@@ -318,7 +318,7 @@
     let route = routes.named(&kept.group)?.clone();
     let asked = Asked {
         group: route.group(),
-        customer: kept.customer.as_ref().and_then(|name| routes.tenant(name)),
+        customer: kept.customer.as_ref().and_then(|name| routes.tenant(name)?.index),
         key: kept.key,
         left: record.left.min(route.rules.client_timeout),
         cost_hint: kept.cost_hint,
--- a/crates/sidecar/src/hub.rs
+++ b/crates/sidecar/src/hub.rs
@@ -1,6 +1,7 @@
 //! What every shell shares: one engine, its clock and wakes, and the hits that wait for their final answer.
 
 use crate::engine::{Asked, Effect, Engine, Glance, EPOCH};
+use crate::slots::Slot;
 use havenplank::port::*;
 use havenplank_feeds::nodes::Listed;
 use std::cell::{Cell, Ref, RefCell};
@@ -102,6 +103,11 @@
         done
     }
 
+    /// Puts routes in force between two requests; see [`Engine::set_routes`].
+    pub fn set_routes(&self, routes: &[(String, PathGroup)]) -> Vec<Slot> {
+        self.engine.borrow_mut().set_routes(self.now(), routes)
+    }
+
     /// A look at the engine that changes nothing.
     pub fn look(&self) -> Ref<'_, Engine> {
         self.engine.borrow()
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,19 +6,23 @@
 
 mod admin;
 pub mod answers;
+mod configuration;
 pub mod daemon;
+pub mod distributor;
 pub mod engine;
 mod fellowship;
 mod guard;
 mod guarded;
 pub mod heads;
 pub mod hub;
+mod keeper;
 mod links;
 mod proxy;
 mod roll;
 pub mod routes;
 mod shell;
 pub mod slots;
+mod spreading;
 pub mod tap;
 pub mod told;
 
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -148,7 +148,10 @@
     let (parts, body) = request.into_parts();
     let routes = shell.routes();
     let Some(route) = routes.find(parts.method.as_str(), parts.uri.path()).cloned() else {
-        return Err((StatusCode::NOT_FOUND, "no path group takes this method and path\n"));
+        return Err(match routes.awaits_configuration() {
+            true => (StatusCode::SERVICE_UNAVAILABLE, "no configuration has been heard yet; a retry is harmless\n"),
+            false => (StatusCode::NOT_FOUND, "no path group takes this method and path\n"),
+        });
     };
     let rules = &route.rules;
     let bad = |text| Err((StatusCode::BAD_REQUEST, text));
@@ -164,10 +167,10 @@
     if asked_time == Some(None) {
         return bad("time-out: expected up to 8 digits and H, M, S, m, u or n\n");
     }
-    let customer = text(&site.headers.customer).and_then(|name| Some((routes.tenant(name)?, name)));
+    let customer = text(&site.headers.customer).and_then(|name| Some((name, routes.tenant(name)?)));
     let asked = Asked {
         group: route.group(),
-        customer: customer.map(|(index, _)| index),
+        customer: customer.and_then(|(_, tenant)| tenant.index),
         key: parts.headers.get(&site.headers.key).map_or(0, |key| mark_of(key.as_bytes())),
         // A client may wait less than its path group allows, never longer.
         left: asked_time.flatten().unwrap_or(Ns::MAX).min(rules.client_timeout),
@@ -175,7 +178,7 @@
         repeat: false,
     };
     let work = shell.guard.as_ref().filter(|_| route.guard != Guard::Off);
-    let customer = work.and(customer).map(|(_, name)| name.to_string());
+    let customer = work.and(customer).map(|(name, _)| name.to_string());
     // A request that waits for its body holds its own route, not the table.
     drop(routes);
     let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit\n");
--- a/crates/sidecar/src/routes.rs
+++ b/crates/sidecar/src/routes.rs
@@ -1,10 +1,14 @@
 //! Which route takes a request: an immutable table, built once for each configuration and swapped whole.
 //!
-//! The first route of the configuration whose methods and paths fit takes a request. A lookup costs one hash of the
-//! path and one walk down a trie of the path's own length, however many routes there are.
+//! Of the routes whose methods and paths fit, the first of the settings takes a request; in a configuration that changes
+//! while running order means nothing, and the most specific pattern does. A lookup costs one hash of the path and one
+//! walk down a trie of the path's own length, however many routes there are.
 
 use crate::slots::Slot;
 use havenplank::port::{GroupId, PathGroup};
+use havenplank_configuration::record::BackupMode;
+use havenplank_configuration::snapshot::Snapshot;
+use havenplank_configuration::version::Version;
 use havenplank_settings::{Group, Guard};
 use patricia_tree::StringPatriciaMap;
 use std::collections::HashMap;
@@ -26,82 +30,134 @@
     }
 }
 
-/// Where a route stands in the configuration: lower is first.
+/// Where a route stands in the table.
 type Order = u32;
 
+/// Which of two patterns that fit wins: the lower. Of equal patterns the route that stands first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    specificity: u32,
+    order: Order,
+}
+
+/// What decides between patterns that fit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Precedence {
+    Order,
+    /// A whole path before a prefix, a longer prefix before a shorter one.
+    Specificity,
+}
+
+impl Precedence {
+    fn rank(self, pattern: &str, order: Order) -> Rank {
+        let specificity = match (self, pattern.strip_suffix('*')) {
+            (Precedence::Order, _) | (Precedence::Specificity, None) => 0,
+            (Precedence::Specificity, Some(prefix)) => u32::MAX - prefix.len() as u32,
+        };
+        Rank { specificity, order }
+    }
+}
+
 /// The routes of one pattern: of each method, and of any, the first.
 #[derive(Debug, Default)]
 struct Candidates {
-    any_method: Option<Order>,
-    by_method: HashMap<String, Order>,
+    any_method: Option<Rank>,
+    by_method: HashMap<String, Rank>,
 }
 
 impl Candidates {
-    fn add(&mut self, methods: &[String], order: Order) {
+    fn add(&mut self, methods: &[String], rank: Rank) {
         if methods.is_empty() {
-            self.any_method.get_or_insert(order);
+            self.any_method.get_or_insert(rank);
         }
         for method in methods {
-            self.by_method.entry(method.clone()).or_insert(order);
+            self.by_method.entry(method.clone()).or_insert(rank);
         }
     }
 
-    fn first(&self, method: &str) -> Option<Order> {
+    fn first(&self, method: &str) -> Option<Rank> {
         let named = self.by_method.get(method).copied();
         named.into_iter().chain(self.any_method).min()
     }
 }
 
+/// Who the tenants are.
+#[derive(Debug)]
+enum Tenants {
+    /// By name, the index in the settings.
+    Listed(HashMap<String, usize>),
+    Configured(Snapshot),
+}
+
+/// A tenant that the configuration knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownTenant {
+    /// Its index in the settings; `None` where tenants change while running, as nothing is decided by it.
+    pub index: Option<usize>,
+}
+
 /// All routes of one configuration, and its tenants.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RouteTable {
     routes: Vec<Rc<Route>>,
     by_name: HashMap<String, Order>,
     whole_paths: HashMap<String, Candidates>,
     prefixes: StringPatriciaMap<Candidates>,
-    tenants: HashMap<String, usize>,
+    tenants: Tenants,
 }
 
 impl RouteTable {
-    /// Routes in the order of the configuration, with the slot of each in the decisions.
-    pub fn new(groups: &[Group], slots: Vec<Slot>, tenants: &[String]) -> RouteTable {
-        let mut table = RouteTable::default();
+    /// Routes and tenants of the settings, with the slot of each route in the decisions.
+    pub fn from_settings(groups: &[Group], slots: Vec<Slot>, tenants: &[String]) -> RouteTable {
+        let mut listed = HashMap::new();
+        for (index, name) in tenants.iter().enumerate() {
+            listed.entry(name.clone()).or_insert(index);
+        }
+        RouteTable::build(groups, slots, Precedence::Order, Tenants::Listed(listed))
+    }
+
+    /// Routes of a snapshot, as [`routes_of`] tells them, and its tenants.
+    pub fn from_snapshot(snapshot: Snapshot, groups: &[Group], slots: Vec<Slot>) -> RouteTable {
+        RouteTable::build(groups, slots, Precedence::Specificity, Tenants::Configured(snapshot))
+    }
+
+    fn build(groups: &[Group], slots: Vec<Slot>, precedence: Precedence, tenants: Tenants) -> RouteTable {
+        let (mut routes, mut by_name) = (Vec::with_capacity(groups.len()), HashMap::new());
+        let mut whole_paths: HashMap<String, Candidates> = HashMap::new();
         let mut prefixes: HashMap<&str, Candidates> = HashMap::new();
         for (group, slot) in groups.iter().zip(slots) {
-            let order = table.routes.len() as Order;
+            let order = routes.len() as Order;
             for pattern in &group.paths {
                 let candidates = match pattern.strip_suffix('*') {
-                    None => table.whole_paths.entry(pattern.clone()).or_default(),
+                    None => whole_paths.entry(pattern.clone()).or_default(),
                     Some(prefix) => prefixes.entry(prefix).or_default(),
                 };
-                candidates.add(&group.methods, order);
+                candidates.add(&group.methods, precedence.rank(pattern, order));
             }
-            table.by_name.entry(group.name.clone()).or_insert(order);
-            let Group { name, rules, guard, .. } = group.clone();
-            table.routes.push(Rc::new(Route { name, rules, guard, slot }));
+            by_name.entry(group.name.clone()).or_insert(order);
+            let Group { name, rules, guard, .. } = group;
+            routes.push(Rc::new(Route { name: name.clone(), rules: *rules, guard: *guard, slot }));
         }
-        table.prefixes = prefixes.into_iter().collect();
-        for (index, name) in tenants.iter().enumerate() {
-            table.tenants.entry(name.clone()).or_insert(index);
-        }
-        table
+        RouteTable { routes, by_name, whole_paths, prefixes: prefixes.into_iter().collect(), tenants }
     }
 
-    /// The first route that takes this method and path.
+    /// The route that takes this method and path.
     pub fn find(&self, method: &str, path: &str) -> Option<&Rc<Route>> {
         let whole = self.whole_paths.get(path).and_then(|candidates| candidates.first(method));
         let prefixes = self.prefixes.common_prefix_values(path);
         let first = prefixes.filter_map(|candidates| candidates.first(method)).chain(whole).min()?;
-        self.routes.get(first as usize)
+        self.routes.get(first.order as usize)
     }
 
     pub fn named(&self, name: &str) -> Option<&Rc<Route>> {
         self.routes.get(*self.by_name.get(name)? as usize)
     }
 
-    /// A tenant's index in the configuration.
-    pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.get(name).copied()
+    pub fn tenant(&self, name: &str) -> Option<KnownTenant> {
+        match &self.tenants {
+            Tenants::Listed(listed) => listed.get(name).map(|index| KnownTenant { index: Some(*index) }),
+            Tenants::Configured(snapshot) => snapshot.tenant(name).map(|_| KnownTenant { index: None }),
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -111,4 +167,29 @@
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty()
     }
+
+    /// Whether routes come from a configuration of which no version has been heard yet.
+    pub fn awaits_configuration(&self) -> bool {
+        matches!(&self.tenants, Tenants::Configured(snapshot) if snapshot.version() == Version::NONE)
+    }
+}
+
+/// The routes of a snapshot, by name.
+pub fn routes_of(snapshot: &Snapshot) -> Vec<Group> {
+    let mut routes: Vec<Group> = snapshot
+        .routes()
+        .map(|route| Group {
+            name: route.name.clone(),
+            methods: route.methods.clone(),
+            paths: route.paths.clone(),
+            rules: route.rules.into(),
+            guard: match route.rules.backup {
+                BackupMode::Off => Guard::Off,
+                BackupMode::BeforeAttempt => Guard::BeforeForward,
+                BackupMode::Behind => Guard::Behind,
+            },
+        })
+        .collect();
+    routes.sort_by(|one, other| one.name.cmp(&other.name));
+    routes
 }
--- a/crates/sidecar/src/shell.rs
+++ b/crates/sidecar/src/shell.rs
@@ -1,6 +1,7 @@
 //! What all tasks of one sidecar share, and what its engine asks of the world: the door, the pods, the line protocols.
 
 use crate::answers;
+use crate::configuration::Configuration;
 use crate::fellowship::Fellowship;
 use crate::guard::Guard;
 use crate::guarded::Final;
@@ -13,7 +14,7 @@
 use havenplank_settings::Site;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Response;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,8 @@
     pub site: Site,
     /// The routes in force; swapped whole.
     pub routes: RefCell<Rc<RouteTable>>,
+    /// What brings them while the process runs; unset where they are those of the settings.
+    pub configuration: OnceCell<Rc<Configuration>>,
     pub links: Links,
     pub via: HeaderValue,
     pub timeout_header: HeaderName,
--- /dev/null
+++ b/crates/sidecar/src/spreading.rs
@@ -0,0 +1,230 @@
+//! The messages and the time around a [`Spreader`]: it talks on the sockets that peers have for each other, and hears from
+//! the membership who lives.
+
+use crate::fellowship::Fellowship;
+use havenplank_configuration::message::Message;
+use havenplank_configuration::snapshot::Snapshot;
+use havenplank_configuration::spread::{Effect, Event, Glance, Ns, Peer, Peers, Spreader};
+use havenplank_fellows::swim::News;
+use havenplank_fellows::wire::Life;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The kind of message in which configurations travel.
+const KIND: u8 = 4;
+const NS_PER_MS: Ns = 1_000_000;
+/// However much is due, others on the thread get their turn between two wakes.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
+/// Who takes versions over.
+pub trait Host: 'static {
+    type Error: Display;
+
+    /// Puts a whole version in force, in one call.
+    ///
+    /// # Errors
+    /// Why it cannot be; what was in force stays.
+    fn install(&self, snapshot: &Snapshot) -> Result<(), Self::Error>;
+}
+
+pub struct Spreading<H> {
+    fellowship: Rc<Fellowship>,
+    spreader: RefCell<Spreader>,
+    host: H,
+    period: Duration,
+    rearm: Notify,
+}
+
+impl<H: Host> Spreading<H> {
+    /// Reads messages from now on, and wakes the spreader until the thread's tasks end. Peers are read anew from the
+    /// membership once a period.
+    pub fn start(
+        fellowship: &Rc<Fellowship>,
+        spreader: Spreader,
+        host: H,
+        period: Duration,
+    ) -> Rc<Spreading<H>> {
+        let fellowship = fellowship.clone();
+        let spreading = Rc::new(Spreading {
+            fellowship,
+            spreader: RefCell::new(spreader),
+            host,
+            period,
+            rearm: Notify::new(),
+        });
+        let reader = spreading.clone();
+        spreading.fellowship.reads(KIND, move |from, body| reader.heard(from, body));
+        spawn_local(spreading.clone().wakes());
+        spawn_local(spreading.clone().follow_membership());
+        spreading
+    }
+
+    /// One call on the spreader, then all that it left to do.
+    pub fn call<T>(&self, work: impl FnOnce(&mut Spreader, Ns) -> T) -> T {
+        let done = work(&mut self.spreader.borrow_mut(), self.fellowship.now());
+        self.carry_out();
+        done
+    }
+
+    /// Goes on in another role; what the one before had left to do is dropped.
+    pub fn replace_spreader(&self, mut spreader: Spreader) {
+        spreader.peers(self.living());
+        self.spreader.replace(spreader);
+        self.rearm.notify_one();
+    }
+
+    fn living(&self) -> Peers {
+        let peer = |news: &News| Peer { life: news.who.clone(), zone: news.zone.clone() };
+        Peers::new(self.fellowship.living(|others| others.map(peer).collect()))
+    }
+
+    pub fn glance(&self) -> Glance {
+        self.spreader.borrow().glance()
+    }
+
+    pub fn host(&self) -> &H {
+        &self.host
+    }
+
+    fn heard(&self, from: &Life, body: &[u8]) {
+        match Message::decode(body) {
+            Ok(message) => self.call(|spreader, now| spreader.heard(now, from, message, body.len())),
+            Err(error) => {
+                tracing::debug!(peer = from.name, %error, "message on the configuration passed over");
+                self.spreader.borrow_mut().unreadable();
+            }
+        }
+        self.rearm.notify_one();
+    }
+
+    async fn wakes(self: Rc<Self>) {
+        loop {
+            let next = self.spreader.borrow().next_wake();
+            let wait = next.map_or(self.period, |at| {
+                Duration::from_nanos(at.saturating_sub(self.fellowship.now())).max(SHORTEST_WAIT)
+            });
+            tokio::select! {
+                () = sleep(wait) => self.call(|spreader, now| spreader.wake(now)),
+                () = self.rearm.notified() => {}
+            }
+        }
+    }
+
+    async fn follow_membership(self: Rc<Self>) {
+        loop {
+            let peers = self.living();
+            self.spreader.borrow_mut().peers(peers);
+            sleep(self.period).await;
+        }
+    }
+
+    fn carry_out(&self) {
+        loop {
+            let effect = self.spreader.borrow_mut().effect();
+            match effect {
+                None => break,
+                Some(Effect::Send { to, message }) => match message.encode() {
+                    Ok(body) => self.fellowship.say(&to, KIND, body),
+                    Err(error) => tracing::warn!(peer = to.name, %error, "message not sent"),
+                },
+                Some(Effect::Install(snapshot)) => self.install(&snapshot),
+                Some(Effect::Event(event)) => log(event),
+            }
+        }
+        self.rearm.notify_one();
+    }
+
+    fn install(&self, snapshot: &Snapshot) {
+        let (version, now) = (snapshot.version(), self.fellowship.now());
+        match self.host.install(snapshot) {
+            Ok(()) => {
+                tracing::info!(%version, digest = %snapshot.digest(), "configuration in force");
+                self.spreader.borrow_mut().installed(now, version);
+            }
+            Err(reason) => self.spreader.borrow_mut().rejected(now, version, &reason.to_string()),
+        }
+    }
+
+    /// What an operator sees.
+    pub fn state(&self) -> Value {
+        let (glance, now) = (self.glance(), self.fellowship.now());
+        let age_ms = |at: Ns| now.saturating_sub(at) / NS_PER_MS;
+        let rejected = glance.rejected.map(|rejection| {
+            json!({"version": rejection.version.to_string(), "reason": rejection.reason})
+        });
+        let transfer = glance.transfer.map(|transfer| {
+            json!({
+                "version": transfer.version.to_string(), "from": transfer.source,
+                "missing_buckets": transfer.missing_buckets,
+            })
+        });
+        let counts = glance.counts;
+        json!({
+            "version": glance.version.to_string(),
+            "digest": glance.digest.to_string(),
+            "age_ms": age_ms(glance.in_force_since),
+            "held": glance.held.to_string(),
+            "newest_heard": glance.newest_heard.to_string(),
+            "behind_ms": glance.behind_since.map(age_ms),
+            "rejected": rejected,
+            "heard_ms_ago": glance.heard_at.map(age_ms),
+            "polled_ms_ago": glance.polled_at.map(age_ms),
+            "peers": glance.peers,
+            "transfer": transfer,
+            "counts": {
+                "unreadable": counts.unreadable, "repeats": counts.repeats, "unfit_deltas": counts.unfit_deltas,
+                "conflicts": counts.conflicts, "lower_epochs": counts.lower_epochs,
+                "bad_chunks": counts.bad_chunks, "rejected": counts.rejected,
+            },
+        })
+    }
+
+    /// What an operator sees of a writer: how many of how many have the last polled version, and who has not.
+    pub fn writer_state(&self) -> Value {
+        let Some(writer) = self.glance().writer else { return Value::Null };
+        let now = self.fellowship.now();
+        let age_ms = |at: Ns| now.saturating_sub(at) / NS_PER_MS;
+        let round = writer.round.map(|round| {
+            let behind = round.behind.iter().map(|peer| {
+                json!({
+                    "name": peer.name, "standing": format!("{:?}", peer.standing), "for_ms": age_ms(peer.since),
+                })
+            });
+            json!({
+                "version": round.version.to_string(), "ms_ago": age_ms(round.at), "have": round.have,
+                "of": round.of, "behind": behind.collect::<Vec<_>>(), "more_behind": round.more,
+            })
+        });
+        let superseded = writer.superseded.map(|by| by.version.to_string());
+        json!({"epoch": writer.epoch, "superseded_by": superseded, "round": round})
+    }
+}
+
+fn log(event: Event) {
+    match event {
+        Event::Conflict { version, held, other, from } => tracing::error!(
+            %version, %held, %other, peer = from.name,
+            "two contents of one configuration version: two distributors share an epoch"
+        ),
+        Event::Superseded { by } => {
+            tracing::error!(by = %by.version, "superseded: another distributor has a higher epoch");
+        }
+        Event::Rejected(rejection) => tracing::warn!(
+            version = %rejection.version, reason = rejection.reason, "configuration rejected, the old one stays"
+        ),
+        Event::TransferBegan { version, missing } => {
+            tracing::info!(%version, missing_buckets = missing, "fetching the whole configuration");
+        }
+        Event::TransferDone { version } => tracing::info!(%version, "whole configuration fetched"),
+        Event::SourceChanged { version, from } => {
+            tracing::info!(%version, peer = from.name, "fetching goes on from another peer");
+        }
+        Event::TransferFailed { version } => tracing::warn!(%version, "fetching the configuration failed"),
+    }
+}
--- a/crates/sidecar/tests/routes.rs
+++ b/crates/sidecar/tests/routes.rs
@@ -76,7 +76,7 @@
             })
             .collect();
         let slots = slots(&mut engine(false), &groups);
-        let table = RouteTable::new(&groups, slots, &[]);
+        let table = RouteTable::from_settings(&groups, slots, &[]);
         for (method, path) in requests {
             let wanted = groups.iter().find(|group| group.fits(method, &path)).map(|group| group.name.as_str());
             let found = table.find(method, &path).map(|route| route.name.as_str());
@@ -135,14 +135,15 @@
     groups.push(group("late-whole".into(), vec![], vec!["/team-7/api/x".into()]));
     groups.push(group("rest".into(), vec!["GET".into()], vec!["/*".into()]));
     let slots = slots(&mut engine(false), &groups);
-    let table = RouteTable::new(&groups, slots, &["first".into(), "second".into(), "first".into()]);
+    let table = RouteTable::from_settings(&groups, slots, &["first".into(), "second".into(), "first".into()]);
     assert_eq!(table.len(), 4_502);
     let name = |method, path| table.find(method, path).map(|route| route.name.as_str());
     assert_eq!(name("GET", "/team-4321/api/a/b"), Some("r-4321"));
     assert_eq!(name("GET", "/team-7/api/x"), Some("r-7"), "the first of the script, not the longest pattern");
     assert_eq!((name("GET", "/other"), name("PUT", "/other")), (Some("rest"), None));
     assert_eq!(table.named("r-12").map(|route| route.group()), Some(12));
-    assert_eq!((table.tenant("first"), table.tenant("second"), table.tenant("x")), (Some(0), Some(1), None));
+    let index = |name| table.tenant(name).and_then(|tenant| tenant.index);
+    assert_eq!((index("first"), index("second"), index("x")), (Some(0), Some(1), None));
 }
 
 fn listed(n: u16) -> Listed {
