--- a/crates/cli/src/distribute.rs
+++ b/crates/cli/src/distribute.rs
@@ -1,8 +1,10 @@
 //! `havenplank distribute`: signals, log and runtime around the distributor of a configuration.
 
 use anyhow::Context;
-use havenplank_settings::{Fellowship, Given};
-use havenplank_sidecar::distributor::{run, DistributorAddresses, DistributorError, DistributorSettings, EpochChoice};
+use havenplank_settings::Fellowship;
+use havenplank_sidecar::distributor::{
+    run, DistributorAddresses, DistributorError, DistributorSettings, EpochChoice,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tokio::runtime::LocalOptions;
@@ -83,8 +85,13 @@
         (None, false) => EpochChoice::AsStored,
     };
     let period = u64::try_from(args.period.as_nanos()).context("--period: too long")?;
-    let membership =
-        Fellowship { listen: args.listen, advertise: args.advertise, meet: args.meet, keys: args.keys, period };
+    let membership = Fellowship {
+        listen: args.listen,
+        advertise: args.advertise,
+        meet: args.meet,
+        keys: args.keys,
+        period,
+    };
     Ok(DistributorSettings {
         name: args.name,
         script: args.script,
--- a/crates/settings/src/records.rs
+++ b/crates/settings/src/records.rs
@@ -293,7 +293,11 @@
 /// What the script states where a configuration brings it is refused by line, with its new place.
 fn refuse_static(rows: &[Row], problems: &mut Vec<Problem>) {
     const MOVED: [(&str, Option<&str>, &str); 3] = [
-        ("path_group", None, "route(...) in the script of `havenplank distribute`, as configuration(...) brings routes"),
+        (
+            "path_group",
+            None,
+            "route(...) in the script of `havenplank distribute`, as configuration(...) brings routes",
+        ),
         (
             "sidecar",
             Some("customers"),
@@ -302,7 +306,8 @@
         ("trace", Some("folder"), "no trace beside configuration(...), as a trace holds one set of routes"),
     ];
     for (kind, field, expected) in MOVED {
-        let stands = |row: &&Row| row.kind == kind && field.is_none_or(|field| row.fields.contains_key(field));
+        let stands =
+            |row: &&Row| row.kind == kind && field.is_none_or(|field| row.fields.contains_key(field));
         for row in rows.iter().filter(stands) {
             let field = field.map_or(kind.to_string(), |field| format!("{kind}.{field}"));
             let (file, line) = (row.file.clone(), row.line);
@@ -496,7 +501,11 @@
         let zone = r.text("zone");
         match zones.iter().position(|known| *known == zone) {
             _ if zones.iter().any(|zone| zone == DISTRIBUTOR_ZONE) => {
-                r.complain("zones", format!("found {DISTRIBUTOR_ZONE:?}"), "another name, as distributors have it");
+                r.complain(
+                    "zones",
+                    format!("found {DISTRIBUTOR_ZONE:?}"),
+                    "another name, as distributors have it",
+                );
             }
             Some(at) => place.zone = at,
             None => r.complain("zone", format!("found {zone:?}"), "one of zones"),
@@ -545,7 +554,11 @@
         read("configuration", &mut |r| {
             configured = Some(configuration(r));
             if met.is_none() {
-                r.complain("fellowship", "no call of fellowship(...)", "one, as peers bring the configuration");
+                r.complain(
+                    "fellowship",
+                    "no call of fellowship(...)",
+                    "one, as peers bring the configuration",
+                );
             }
         });
     }
--- a/crates/sidecar/src/configuration.rs
+++ b/crates/sidecar/src/configuration.rs
@@ -41,7 +41,10 @@
     pub fn open(folder: &Path) -> Result<Kept, StoreError> {
         let Opened { store, deltas, torn_tail } = Store::open(folder)?;
         if let Some(torn) = torn_tail {
-            tracing::info!(bytes = torn.bytes, "the end of an unfinished write was cut off the kept configuration");
+            tracing::info!(
+                bytes = torn.bytes,
+                "the end of an unfinished write was cut off the kept configuration"
+            );
         }
         Ok(Kept { store, deltas })
     }
--- a/crates/sidecar/src/distributor.rs
+++ b/crates/sidecar/src/distributor.rs
@@ -160,9 +160,14 @@
     fellowship.run(membership.keys.clone());
     let replaces = settings.epoch == EpochChoice::ReplaceWriter;
     let mut distributor = Distributor { settings, store, epoch, spreading, last_round: None };
-    spawn_local(serve_operators(admin_listener, distributor.settings.name.clone(), distributor.spreading.clone()));
-    let addresses = fellowship.at().map(|membership| DistributorAddresses { membership, admin });
-    addresses.into_iter().for_each(ready);
+    spawn_local(serve_operators(
+        admin_listener,
+        distributor.settings.name.clone(),
+        distributor.spreading.clone(),
+    ));
+    if let Some(membership) = fellowship.at() {
+        ready(DistributorAddresses { membership, admin });
+    }
     if replaces {
         distributor.replace_writer(&fellowship).await?;
     }
@@ -184,7 +189,8 @@
 impl Distributor {
     /// Fetches the newest version that peers have, and becomes the writer of the next epoch.
     async fn replace_writer(&mut self, fellowship: &Fellowship) -> Result<(), DistributorError> {
-        let newest = timeout(REPLACE_PATIENCE, self.newest()).await.map_err(|_| DistributorError::NobodyHeard)?;
+        let newest =
+            timeout(REPLACE_PATIENCE, self.newest()).await.map_err(|_| DistributorError::NobodyHeard)?;
         if let Some(newest) = newest.filter(|newest| newest.version() > self.store.snapshot().version()) {
             self.store.replace(&newest)?;
         }
@@ -201,7 +207,10 @@
         let (mut settled, mut last) = (Instant::now(), Version::NONE);
         loop {
             let glance = self.spreading.glance();
-            if glance.newest_heard != last || glance.heard_at.is_none() || glance.version != glance.newest_heard {
+            if glance.newest_heard != last
+                || glance.heard_at.is_none()
+                || glance.version != glance.newest_heard
+            {
                 (settled, last) = (Instant::now(), glance.newest_heard);
             }
             if settled.elapsed() >= REPLACE_SETTLED {
@@ -268,9 +277,10 @@
     /// Logs a finished poll that tells something new.
     fn report(&mut self) {
         let Some(round) = self.spreading.glance().writer.and_then(|writer| writer.round) else { return };
-        let told = self.last_round.as_ref().is_some_and(|last| {
-            (last.version, last.have, last.of) == (round.version, round.have, round.of)
-        });
+        let told = self
+            .last_round
+            .as_ref()
+            .is_some_and(|last| (last.version, last.have, last.of) == (round.version, round.have, round.of));
         if !told {
             let behind: Vec<&str> = round.behind.iter().map(|peer| peer.name.as_str()).collect();
             let (have, of, more) = (round.have, round.of, round.more);
@@ -299,7 +309,8 @@
 
 async fn operator(stream: TcpStream, name: &str, spreading: &Spreading<Newest>) {
     let service = service_fn(|request| async move { Ok::<_, Infallible>(answer(&request, name, spreading)) });
-    let connection = http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+    let connection =
+        http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
         tracing::debug!(%error, "operator's connection ended");
     }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -149,7 +149,10 @@
     let routes = shell.routes();
     let Some(route) = routes.find(parts.method.as_str(), parts.uri.path()).cloned() else {
         return Err(match routes.awaits_configuration() {
-            true => (StatusCode::SERVICE_UNAVAILABLE, "no configuration has been heard yet; a retry is harmless\n"),
+            true => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration has been heard yet; a retry is harmless\n",
+            ),
             false => (StatusCode::NOT_FOUND, "no path group takes this method and path\n"),
         });
     };
--- a/crates/sidecar/src/spreading.rs
+++ b/crates/sidecar/src/spreading.rs
@@ -155,9 +155,9 @@
     pub fn state(&self) -> Value {
         let (glance, now) = (self.glance(), self.fellowship.now());
         let age_ms = |at: Ns| now.saturating_sub(at) / NS_PER_MS;
-        let rejected = glance.rejected.map(|rejection| {
-            json!({"version": rejection.version.to_string(), "reason": rejection.reason})
-        });
+        let rejected = glance
+            .rejected
+            .map(|rejection| json!({"version": rejection.version.to_string(), "reason": rejection.reason}));
         let transfer = glance.transfer.map(|transfer| {
             json!({
                 "version": transfer.version.to_string(), "from": transfer.source,
--- a/crates/stand/src/hands.rs
+++ b/crates/stand/src/hands.rs
@@ -56,7 +56,16 @@
         Ok(Response::new(Full::new(format!("{name} done, {} bytes", body.len()).into())))
     }
 
-    async fn start(self: &Rc<Self>) -> io::Result<SocketAddr> {
+    /// None that ran anything yet.
+    pub fn new(work: Duration) -> Rc<Pods> {
+        Rc::new(Pods { ran: RefCell::default(), work: Cell::new(work) })
+    }
+
+    /// Starts one more pod; all count together.
+    ///
+    /// # Errors
+    /// No address to be had.
+    pub async fn start(self: &Rc<Self>) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let (at, pods) = (listener.local_addr()?, self.clone());
         spawn_local(async move {
@@ -76,7 +85,7 @@
     }
 }
 
-/// One process of `havenplank serve`; it ends with this.
+/// One process of the program; it ends with this.
 pub struct Sidecar {
     process: Child,
     log: Receiver<String>,
@@ -87,6 +96,30 @@
 }
 
 impl Sidecar {
+    /// Starts the program with these arguments.
+    ///
+    /// # Errors
+    /// No process to be had.
+    pub fn spawn(program: &Path, arguments: &[String]) -> io::Result<Sidecar> {
+        let mut command = Command::new(program);
+        command.args(arguments).env("NO_COLOR", "1").stderr(Stdio::piped());
+        let mut process = command.spawn()?;
+        let (lines, log) = channel();
+        let from = BufReader::new(process.stderr.take().ok_or(wrong("no log"))?);
+        std::thread::spawn(move || from.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Ok(Sidecar { process, log, told: Vec::new(), at: nowhere, admin: nowhere })
+    }
+
+    /// Its exit status, once it is over.
+    ///
+    /// # Errors
+    /// It never is.
+    pub async fn exit_code(&mut self) -> io::Result<Option<i32>> {
+        self.over().await?;
+        Ok(self.process.wait()?.code())
+    }
+
     /// # Errors
     /// A process that is gone.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
@@ -140,7 +173,10 @@
     }
 
     /// The address after this in the first line of the log that holds `what`.
-    fn address(&self, what: &str, name: &str) -> io::Result<SocketAddr> {
+    ///
+    /// # Errors
+    /// No such line, or none with an address.
+    pub fn address(&self, what: &str, name: &str) -> io::Result<SocketAddr> {
         let line = self.told.iter().find(|line| line.contains(what)).ok_or(wrong(what))?;
         let text = line.split(name).nth(1).and_then(|rest| rest.split_whitespace().next());
         text.and_then(|text| text.trim_matches('"').parse().ok()).ok_or(wrong(format!("{name} in {line}")))
@@ -175,8 +211,7 @@
     /// # Errors
     /// No sockets, no processes, or sidecars that never meet.
     pub async fn start(program: &Path, folder: &Path, many: usize, relayed: bool) -> io::Result<Group> {
-        let (ran, work) = (RefCell::default(), Cell::new(Duration::from_millis(400)));
-        let pods = Rc::new(Pods { ran, work });
+        let pods = Pods::new(Duration::from_millis(400));
         let mut listed = Vec::new();
         for n in 0..PODS {
             listed.push(Listed {
@@ -245,14 +280,7 @@
     pub async fn launch(&mut self, id: usize) -> io::Result<Sidecar> {
         let file = self.folder.join(format!("s-{id}.star"));
         std::fs::write(&file, self.settings(id))?;
-        let mut command = Command::new(&self.program);
-        command.arg("serve").arg(&file).env("NO_COLOR", "1").stderr(Stdio::piped());
-        let mut process = command.spawn()?;
-        let (lines, log) = channel();
-        let from = BufReader::new(process.stderr.take().ok_or(wrong("no log"))?);
-        std::thread::spawn(move || from.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut sidecar = Sidecar { process, log, told: Vec::new(), at: nowhere, admin: nowhere };
+        let mut sidecar = Sidecar::spawn(&self.program, &["serve".into(), file.display().to_string()])?;
         sidecar.until("admin=", 1).await?;
         (sidecar.at, sidecar.admin) =
             (sidecar.address("admin=", "listen=")?, sidecar.address("admin=", "admin=")?);
@@ -307,6 +335,12 @@
     send(at, request).await
 }
 
+/// One request without a key and a body.
+pub async fn ask_without_key(at: SocketAddr, path: &str, name: &str) -> Option<(u16, String)> {
+    let request = Request::post(path).header("host", "search").header("x-order", name).body(Full::default());
+    send(at, request.ok()?).await
+}
+
 /// What an operator sees of a sidecar.
 pub async fn state(admin: SocketAddr) -> Option<serde_json::Value> {
     let request = Request::builder().method(Method::GET).uri("/state").header("host", "sidecar");
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -1,7 +1,8 @@
 //! Relays of datagrams between processes on loopback: what a network does to them, without any privilege.
 //!
 //! Each process tells others the address of its relay and gets from there what is meant for it. Who sent a datagram
-//! shows from its source, so that every direction between two processes can be cut, slowed or thinned by itself.
+//! shows from its source, so that every direction between two processes can be cut, slowed or thinned by itself. Streams
+//! are carried on demand; who opened one does not show, so that any cut towards a process cuts all streams to it.
 
 use oorandom::Rand64;
 use std::cell::RefCell;
@@ -10,7 +11,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -18,6 +20,9 @@
 /// Datagrams that are held back at once, at most; what comes on top is lost.
 const HELD: usize = 10_000;
 
+/// How soon a cut ends the streams that are open.
+const CUT_LOOK: Duration = Duration::from_millis(5);
+
 /// What happens to datagrams that are not cut.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Weather {
@@ -76,6 +81,18 @@
         self.at[id]
     }
 
+    /// Carries streams as well from now on.
+    ///
+    /// # Errors
+    /// A port that is taken for TCP.
+    pub async fn carry_streams(&self) -> io::Result<()> {
+        for (to, at) in self.at.iter().enumerate() {
+            let listener = TcpListener::bind(at).await?;
+            spawn_local(relay_streams(self.table.clone(), listener, to));
+        }
+        Ok(())
+    }
+
     /// Where a process has its own socket now; a later life of it may have another.
     pub fn serves(&self, id: usize, own: SocketAddr) {
         let mut table = self.table.borrow_mut();
@@ -112,6 +129,34 @@
     }
 }
 
+async fn relay_streams(table: Rc<RefCell<Table>>, listener: TcpListener, to: usize) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let table = table.clone();
+        spawn_local(async move {
+            tokio::select! {
+                () = carry(&table, stream, to) => {}
+                () = until_cut(&table, to) => {}
+            }
+        });
+    }
+}
+
+async fn carry(table: &RefCell<Table>, mut stream: TcpStream, to: usize) {
+    let target = table.borrow().targets[to];
+    let Some(target) = target else { return };
+    if let Ok(mut onwards) = TcpStream::connect(target).await {
+        // A stream that breaks is the loss of what it carried, which the processes are to bear.
+        let _ = copy_bidirectional(&mut stream, &mut onwards).await;
+    }
+}
+
+async fn until_cut(table: &RefCell<Table>, to: usize) {
+    while !table.borrow().cut.iter().any(|(_, target)| *target == to) {
+        sleep(CUT_LOOK).await;
+    }
+}
+
 async fn relay(table: Rc<RefCell<Table>>, socket: Rc<UdpSocket>, to: usize) {
     let mut bytes = vec![0; LONGEST];
     loop {
