--- /dev/null
+++ b/crates/capacity/examples/configuration.rs
@@ -0,0 +1,13 @@
+//! Prints the figures of the spread of configurations: `cargo run --release --example configuration [SIZE...]`.
+
+use havenplank_capacity::configuration::measure;
+
+const SEED: u64 = 1;
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|size| size.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![100, 200, 400, 800, 1_600] } else { sizes };
+    for section in measure(&sizes, SEED) {
+        println!("{section}");
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/configuration/fleet.rs
@@ -0,0 +1,209 @@
+//! A simulated fleet of processes in zones and regions, with a given membership.
+
+use super::process::{name, Process};
+use havenplank_configuration::delta::Change;
+use havenplank_configuration::digest::Digest;
+use havenplank_configuration::record::{Record, Tenant, TenantLimits};
+use havenplank_configuration::snapshot::Snapshot;
+use havenplank_configuration::spread::{Kept, Ns, Peer, Peers, PublishError, Role, Rules};
+use havenplank_configuration::version::Version;
+use havenplank_fellows::wire::Life;
+use havenplank_stand::net::{Clock, Id, Net, Weather};
+use std::collections::BTreeMap;
+
+pub const MS: Ns = 1_000_000;
+pub const SECOND: Ns = 1_000 * MS;
+/// Zones of each region.
+const ZONES: [usize; 4] = [4, 4, 3, 3];
+
+/// Where each process is, by number: zone after zone in turn.
+pub fn zone(id: Id) -> String {
+    let (region, zone) = place(id);
+    format!("r{region}/z{zone}")
+}
+
+fn place(id: Id) -> (usize, usize) {
+    let zone = id % ZONES.iter().sum::<usize>();
+    let mut end = 0;
+    let ends = ZONES.iter().map(|zones| {
+        end += zones;
+        end
+    });
+    (ends.take_while(|end| *end <= zone).count(), zone)
+}
+
+/// The region of a process, by number.
+pub fn place_region(id: Id) -> usize {
+    place(id).0
+}
+
+/// 1 ms in a zone, 2 to 4 ms in a region, 40 to 90 ms between regions.
+pub fn delay(from: Id, to: Id) -> (Ns, Ns) {
+    let ((from_region, from_zone), (to_region, to_zone)) = (place(from), place(to));
+    if from_zone == to_zone {
+        (MS / 2, MS)
+    } else if from_region == to_region {
+        (2 * MS, 4 * MS)
+    } else {
+        let nearest = 40 + 10 * (from_region.abs_diff(to_region) as Ns - 1);
+        (nearest * MS, (nearest + 30).min(90) * MS)
+    }
+}
+
+/// A configuration of so many tenants.
+pub fn tenants(count: usize) -> Snapshot {
+    let records = (0..count).map(|n| tenant(n, 100));
+    let snapshot = Snapshot::from_records(Version { epoch: 1, number: 1 }, records);
+    snapshot.unwrap_or_else(|_| Snapshot::empty())
+}
+
+fn tenant(n: usize, requests_per_s: u32) -> Record {
+    let limits = TenantLimits { requests_per_s: Some(requests_per_s), in_flight: Some(50) };
+    Record::Tenant(Tenant { name: format!("tenant-{n:06}"), limits })
+}
+
+/// A change of some tenants, other with each number.
+pub fn change(number: u64, tenants: usize, width: usize) -> Vec<Change> {
+    let first = number as usize * 7_919;
+    let mut places: Vec<usize> = (0..width).map(|n| (first + n * 31) % tenants.max(width * 31)).collect();
+    places.sort_unstable();
+    places.dedup();
+    let value = 1_000 + (number % 1_000_000) as u32;
+    places.into_iter().map(|n| Change::Put(tenant(n, value))).collect()
+}
+
+pub struct Fleet {
+    pub net: Net<Process>,
+    pub rules: Rules,
+    seed: u64,
+    lives: BTreeMap<Id, u64>,
+    /// Publications: when, what, by whom.
+    pub published: Vec<(Ns, Version, Id)>,
+    /// The contents that writers gave each version: more than one where two wrote the same.
+    pub digests: BTreeMap<Version, Vec<Digest>>,
+    changes: u64,
+    tenants: usize,
+    /// Tenants that one change touches.
+    pub width: usize,
+}
+
+impl Fleet {
+    /// Processes that all hold `base` and know each other; the first one is the writer of epoch 1.
+    pub fn new(count: usize, seed: u64, base: &Snapshot, weather: Weather) -> Fleet {
+        Fleet::with_clocks(count, seed, base, weather, |_| Clock::default())
+    }
+
+    pub fn with_clocks(
+        count: usize,
+        seed: u64,
+        base: &Snapshot,
+        weather: Weather,
+        clock: impl Fn(Id) -> Clock,
+    ) -> Fleet {
+        let mut net = Net::new(seed, weather);
+        net.delay = Some(Box::new(delay));
+        let rules = Rules::default();
+        let mut fleet = Fleet {
+            net,
+            rules,
+            seed,
+            lives: BTreeMap::new(),
+            published: Vec::new(),
+            digests: BTreeMap::from([(base.version(), vec![base.digest()])]),
+            changes: 0,
+            tenants: base.tenants().count(),
+            width: 5,
+        };
+        for id in 0..count {
+            let role = if id == 0 { Role::Writer { epoch: 1 } } else { Role::Sidecar };
+            fleet.join(clock(id), role, base.clone());
+        }
+        fleet.tell_everyone();
+        fleet
+    }
+
+    fn join(&mut self, clock: Clock, role: Role, snapshot: Snapshot) {
+        let id = self.lives.len();
+        self.lives.insert(id, 1);
+        let (seed, me, rules) = (self.seed_of(id), self.peer(id), self.rules.clone());
+        let kept = Kept { snapshot, deltas: Vec::new() };
+        self.net.join(clock, |now, _| Process::new(now, seed, me, role, kept, rules));
+    }
+
+    /// Starts a process anew, under a later life, with what it kept.
+    pub fn restart(&mut self, id: Id, role: Role, kept: Snapshot) {
+        *self.lives.entry(id).or_default() += 1;
+        let (seed, me, rules) = (self.seed_of(id), self.peer(id), self.rules.clone());
+        let kept = Kept { snapshot: kept, deltas: Vec::new() };
+        self.net.restart(id, |now, _| Process::new(now, seed, me, role, kept, rules));
+    }
+
+    fn seed_of(&self, id: Id) -> u64 {
+        self.seed.wrapping_mul(1_000_003).wrapping_add(id as u64 * 64 + self.lives[&id])
+    }
+
+    pub fn peer(&self, id: Id) -> Peer {
+        Peer { life: Life { name: name(id), life: self.lives[&id] }, zone: zone(id) }
+    }
+
+    /// The list of these processes.
+    pub fn peers(&self, ids: impl IntoIterator<Item = Id>) -> Peers {
+        Peers::new(ids.into_iter().map(|id| self.peer(id)).collect())
+    }
+
+    /// Tells every process of all that live.
+    pub fn tell_everyone(&mut self) {
+        let living = self.net.ids().filter(|id| self.net.part(*id).is_some());
+        let peers = self.peers(living);
+        for id in self.net.ids() {
+            self.tell(id, &peers);
+        }
+    }
+
+    pub fn tell(&mut self, id: Id, peers: &Peers) {
+        if let Some(process) = self.net.part_mut(id) {
+            process.spreader.peers(peers.clone());
+        }
+    }
+
+    pub fn next_change(&mut self) -> Vec<Change> {
+        self.changes += 1;
+        change(self.changes, self.tenants, self.width)
+    }
+
+    /// One change, published by a writer.
+    ///
+    /// # Errors
+    /// Why the writer refuses.
+    pub fn publish(&mut self, id: Id, epoch: u64) -> Result<Version, PublishError> {
+        let changes = self.next_change();
+        let (now, own) = (self.net.now(), self.net.own_time(id));
+        let Some(writer) = self.net.part_mut(id) else { return Err(PublishError::NotWriter) };
+        let version = writer.publish(own, epoch, changes)?;
+        let digest = writer.in_force.digest();
+        self.digests.entry(version).or_default().push(digest);
+        self.net.post(id);
+        self.published.push((now, version, id));
+        Ok(version)
+    }
+
+    pub fn run_for(&mut self, span: Ns) {
+        let until = self.net.now() + span;
+        self.net.run(until, |_, _| {});
+    }
+
+    /// For each publication by the first process since `from` and up to now, how long it took until it or a newer one
+    /// was in force at each of these processes; `None` where it is not yet. For clocks that stand at the network's time.
+    pub fn latencies(&self, from: Ns, ids: &[Id]) -> Vec<Option<Ns>> {
+        let published = self.published.iter().filter(|(at, _, writer)| *at >= from && *writer == 0);
+        let mut latencies = Vec::new();
+        for (at, version, _) in published {
+            for id in ids {
+                let log = self.net.part(*id).map(|process| process.log.as_slice()).unwrap_or_default();
+                let first = log.partition_point(|(_, there, _)| there < version);
+                latencies.push(log.get(first).map(|(came, _, _)| came.saturating_sub(*at)));
+            }
+        }
+        latencies
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/interval.rs
@@ -0,0 +1,117 @@
+//! Ranges of names, split so that no name is in two of them.
+
+use serde::{Deserialize, Serialize};
+use std::ops::Range;
+
+/// The names from one on, up to another that is not among them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Interval {
+    pub from: String,
+    /// `None` for no upper end.
+    pub to: Option<String>,
+}
+
+/// A part of an interval, and the places of its names in the list that was split.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub interval: Interval,
+    pub names: Range<usize>,
+}
+
+impl Interval {
+    /// Every name there can be.
+    pub fn all() -> Interval {
+        Interval { from: String::new(), to: None }
+    }
+
+    pub fn contains(&self, name: &str) -> bool {
+        self.from.as_str() <= name && self.to.as_deref().is_none_or(|to| name < to)
+    }
+
+    /// The places of this interval's names in a sorted list.
+    pub fn places<'a>(&self, count: usize, name: impl Fn(usize) -> &'a str) -> Range<usize> {
+        let first = partition_point(count, |place| name(place) < self.from.as_str());
+        let end = self.to.as_deref().map_or(count, |to| partition_point(count, |place| name(place) < to));
+        first..end.max(first)
+    }
+
+    /// Splits all of the interval but `own` into some `parts` disjoint intervals of about as many names of a sorted
+    /// list each, two more at most; an interval without any of the names is left out.
+    pub fn split_around<'a>(
+        &self,
+        own: &str,
+        parts: usize,
+        count: usize,
+        name: impl Fn(usize) -> &'a str,
+    ) -> Vec<Part> {
+        let places = self.places(count, &name);
+        let size = places.len().div_ceil(parts.max(1)).max(1);
+        let mut split = Vec::new();
+        let (below, above) = self.without(own);
+        for side in [below, above].into_iter().flatten() {
+            let places = side.places(count, &name);
+            let starts: Vec<usize> = places.clone().step_by(size).collect();
+            for (at, &start) in starts.iter().enumerate() {
+                let next = starts.get(at + 1).copied();
+                let from = if at == 0 { side.from.clone() } else { name(start).to_string() };
+                let to = next.map_or(side.to.clone(), |next| Some(name(next).to_string()));
+                let names = start..next.unwrap_or(places.end);
+                split.push(Part { interval: Interval { from, to }, names });
+            }
+        }
+        split
+    }
+
+    /// What lies below and above one name.
+    fn without(&self, own: &str) -> (Option<Interval>, Option<Interval>) {
+        if !self.contains(own) {
+            return (Some(self.clone()), None);
+        }
+        let below = Interval { from: self.from.clone(), to: Some(own.to_string()) };
+        // No string lies between a name and the same one with the lowest character behind it.
+        let above = Interval { from: format!("{own}\0"), to: self.to.clone() };
+        (Some(below), Some(above))
+    }
+}
+
+/// The first place at which `before` no longer holds.
+fn partition_point(count: usize, before: impl Fn(usize) -> bool) -> usize {
+    let (mut low, mut high) = (0, count);
+    while low < high {
+        let middle = low + (high - low) / 2;
+        if before(middle) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn every_name_but_the_own_one_is_in_exactly_one_part(
+            names in proptest::collection::btree_set("[ab]{1,6}", 0..60),
+            own in "[ab]{1,6}",
+            parts in 1usize..9,
+            probe in "[ab]{1,7}",
+        ) {
+            let names: Vec<String> = names.into_iter().collect();
+            let split = Interval::all().split_around(&own, parts, names.len(), |at| &names[at]);
+            prop_assert!(split.len() <= parts + 2);
+            for (at, name) in names.iter().enumerate() {
+                let within = split.iter().filter(|part| part.interval.contains(name)).count();
+                let placed = split.iter().filter(|part| part.names.contains(&at)).count();
+                let expected = usize::from(*name != own);
+                prop_assert_eq!((within, placed), (expected, expected), "{}", name);
+            }
+            // A name that the list does not have is in one at most.
+            prop_assert!(split.iter().filter(|part| part.interval.contains(&probe)).count() <= 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/message.rs
@@ -0,0 +1,291 @@
+//! What spreaders tell each other, and its bounded encoding.
+//!
+//! Sizes are checked before and while bytes are read. What is out of bounds is an error that the caller counts; no
+//! message that cannot be read changes anything.
+
+use crate::chunk::{Chunk, Manifest, MAX_CHUNK_BYTES};
+use crate::digest::Digest;
+use crate::interval::Interval;
+use crate::snapshot::BUCKETS;
+use crate::version::Version;
+use serde::{Deserialize, Serialize};
+
+/// The longest message: what a stream between peers carries, less its envelope.
+pub const MAX_MESSAGE_BYTES: usize = (1 << 20) - 1_024;
+/// The longest message that is sent as one datagram.
+pub const DATAGRAM_BYTES: usize = 1_000;
+/// Names of peers that are behind in one report.
+pub const MAX_BEHIND: usize = 16;
+/// Deltas in one message.
+pub const MAX_DELTAS: usize = 1_024;
+/// The longest name of a peer, and the longest end of an interval: one more.
+const MAX_PEER_NAME_BYTES: usize = 64;
+
+/// Which configuration somebody holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub version: Version,
+    pub digest: Digest,
+}
+
+/// How a peer stands to a version that it does not have in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// An older one is in force.
+    Behind(Version),
+    /// The same version is in force, with other records: two writers made it.
+    Differs,
+    /// Its host could not take the version in.
+    Rejected,
+    /// It did not answer.
+    Silent,
+}
+
+/// A peer that does not have the polled version in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBehind {
+    pub name: String,
+    pub standing: Standing,
+}
+
+/// How many of how many have a version in force, or a newer one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    pub have: u32,
+    pub of: u32,
+    /// [`MAX_BEHIND`] at most.
+    pub behind: Vec<PeerBehind>,
+    /// Those that are behind beyond the named ones.
+    pub more: u32,
+}
+
+/// The question how many of an interval have a version in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poll {
+    pub round: u64,
+    pub claim: Claim,
+    pub interval: Interval,
+    /// How long the answer may take.
+    pub patience_ms: u32,
+}
+
+/// The answer to a [`Poll`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub round: u64,
+    pub version: Version,
+    pub interval: Interval,
+    pub tally: Tally,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A version is new here. The delta that leads to it is with it where it fits a datagram.
+    Announce {
+        claim: Claim,
+        delta: Option<Vec<u8>>,
+    },
+    /// What do you have? Answered by [`Message::Current`], [`Message::Deltas`], [`Message::Manifest`], or another
+    /// pull where the asked one is behind itself.
+    Pull {
+        claim: Claim,
+        /// How many bytes the answer may have; 0 asks for the claim alone.
+        room: u32,
+        /// Deltas did not apply: the manifest is wanted.
+        whole: bool,
+    },
+    /// This is what is held here, and nothing more comes.
+    Current {
+        claim: Claim,
+    },
+    /// Encoded deltas that lead on from what the asker has, and where all of them lead.
+    Deltas {
+        claim: Claim,
+        deltas: Vec<Vec<u8>>,
+    },
+    Manifest(Manifest),
+    /// Asks for one chunk with some of these buckets.
+    Want {
+        claim: Claim,
+        buckets: Vec<u16>,
+    },
+    Chunk(Chunk),
+    /// The wanted version is not held here, or no more is given away now.
+    Unavailable {
+        wanted: Version,
+        claim: Claim,
+    },
+    Poll(Poll),
+    Report(Report),
+    /// A higher epoch is in force: its writer has replaced yours.
+    Superseded {
+        by: Claim,
+    },
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum MessageError {
+    #[error("a message of {found} bytes, {most} at most", most = MAX_MESSAGE_BYTES)]
+    TooLong { found: usize },
+    #[error("cut short or no such encoding: {0}")]
+    Malformed(#[from] postcard::Error),
+    #[error("{found} bytes too many at the end")]
+    Trailing { found: usize },
+    #[error("{field} is out of its bounds")]
+    OutOfBounds { field: &'static str },
+}
+
+impl Message {
+    /// The bytes that [`Message::decode`] reads.
+    ///
+    /// # Errors
+    /// Longer than a message may be.
+    pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
+        let bytes = postcard::to_stdvec(self)?;
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return Err(MessageError::TooLong { found: bytes.len() });
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a message. Memory grows with what was read, never with what a length states.
+    ///
+    /// # Errors
+    /// Bytes that [`Message::encode`] does not write, or a field out of its bounds.
+    pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return Err(MessageError::TooLong { found: bytes.len() });
+        }
+        let (message, rest) = postcard::take_from_bytes::<Message>(bytes)?;
+        if !rest.is_empty() {
+            return Err(MessageError::Trailing { found: rest.len() });
+        }
+        message.check()?;
+        Ok(message)
+    }
+
+    fn check(&self) -> Result<(), MessageError> {
+        match self {
+            Message::Deltas { deltas, .. } => ensure(deltas.len() <= MAX_DELTAS, "deltas"),
+            Message::Manifest(manifest) => ensure(manifest.buckets.len() == BUCKETS, "buckets"),
+            Message::Want { buckets, .. } => ensure(buckets.len() <= BUCKETS, "buckets"),
+            Message::Chunk(chunk) => {
+                ensure(chunk.buckets.len() <= BUCKETS, "buckets")?;
+                ensure(chunk.body.len() <= MAX_CHUNK_BYTES, "body")
+            }
+            Message::Poll(poll) => check_interval(&poll.interval),
+            Message::Report(report) => {
+                check_interval(&report.interval)?;
+                check_tally(&report.tally, &report.interval)
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+fn ensure(holds: bool, field: &'static str) -> Result<(), MessageError> {
+    holds.then_some(()).ok_or(MessageError::OutOfBounds { field })
+}
+
+fn check_interval(interval: &Interval) -> Result<(), MessageError> {
+    let fits = |end: &str| end.len() <= MAX_PEER_NAME_BYTES + 1;
+    ensure(fits(&interval.from) && interval.to.as_deref().is_none_or(fits), "interval")
+}
+
+fn check_tally(tally: &Tally, interval: &Interval) -> Result<(), MessageError> {
+    ensure(tally.behind.len() <= MAX_BEHIND, "behind")?;
+    ensure(tally.behind.iter().all(|peer| interval.contains(&peer.name)), "behind")?;
+    let behind = tally.more.checked_add(tally.behind.len() as u32);
+    let sum = behind.and_then(|behind| behind.checked_add(tally.have));
+    ensure(sum == Some(tally.of), "of")
+}
+
+impl Tally {
+    /// Counts one peer that has the version.
+    pub fn add_having(&mut self) {
+        self.have = self.have.saturating_add(1);
+        self.of = self.of.saturating_add(1);
+    }
+
+    /// Counts one peer that does not.
+    pub fn add_behind(&mut self, name: &str, standing: Standing) {
+        self.of = self.of.saturating_add(1);
+        self.name_behind(PeerBehind { name: name.to_string(), standing });
+    }
+
+    /// Counts what another has counted in an interval of its own.
+    pub fn add(&mut self, other: Tally) {
+        self.have = self.have.saturating_add(other.have);
+        self.of = self.of.saturating_add(other.of);
+        self.more = self.more.saturating_add(other.more);
+        other.behind.into_iter().for_each(|peer| self.name_behind(peer));
+    }
+
+    fn name_behind(&mut self, peer: PeerBehind) {
+        if self.behind.len() < MAX_BEHIND {
+            self.behind.push(peer);
+        } else {
+            self.more = self.more.saturating_add(1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::snapshot::Snapshot;
+    use proptest::prelude::*;
+
+    fn claim() -> Claim {
+        Claim { version: Version { epoch: 2, number: 7 }, digest: Digest::default() }
+    }
+
+    fn report(tally: Tally) -> Message {
+        let interval = Interval { from: "b".into(), to: Some("d".into()) };
+        Message::Report(Report { round: 3, version: claim().version, interval, tally })
+    }
+
+    #[test]
+    fn what_is_encoded_is_read_back_and_what_is_out_of_bounds_is_refused() {
+        let mut tally = Tally::default();
+        tally.add_having();
+        tally.add_behind("c", Standing::Silent);
+        let good = [
+            Message::Announce { claim: claim(), delta: Some(vec![1, 2]) },
+            Message::Manifest(Manifest::of(&Snapshot::empty())),
+            report(tally.clone()),
+        ];
+        for message in good {
+            let bytes = message.encode().unwrap();
+            assert_eq!(Message::decode(&bytes), Ok(message));
+            assert!(Message::decode(&bytes[..bytes.len() - 1]).is_err());
+            let longer = [bytes, vec![0]].concat();
+            assert_eq!(Message::decode(&longer), Err(MessageError::Trailing { found: 1 }));
+        }
+        let bad = [
+            (report(Tally { of: 3, ..tally.clone() }), "of"),
+            (report(Tally { more: u32::MAX, ..tally.clone() }), "of"),
+            (report(Tally { behind: vec![tally.behind[0].clone(); 17], ..tally.clone() }), "behind"),
+            (Message::Want { claim: claim(), buckets: vec![0; BUCKETS + 1] }, "buckets"),
+            (Message::Deltas { claim: claim(), deltas: vec![vec![]; MAX_DELTAS + 1] }, "deltas"),
+        ];
+        for (message, field) in bad {
+            let read = Message::decode(&message.encode().unwrap());
+            assert_eq!(read, Err(MessageError::OutOfBounds { field }));
+        }
+        let outside = PeerBehind { name: "d".into(), standing: Standing::Silent };
+        let read = Message::decode(&report(Tally { behind: vec![outside], ..tally }).encode().unwrap());
+        assert_eq!(read, Err(MessageError::OutOfBounds { field: "behind" }));
+        let long = vec![0; MAX_MESSAGE_BYTES + 1];
+        assert!(matches!(Message::decode(&long), Err(MessageError::TooLong { .. })));
+        assert!(Message::Announce { claim: claim(), delta: Some(long) }.encode().is_err());
+    }
+
+    proptest! {
+        #[test]
+        fn noise_is_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+            let _ = Message::decode(&bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/spread/acknowledge.rs
@@ -0,0 +1,155 @@
+//! Who has which version: rounds of polls that the writer begins and every head passes on.
+
+use super::glance::RoundGlance;
+use super::poll::OpenPoll;
+use super::{Ns, Role, Rules, Spreader, OPEN_POLLS};
+use crate::interval::Interval;
+use crate::message::{Message, Poll, Report, Standing, Tally};
+use crate::version::Version;
+use havenplank_fellows::wire::Life;
+use std::collections::VecDeque;
+
+/// A name that the last round found behind, and when a round of the present series first did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BehindSince {
+    pub name: String,
+    pub standing: Standing,
+    pub since: Ns,
+}
+
+/// The writer's schedule of polls and what the last round found.
+pub(super) struct Polling {
+    round: u64,
+    next: Option<Ns>,
+    wait: Ns,
+    pub(super) last: Option<RoundGlance>,
+}
+
+impl Polling {
+    pub(super) fn new(now: Ns, role: Role, rules: &Rules) -> Polling {
+        let next = matches!(role, Role::Writer { .. }).then(|| now.saturating_add(rules.first_poll));
+        Polling { round: 0, next, wait: rules.first_poll, last: None }
+    }
+
+    /// Begins with short waits anew; a poll that is due sooner stays.
+    pub(super) fn published(&mut self, now: Ns, rules: &Rules) {
+        let at = now.saturating_add(rules.first_poll);
+        self.next = Some(self.next.map_or(at, |before| before.min(at)));
+        self.wait = rules.first_poll;
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.next = None;
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Ns> {
+        self.next
+    }
+
+    fn finished(&mut self, now: Ns, version: Version, tally: &Tally, rules: &Rules) {
+        let before = self.last.take();
+        let since = |name: &str| {
+            let known = before.iter().flat_map(|round| &round.behind).find(|peer| peer.name == name);
+            known.map_or(now, |peer| peer.since)
+        };
+        let behind = tally.behind.iter().map(|peer| BehindSince {
+            name: peer.name.clone(),
+            standing: peer.standing,
+            since: since(&peer.name),
+        });
+        let behind = behind.collect();
+        self.last =
+            Some(RoundGlance { version, at: now, have: tally.have, of: tally.of, behind, more: tally.more });
+        if tally.have == tally.of {
+            self.wait = rules.last_poll;
+        }
+        if let Some(next) = &mut self.next {
+            *next = (*next).min(now.saturating_add(self.wait));
+        }
+        self.wait = self.wait.saturating_mul(2).min(rules.last_poll);
+    }
+}
+
+impl Spreader {
+    pub(super) fn poll_where_due(&mut self, now: Ns) {
+        if self.polling.next.is_some_and(|at| at <= now) && !self.has_open_round() {
+            self.begin_round(now);
+        }
+        for open in 0..self.polls.len() {
+            let asked = self.polls[open].due(now, &mut self.chance);
+            for (to, poll) in asked {
+                self.send(&to, Message::Poll(poll));
+            }
+        }
+        self.close_finished(now);
+    }
+
+    /// Whether a round of this writer is under way. The next one waits for its end, which its patience bounds.
+    pub(super) fn has_open_round(&self) -> bool {
+        self.polls.iter().any(|open| open.parent.is_none())
+    }
+
+    fn begin_round(&mut self, now: Ns) {
+        self.polling.next = Some(now.saturating_add(self.rules.last_poll));
+        self.polling.round += 1;
+        let patience_ms = u32::try_from(self.rules.poll_patience / 1_000_000).unwrap_or(u32::MAX);
+        let (round, claim) = (self.polling.round, self.held.claim());
+        self.open(None, Poll { round, claim, interval: Interval::all(), patience_ms });
+    }
+
+    fn open(&mut self, parent: Option<Life>, poll: Poll) {
+        if self.polls.len() >= OPEN_POLLS {
+            self.polls.pop_front();
+            self.counts.dropped_polls += 1;
+        }
+        let own = self.installation.standing(poll.claim);
+        let (peers, branches) = (self.peers.clone(), self.rules.poll_branches);
+        self.polls.push_back(OpenPoll::new(poll, parent, &self.me.life.name, own, peers, branches));
+    }
+
+    pub(super) fn heard_poll(&mut self, now: Ns, from: &Life, poll: Poll) {
+        self.note(now, from, poll.claim);
+        if self.refuse_lower_epoch(from, poll.claim) {
+            return;
+        }
+        self.polled_at = Some(now);
+        if poll.claim.version > self.held.version() {
+            self.ask(now, from);
+        }
+        let same = |open: &OpenPoll| {
+            open.parent.as_ref() == Some(from)
+                && (open.poll.round, &open.poll.interval) == (poll.round, &poll.interval)
+        };
+        if !self.polls.iter().any(same) {
+            self.open(Some(from.clone()), poll);
+            self.poll_where_due(now);
+        }
+    }
+
+    pub(super) fn heard_report(&mut self, now: Ns, from: &Life, report: Report) {
+        let mut counted = false;
+        for open in &mut self.polls {
+            let same = open.poll.round == report.round && open.poll.claim.version == report.version;
+            counted |= !counted && same && open.report(from, report.clone()).is_ok();
+        }
+        if !counted {
+            self.counts.uncounted_reports += 1;
+        }
+        self.close_finished(now);
+    }
+
+    /// Sends the reports of finished rounds, and takes in those of the own one.
+    fn close_finished(&mut self, now: Ns) {
+        let (finished, open): (VecDeque<_>, _) = self.polls.drain(..).partition(OpenPoll::finished);
+        self.polls = open;
+        for poll in finished {
+            match poll.parent.clone() {
+                Some(parent) => self.send(&parent, Message::Report(poll.into_report())),
+                None => {
+                    let version = poll.poll.claim.version;
+                    self.polling.finished(now, version, poll.tally(), &self.rules);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/spread/gossip.rs
@@ -0,0 +1,284 @@
+//! Announcements to a few, and a pull from one random peer a period.
+
+use super::held::Taken;
+use super::peers::Reach;
+use super::{Event, Ns, Role, Spreader};
+use crate::delta::Delta;
+use crate::error::ApplyError;
+use crate::message::{Claim, Message, DATAGRAM_BYTES, MAX_DELTAS, MAX_MESSAGE_BYTES};
+use havenplank_fellows::wire::Life;
+use std::sync::Arc;
+
+/// What a message with deltas has around each of them, at most.
+const DELTA_OVERHEAD: usize = 16;
+/// What a message with deltas has around all of them, at most.
+const DELTAS_OVERHEAD: usize = 128;
+
+/// A pull that waits for its answer.
+pub(super) struct Asked {
+    peer: Life,
+    until: Ns,
+}
+
+impl Spreader {
+    /// Tells a few random peers what is held, with the delta that led to it where it fits a datagram.
+    pub(super) fn announce(&mut self, delta: Option<&Delta>) {
+        let claim =
+            delta.map_or(self.held.claim(), |delta| Claim { version: delta.to, digest: delta.digest });
+        let encoded =
+            delta.map(Delta::encode).filter(|bytes| bytes.len() + DELTAS_OVERHEAD <= DATAGRAM_BYTES);
+        let mut told: Vec<Life> = Vec::with_capacity(self.rules.fan_out_near + self.rules.fan_out_far);
+        for (reach, count) in [(Reach::Near, self.rules.fan_out_near), (Reach::Far, self.rules.fan_out_far)] {
+            for _ in 0..count {
+                let drawn = self.peers.draw(&mut self.chance, &self.me, reach);
+                told.extend(drawn.filter(|peer| !told.contains(peer)));
+            }
+        }
+        for peer in told {
+            self.send(&peer, Message::Announce { claim, delta: encoded.clone() });
+        }
+    }
+
+    pub(super) fn pull_where_due(&mut self, now: Ns) {
+        let retries = self.retry_at.is_some_and(|at| at <= now);
+        if self.next_pull > now && !retries {
+            return;
+        }
+        if retries {
+            self.retry_at = None;
+        }
+        if self.next_pull <= now {
+            // A tenth more or less, so that processes that started together drift apart.
+            let tenth = (self.rules.pull_period / 10).max(1);
+            let scattered = self.rules.pull_period - tenth + self.chance.rand_range(0..2 * tenth);
+            self.next_pull = now.saturating_add(scattered);
+        }
+        // Every second one near: that is cheap and quick; the other one crosses what the first cannot.
+        let reach = if self.chance.rand_range(0..2) == 0 { Reach::Near } else { Reach::Any };
+        if let Some(peer) = self.peers.draw(&mut self.chance, &self.me, reach) {
+            self.ask(now, &peer);
+        }
+    }
+
+    /// Asks one peer what it has, unless an answer is awaited.
+    pub(super) fn ask(&mut self, now: Ns, peer: &Life) {
+        if self.asked.as_ref().is_some_and(|asked| asked.until > now) {
+            return;
+        }
+        let fetches = self.transfer.is_some();
+        let left = if fetches { 0 } else { self.fetching.left(now) };
+        let room = u32::try_from(left).unwrap_or(u32::MAX);
+        self.asked = Some(Asked { peer: peer.clone(), until: now.saturating_add(self.rules.answer) });
+        let message = Message::Pull { claim: self.held.claim(), room, whole: self.wants_whole };
+        self.send(peer, message);
+    }
+
+    /// Ends the wait for an answer, where this peer was asked.
+    pub(super) fn answered_by(&mut self, from: &Life) -> bool {
+        self.asked.take_if(|asked| asked.peer == *from).is_some()
+    }
+
+    /// Asks again soon, somebody at random.
+    pub(super) fn retry(&mut self, now: Ns) {
+        let wait = self.rules.retry + self.chance.rand_range(0..self.rules.retry.max(1));
+        let at = now.saturating_add(wait).max(self.fetching.ready_at());
+        self.retry_at = Some(self.retry_at.map_or(at, |before| before.min(at)));
+    }
+
+    /// Takes note of what another holds.
+    pub(super) fn note(&mut self, now: Ns, from: &Life, claim: Claim) {
+        let contradiction = self.held.contradiction(claim);
+        if let Some(held) = contradiction {
+            self.counts.conflicts += 1;
+            if self.conflict.replace(claim) != Some(claim) {
+                let (version, other, from) = (claim.version, claim.digest, from.clone());
+                self.tell(Event::Conflict { version, held, other, from });
+            }
+        }
+        self.stop_if_superseded(claim, contradiction.is_some());
+        if claim.version > self.newest_heard.version {
+            self.newest_heard = claim;
+        }
+        if self.newest_heard.version > self.installation.version() {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
+    /// A writer stops where a higher epoch is known, or its own epoch has another writer.
+    fn stop_if_superseded(&mut self, claim: Claim, contradicts: bool) {
+        let Role::Writer { epoch } = self.role else { return };
+        let foreign = claim.version.epoch == epoch && (contradicts || claim.version > self.held.version());
+        if self.superseded.is_none() && (claim.version.epoch > epoch || foreign) {
+            self.superseded = Some(claim);
+            self.polling.stop();
+            self.tell(Event::Superseded { by: claim });
+        }
+    }
+
+    pub(super) fn heard_announce(&mut self, now: Ns, from: &Life, claim: Claim, delta: Option<Vec<u8>>) {
+        self.note(now, from, claim);
+        if claim.version <= self.held.version() {
+            self.refuse_lower_epoch(from, claim);
+            return;
+        }
+        let Some(delta) = delta else {
+            self.ask(now, from);
+            return;
+        };
+        match Delta::decode(&delta) {
+            Ok(delta) if delta.to == claim.version && delta.digest == claim.digest => {
+                self.take_delta(now, from, delta);
+            }
+            _ => self.counts.unreadable += 1,
+        }
+    }
+
+    /// Tells a writer, or whoever repeats it, that a higher epoch is in force.
+    pub(super) fn refuse_lower_epoch(&mut self, to: &Life, claim: Claim) -> bool {
+        let lower = claim.version.epoch < self.held.version().epoch;
+        if lower {
+            self.counts.lower_epochs += 1;
+            let message = Message::Superseded { by: self.held.claim() };
+            self.send(to, message);
+        }
+        lower
+    }
+
+    /// Whether the delta led on.
+    fn take_delta(&mut self, now: Ns, from: &Life, delta: Delta) -> bool {
+        match self.held.take(delta) {
+            Taken::Applied(deltas) => {
+                self.advanced(now, &deltas);
+                return true;
+            }
+            Taken::Known => self.counts.repeats += 1,
+            Taken::Early => self.ask(now, from),
+            Taken::Unfit(error) => {
+                self.counts.unfit_deltas += 1;
+                self.wants_whole |= !matches!(error, ApplyError::WrongBase { .. });
+                self.ask(now, from);
+            }
+        }
+        false
+    }
+
+    /// What follows a newer head: others are told, the host gets it, and what was fetched for an older one ends.
+    fn advanced(&mut self, now: Ns, deltas: &[Arc<Delta>]) {
+        self.head_changed(now);
+        for delta in deltas {
+            self.announce(Some(delta));
+        }
+    }
+
+    pub(super) fn head_changed(&mut self, now: Ns) {
+        self.wants_whole = false;
+        self.newest_heard = self.newest_heard_or_held();
+        let held = self.held.version();
+        self.transfer.take_if(|transfer| transfer.version() <= held);
+        self.offer(now);
+    }
+
+    pub(super) fn heard_pull(&mut self, now: Ns, from: &Life, claim: Claim, room: u32, whole: bool) {
+        self.note(now, from, claim);
+        let held = self.held.claim();
+        if claim.version > held.version {
+            self.ask(now, from);
+        } else if claim.version < held.version && room > 0 && self.serving.left(now) > 0 {
+            self.serve(now, from, claim, room, whole);
+            return;
+        }
+        self.send(from, Message::Current { claim: held });
+    }
+
+    /// Gives what leads on from there: deltas as far as there is room, else the manifest.
+    fn serve(&mut self, now: Ns, to: &Life, claim: Claim, room: u32, whole: bool) {
+        let chain = if whole { None } else { self.held.since(claim) };
+        let deltas = chain.map(|chain| first_that_fit(&chain, room)).filter(|deltas| !deltas.is_empty());
+        let message = match deltas {
+            Some(deltas) => Message::Deltas { claim: self.held.claim(), deltas },
+            None => self.manifest(),
+        };
+        self.send_served(now, to, message);
+    }
+
+    /// Sends something long within the budget for others.
+    pub(super) fn send_served(&mut self, now: Ns, to: &Life, message: Message) {
+        let bytes = match &message {
+            Message::Deltas { deltas, .. } => deltas.iter().map(Vec::len).sum(),
+            Message::Chunk(chunk) => chunk.body.len(),
+            Message::Manifest(manifest) => size_of_val(manifest.buckets.as_slice()),
+            _ => 0,
+        };
+        self.serving.spend(now, bytes + DELTAS_OVERHEAD);
+        self.send(to, message);
+    }
+
+    pub(super) fn heard_current(&mut self, now: Ns, from: &Life, claim: Claim) {
+        self.note(now, from, claim);
+        let answered = self.answered_by(from);
+        if claim.version <= self.held.version() || self.transfer.is_some() {
+            return;
+        }
+        if answered {
+            // It has more but gives nothing now, or our own budget was spent.
+            self.retry(now);
+        } else {
+            self.ask(now, from);
+        }
+    }
+
+    pub(super) fn heard_deltas(
+        &mut self,
+        now: Ns,
+        from: &Life,
+        claim: Claim,
+        deltas: &[Vec<u8>],
+        bytes: usize,
+    ) {
+        self.note(now, from, claim);
+        self.fetching.spend(now, bytes);
+        let asked = self.answered_by(from);
+        for encoded in deltas {
+            let Ok(delta) = Delta::decode(encoded) else {
+                self.counts.unreadable += 1;
+                break;
+            };
+            let known = delta.to <= self.held.version();
+            if !known && !self.take_delta(now, from, delta) {
+                return;
+            }
+        }
+        if asked && claim.version > self.held.version() {
+            if self.fetching.left(now) > 0 {
+                self.ask(now, from);
+            } else {
+                self.retry(now);
+            }
+        }
+    }
+
+    pub(super) fn heard_superseded(&mut self, now: Ns, from: &Life, by: Claim) {
+        self.note(now, from, by);
+        if by.version > self.held.version() {
+            self.ask(now, from);
+        }
+    }
+}
+
+/// The first deltas that fit, encoded; one at least, unless it fits no message.
+fn first_that_fit(chain: &[Arc<Delta>], room: u32) -> Vec<Vec<u8>> {
+    let room = (room as usize).min(MAX_MESSAGE_BYTES / 2);
+    let mut used = 0;
+    let mut encoded = Vec::new();
+    for delta in chain.iter().take(MAX_DELTAS) {
+        let bytes = delta.encode();
+        used += bytes.len() + DELTA_OVERHEAD;
+        let fits =
+            if encoded.is_empty() { used + DELTAS_OVERHEAD <= MAX_MESSAGE_BYTES } else { used <= room };
+        if !fits {
+            break;
+        }
+        encoded.push(bytes);
+    }
+    encoded
+}
--- /dev/null
+++ b/crates/configuration/src/spread/install.rs
@@ -0,0 +1,118 @@
+//! Between what is held and what the host has in force.
+
+use super::{Effect, Event, Ns, Spreader};
+use crate::message::{Claim, Standing};
+use crate::snapshot::Snapshot;
+use crate::version::Version;
+
+/// The longest reason that is kept and told.
+const MAX_REASON_BYTES: usize = 256;
+
+/// A version that the host could not take in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    pub version: Version,
+    pub reason: String,
+}
+
+/// What the host has, and what it was offered.
+pub(super) struct Installation {
+    in_force: Snapshot,
+    pub(super) since: Ns,
+    offered: Option<Snapshot>,
+    pub(super) rejected: Option<Rejection>,
+    /// When the rejected version is offered again, and the wait after that.
+    again: Option<(Ns, Ns)>,
+}
+
+impl Installation {
+    pub(super) fn new(now: Ns, in_force: Snapshot) -> Installation {
+        Installation { in_force, since: now, offered: None, rejected: None, again: None }
+    }
+
+    pub(super) fn version(&self) -> Version {
+        self.in_force.version()
+    }
+
+    pub(super) fn snapshot(&self) -> &Snapshot {
+        &self.in_force
+    }
+
+    /// A version that is in force without being offered, as at the writer.
+    pub(super) fn replace(&mut self, now: Ns, snapshot: Snapshot) {
+        *self = Installation::new(now, snapshot);
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Ns> {
+        self.again.map(|(at, _)| at)
+    }
+
+    /// `None` where the claimed version or a newer one is in force.
+    pub(super) fn standing(&self, claim: Claim) -> Option<Standing> {
+        let version = self.version();
+        if version > claim.version || (version == claim.version && self.in_force.digest() == claim.digest) {
+            return None;
+        }
+        let rejected = self.rejected.as_ref().is_some_and(|rejected| rejected.version == claim.version);
+        Some(match (version == claim.version, rejected) {
+            (true, _) => Standing::Differs,
+            (false, true) => Standing::Rejected,
+            (false, false) => Standing::Behind(version),
+        })
+    }
+}
+
+impl Spreader {
+    /// The host has taken over the version that was offered last. Any other is passed over.
+    pub fn installed(&mut self, now: Ns, version: Version) {
+        let fits = |offered: &mut Snapshot| offered.version() == version;
+        let Some(snapshot) = self.installation.offered.take_if(fits) else { return };
+        self.installation.replace(now, snapshot);
+        if self.newest_heard.version <= version {
+            self.behind_since = None;
+        }
+    }
+
+    /// The host cannot take over the version that was offered last. What was in force stays; the version is offered
+    /// again with growing waits, as what stood in its way may be gone, or until a newer one takes its place.
+    pub fn rejected(&mut self, now: Ns, version: Version, reason: &str) {
+        let fits = |offered: &mut Snapshot| offered.version() == version;
+        if self.installation.offered.take_if(fits).is_none() {
+            return;
+        }
+        let again = self.installation.rejected.as_ref().is_some_and(|before| before.version == version);
+        let wait = match self.installation.again {
+            Some((_, wait)) if again => wait,
+            _ => self.rules.first_offer,
+        };
+        let doubled = wait.saturating_mul(2).min(self.rules.last_offer);
+        self.installation.again = Some((now.saturating_add(wait), doubled));
+        let rejection = Rejection { version, reason: shortened(reason) };
+        self.installation.rejected = Some(rejection.clone());
+        self.counts.rejected += 1;
+        self.tell(Event::Rejected(rejection));
+    }
+
+    /// Offers what is held to the host.
+    pub(super) fn offer(&mut self, now: Ns) {
+        let head = self.held.head().clone();
+        self.behind_since.get_or_insert(now);
+        self.installation.offered = Some(head.clone());
+        self.effects.retain(|effect| !matches!(effect, Effect::Install(_)));
+        self.effects.push_back(Effect::Install(head));
+    }
+
+    pub(super) fn offer_where_due(&mut self, now: Ns) {
+        if let Some((_, wait)) = self.installation.again.filter(|(at, _)| *at <= now) {
+            // Moved on at once, so that a host that does not answer is not asked in each turn.
+            self.installation.again = Some((now.saturating_add(wait), wait));
+            self.offer(now);
+        }
+    }
+}
+
+/// At most [`MAX_REASON_BYTES`] of a text, in whole characters.
+fn shortened(reason: &str) -> String {
+    let end = (0..=MAX_REASON_BYTES.min(reason.len())).rev().find(|end| reason.is_char_boundary(*end));
+    reason[..end.unwrap_or(0)].to_string()
+}
--- /dev/null
+++ b/crates/configuration/src/spread/peers.rs
@@ -0,0 +1,80 @@
+//! The peers that are thought to live, shared and sorted by name.
+
+use havenplank_fellows::wire::Life;
+use oorandom::Rand64;
+use std::sync::Arc;
+
+/// Draws before a peer that fits is given up.
+const DRAWS: usize = 16;
+
+/// One peer and where it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub life: Life,
+    /// The part before the first `/` is its region.
+    pub zone: String,
+}
+
+/// A list of peers that is cheap to clone. Its bound is that of the membership.
+#[derive(Clone, Debug, Default)]
+pub struct Peers(Arc<Vec<Peer>>);
+
+/// Which peers fit a draw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Of the own region.
+    Near,
+    /// Of another region.
+    Far,
+    Any,
+}
+
+impl Peers {
+    /// Of two with one name the later life stays.
+    pub fn new(mut peers: Vec<Peer>) -> Peers {
+        peers.sort_by(|a, b| (&a.life.name, b.life.life).cmp(&(&b.life.name, a.life.life)));
+        peers.dedup_by(|later, first| later.life.name == first.life.name);
+        Peers(Arc::new(peers))
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn name(&self, place: usize) -> &str {
+        &self.0[place].life.name
+    }
+
+    pub fn life(&self, place: usize) -> &Life {
+        &self.0[place].life
+    }
+
+    /// A random peer other than `me`, of the wished reach where a few draws find one, else any.
+    pub fn draw(&self, chance: &mut Rand64, me: &Peer, reach: Reach) -> Option<Life> {
+        let mut fallback = None;
+        if self.is_empty() {
+            return None;
+        }
+        for _ in 0..DRAWS {
+            let peer = &self.0[chance.rand_range(0..self.len() as u64) as usize];
+            if peer.life.name == me.life.name {
+                continue;
+            }
+            let near = region(&peer.zone) == region(&me.zone);
+            if reach == Reach::Any || near == (reach == Reach::Near) {
+                return Some(peer.life.clone());
+            }
+            fallback = Some(peer);
+        }
+        fallback.map(|peer| peer.life.clone())
+    }
+}
+
+/// The region of a zone.
+pub fn region(zone: &str) -> &str {
+    zone.split('/').next().unwrap_or(zone)
+}
--- /dev/null
+++ b/crates/configuration/src/spread/poll.rs
@@ -0,0 +1,195 @@
+//! One round of a poll at one head: who of an interval has a version in force.
+//!
+//! A head counts itself, splits the rest of its interval into disjoint ones and asks a random peer of each to be their
+//! head. One that stays silent is replaced by another; where that one is silent too, the names known here are reported
+//! as silent. The first report of an interval closes it, so that no name is counted twice.
+
+use super::peers::Peers;
+use super::Ns;
+use crate::interval::Part;
+use crate::message::{Poll, Report, Standing, Tally};
+use havenplank_fellows::wire::Life;
+use oorandom::Rand64;
+
+/// Heads tried for one interval.
+const ATTEMPTS: usize = 2;
+/// Kept back from the patience of a poll for the way there and back, at most half of it.
+const MARGIN_MS: u32 = 400;
+const MS: Ns = 1_000_000;
+
+/// Why a report was not counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Uncounted {
+    /// Of an interval that was not asked for, or from somebody who was not asked.
+    NotAsked,
+    /// The interval was reported before.
+    Closed,
+}
+
+/// An interval that was handed to another head.
+struct Child {
+    part: Part,
+    /// Those asked so far, [`ATTEMPTS`] at most.
+    heads: Vec<Life>,
+    expires: Ns,
+    closed: bool,
+}
+
+pub struct OpenPoll {
+    /// Who gets the report; `None` at the writer, whose poll it is.
+    pub parent: Option<Life>,
+    pub poll: Poll,
+    peers: Peers,
+    /// The branches of the rules and two more at most.
+    children: Vec<Child>,
+    tally: Tally,
+    attempt_ms: u32,
+}
+
+impl OpenPoll {
+    pub fn new(
+        poll: Poll,
+        parent: Option<Life>,
+        own_name: &str,
+        own: Option<Standing>,
+        peers: Peers,
+        branches: usize,
+    ) -> OpenPoll {
+        let mut tally = Tally::default();
+        match own {
+            None => tally.add_having(),
+            Some(standing) => tally.add_behind(own_name, standing),
+        }
+        let parts = poll.interval.split_around(own_name, branches, peers.len(), |place| peers.name(place));
+        let child = |part| Child { part, heads: Vec::new(), expires: 0, closed: false };
+        let children = parts.into_iter().map(child).collect();
+        let margin = MARGIN_MS.min(poll.patience_ms / 2);
+        let attempt_ms = (poll.patience_ms - margin) / ATTEMPTS as u32;
+        OpenPoll { parent, poll, peers, children, tally, attempt_ms }
+    }
+
+    /// Asks the heads that are due, and gives up on intervals where all were silent.
+    pub fn due(&mut self, now: Ns, chance: &mut Rand64) -> Vec<(Life, Poll)> {
+        let mut asked = Vec::new();
+        for child in self.children.iter_mut().filter(|child| !child.closed && child.expires <= now) {
+            if child.heads.len() == ATTEMPTS {
+                child.closed = true;
+                for place in child.part.names.clone() {
+                    self.tally.add_behind(self.peers.name(place), Standing::Silent);
+                }
+                continue;
+            }
+            let head = next_head(child, &self.peers, chance);
+            child.expires = now.saturating_add(u64::from(self.attempt_ms) * MS);
+            child.heads.push(head.clone());
+            let interval = child.part.interval.clone();
+            asked.push((head, Poll { interval, patience_ms: self.attempt_ms, ..self.poll.clone() }));
+        }
+        asked
+    }
+
+    /// Counts a report.
+    ///
+    /// # Errors
+    /// Why it was not counted.
+    pub fn report(&mut self, from: &Life, report: Report) -> Result<(), Uncounted> {
+        let asked = |child: &&mut Child| child.part.interval == report.interval && child.heads.contains(from);
+        let child = self.children.iter_mut().find(asked).ok_or(Uncounted::NotAsked)?;
+        if child.closed {
+            return Err(Uncounted::Closed);
+        }
+        child.closed = true;
+        self.tally.add(report.tally);
+        Ok(())
+    }
+
+    pub fn next_wake(&self) -> Option<Ns> {
+        self.children.iter().filter(|child| !child.closed).map(|child| child.expires).min()
+    }
+
+    pub fn finished(&self) -> bool {
+        self.children.iter().all(|child| child.closed)
+    }
+
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    pub fn into_report(self) -> Report {
+        let Poll { round, claim, interval, .. } = self.poll;
+        Report { round, version: claim.version, interval, tally: self.tally }
+    }
+}
+
+/// A random peer of the interval, another one than before where there is one.
+fn next_head(child: &Child, peers: &Peers, chance: &mut Rand64) -> Life {
+    let names = &child.part.names;
+    let drawn = names.start + chance.rand_range(0..names.len() as u64) as usize;
+    let tried = child.heads.contains(peers.life(drawn));
+    let following = if drawn + 1 < names.end { drawn + 1 } else { names.start };
+    peers.life(if tried { following } else { drawn }).clone()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::peers::Peer;
+    use super::*;
+    use crate::digest::Digest;
+    use crate::interval::Interval;
+    use crate::message::Claim;
+    use crate::version::Version;
+
+    fn peers(count: u64) -> Peers {
+        let life = |n| Life { name: format!("s-{n:03}"), life: 1 };
+        Peers::new((0..count).map(|n| Peer { life: life(n), zone: "r/z".into() }).collect())
+    }
+
+    fn root(count: u64) -> OpenPoll {
+        let claim = Claim { version: Version { epoch: 1, number: 4 }, digest: Digest::default() };
+        let poll = Poll { round: 1, claim, interval: Interval::all(), patience_ms: 8_000 };
+        OpenPoll::new(poll, None, "s-000", None, peers(count), 4)
+    }
+
+    fn answer(poll: &Poll, have: u32) -> Report {
+        let tally = Tally { have, of: have, ..Tally::default() };
+        Report { round: poll.round, version: poll.claim.version, interval: poll.interval.clone(), tally }
+    }
+
+    #[test]
+    fn a_silent_head_is_replaced_and_the_second_report_of_an_interval_is_not_counted() {
+        let mut chance = Rand64::new(1);
+        let mut open = root(41);
+        let asked = open.due(0, &mut chance);
+        assert_eq!(asked.len(), 4);
+        for (head, poll) in &asked[1..] {
+            open.report(head, answer(poll, 10)).unwrap();
+        }
+        let expires = open.next_wake().unwrap();
+        assert!(open.due(expires - 1, &mut chance).is_empty());
+        let again = open.due(expires, &mut chance);
+        assert_eq!(again.len(), 1);
+        let ((first, poll), (second, same)) = (&asked[0], &again[0]);
+        assert_ne!(first, second);
+        assert_eq!(poll.interval, same.interval);
+        // A stranger's report counts nothing; the late one of the first head counts, the second one's no more.
+        let stranger = Life { name: "s-040".into(), life: 9 };
+        assert_eq!(open.report(&stranger, answer(poll, 10)), Err(Uncounted::NotAsked));
+        assert_eq!(open.report(first, answer(poll, 10)), Ok(()));
+        assert_eq!(open.report(second, answer(same, 10)), Err(Uncounted::Closed));
+        assert!(open.finished());
+        assert_eq!((open.tally().have, open.tally().of), (41, 41));
+    }
+
+    #[test]
+    fn who_never_answers_is_reported_as_silent_by_name_up_to_a_bound() {
+        let mut chance = Rand64::new(1);
+        let mut open = root(41);
+        open.due(0, &mut chance);
+        while let Some(wake) = open.next_wake() {
+            open.due(wake, &mut chance);
+        }
+        let tally = open.tally();
+        assert_eq!((tally.have, tally.of, tally.behind.len(), tally.more), (1, 41, 16, 24));
+        assert!(tally.behind.iter().all(|peer| peer.standing == Standing::Silent));
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/spread/rules.rs
@@ -0,0 +1,68 @@
+//! Numbers that a host may set, with defaults for 1,600 sidecars.
+
+use super::Ns;
+
+const MS: Ns = 1_000_000;
+const SECOND: Ns = 1_000 * MS;
+
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Peers told of a new version in the own region, and in others.
+    pub fan_out_near: usize,
+    pub fan_out_far: usize,
+    /// One random peer is asked what it has in each.
+    pub pull_period: Ns,
+    /// How long the answer to a pull or to a wanted chunk may take.
+    pub answer: Ns,
+    /// Wait before another is asked where the answer was of no use; twice as much at most.
+    pub retry: Ns,
+    /// What is asked for at most: steadily, at once, and at once by a process that starts with no configuration.
+    pub fetch_bytes_per_s: u64,
+    pub fetch_burst_bytes: u64,
+    pub fetch_start_bytes: u64,
+    /// What is given to others at most.
+    pub serve_bytes_per_s: u64,
+    pub serve_burst_bytes: u64,
+    /// Sources tried in a row for one transfer before it is begun anew.
+    pub transfer_failures: u32,
+    /// Deltas kept for others, and their encoded bytes.
+    pub history_deltas: usize,
+    pub history_bytes: usize,
+    /// Wait of the writer after a publication before it polls, twice as much each time that some are behind, and the
+    /// longest wait.
+    pub first_poll: Ns,
+    pub last_poll: Ns,
+    /// Intervals into which a head splits its own.
+    pub poll_branches: usize,
+    /// How long a whole round may take.
+    pub poll_patience: Ns,
+    /// Wait before a rejected version is offered to the host again, twice as much each time, and the longest wait.
+    pub first_offer: Ns,
+    pub last_offer: Ns,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            fan_out_near: 2,
+            fan_out_far: 2,
+            pull_period: 500 * MS,
+            answer: 500 * MS,
+            retry: 100 * MS,
+            fetch_bytes_per_s: 8_000,
+            fetch_burst_bytes: 96 << 10,
+            fetch_start_bytes: 4 << 20,
+            serve_bytes_per_s: 8_000,
+            serve_burst_bytes: 512 << 10,
+            transfer_failures: 8,
+            history_deltas: 1_024,
+            history_bytes: 512 << 10,
+            first_poll: SECOND,
+            last_poll: 60 * SECOND,
+            poll_branches: 16,
+            poll_patience: 8 * SECOND,
+            first_offer: 5 * SECOND,
+            last_offer: 300 * SECOND,
+        }
+    }
+}
