--- a/crates/sidecar/src/shell.rs
+++ b/crates/sidecar/src/shell.rs
@@ -1,18 +1,20 @@
 //! What all tasks of one sidecar share, and what its engine asks of the world: the door, the pods, the line protocols.
 
 use crate::answers;
+use crate::configuration::Configuration;
 use crate::fellowship::Fellowship;
 use crate::guard::Guard;
 use crate::guarded::Final;
 use crate::hub::{Hub, Outside};
 use crate::links::Links;
 use crate::proxy::{self, Ask, Body};
+use crate::routes::RouteTable;
 use havenplank::port::*;
 use havenplank_feeds::{desk, nodes};
 use havenplank_settings::Site;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Response;
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +25,10 @@
 /// The line protocols around the engine, and what all tasks of one sidecar share.
 pub struct Lines {
     pub site: Site,
+    /// The routes in force; swapped whole.
+    pub routes: RefCell<Rc<RouteTable>>,
+    /// What brings them while the process runs; unset where they are those of the settings.
+    pub configuration: OnceCell<Rc<Configuration>>,
     pub links: Links,
     pub via: HeaderValue,
     pub timeout_header: HeaderName,
@@ -116,6 +122,11 @@
         self.stopping.get() || self.look().held().max(guarded) >= self.site.door.hits
     }
 
+    /// The routes in force now; whoever holds them goes on by them.
+    pub fn routes(&self) -> Rc<RouteTable> {
+        self.routes.borrow().clone()
+    }
+
     pub fn pod_name(&self, pod: PodId) -> Option<HeaderValue> {
         HeaderValue::from_str(self.look().pod_name(pod)?).ok()
     }
