--- /dev/null
+++ b/crates/configuration/examples/figures.rs
@@ -0,0 +1,104 @@
+//! Prints what a configuration of the size to plan with costs: 400 services, 4,500 routes, 150,000 tenants.
+
+use havenplank_configuration::chunk::{chunk, Chunk};
+use havenplank_configuration::compile::compile;
+use havenplank_configuration::delta::{Change, Delta};
+use havenplank_configuration::record::{Record, Tenant, TenantLimits};
+use havenplank_configuration::snapshot::Snapshot;
+use havenplank_configuration::version::Version;
+use havenplank_settings::Given;
+use std::hint::black_box;
+use std::time::Instant;
+
+const TENANTS: usize = 150_000;
+const LOOKUPS: usize = 3_000_000;
+const APPLIES: u64 = 1_000;
+const PAGE_BYTES: usize = 4096;
+const SCRIPT: &str = r#"
+for n in range(400):
+    service(name = "service-%d" % n, zones = ["zone-a", "zone-b", "zone-c"])
+for n in range(4500):
+    route(name = "route-%d" % n, service = "service-%d" % (n % 400), methods = ["GET"],
+          paths = ["/service-%d/route-%d/*" % (n % 400, n)], kind = "idempotent", latency_target = "100ms",
+          deadline = "2s")
+tenants(file = "tenants.jsonl")
+"#;
+
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+fn tenant(number: usize, requests_per_s: u32) -> Tenant {
+    let limits = TenantLimits { requests_per_s: Some(requests_per_s), in_flight: Some(50) };
+    Tenant { name: format!("tenant-{number:06}"), limits }
+}
+
+fn lookups_per_s(snapshot: &Snapshot, tenants: usize) -> f64 {
+    let names: Vec<String> = (0..tenants).map(|number| tenant(number, 1).name).collect();
+    let begun = Instant::now();
+    let found = (0..LOOKUPS).filter(|turn| {
+        let name = &names[(turn * 7919) % tenants];
+        black_box(snapshot.tenant(black_box(name))).is_some()
+    });
+    assert_eq!(found.count(), LOOKUPS);
+    LOOKUPS as f64 / begun.elapsed().as_secs_f64()
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let folder = tempfile::tempdir()?;
+    let script = folder.path().join("fleet.star");
+    std::fs::write(&script, SCRIPT)?;
+    let line =
+        |n| format!("{{\"name\": \"tenant-{n:06}\", \"requests_per_s\": {}, \"in_flight\": 50}}\n", n % 977);
+    std::fs::write(folder.path().join("tenants.jsonl"), (0..TENANTS).map(line).collect::<String>())?;
+    let begun = Instant::now();
+    let compiled = compile(&script, &Given::new(), Version { epoch: 1, number: 1 })?;
+    println!("compile_ms {}", begun.elapsed().as_millis());
+
+    let whole = Delta::between(&Snapshot::empty(), &compiled, compiled.version());
+    println!("encoded_bytes {}", whole.encode().len());
+    let wanted: Vec<u16> = (0..1024).collect();
+    let (mut sent, mut pieces) = (0, Vec::<Chunk>::new());
+    while let Some(piece) = chunk(&compiled, &wanted[sent..]) {
+        sent += piece.buckets.len();
+        pieces.push(piece);
+    }
+    println!("compressed_bytes {}", pieces.iter().map(|piece| piece.body.len()).sum::<usize>());
+    println!("chunks {}", pieces.len());
+
+    let records: Vec<Record> = compiled.records().cloned().collect();
+    let before = resident_bytes();
+    let copy = Snapshot::from_records(compiled.version(), records.iter().cloned())?;
+    println!("snapshot_resident_bytes {}", resident_bytes().saturating_sub(before));
+
+    let mut held = copy;
+    let mut bytes = 0;
+    let mut took = std::time::Duration::ZERO;
+    for turn in 0..APPLIES {
+        let change = Change::Put(tenant(turn as usize * 149, 5_000).into());
+        let target = match &change {
+            Change::Put(record) => {
+                let mut digest = held.digest();
+                if let Some(old) = held.get(&record.key()) {
+                    digest.remove(old);
+                }
+                digest.add(record);
+                digest
+            }
+            Change::Remove(_) => held.digest(),
+        };
+        let to = held.version().next();
+        let delta = Delta { from: held.version(), to, digest: target, changes: vec![change] };
+        bytes = delta.encode().len();
+        let begun = Instant::now();
+        held = held.apply(&delta)?;
+        took += begun.elapsed();
+    }
+    println!("one_tenant_delta_bytes {bytes}");
+    println!("apply_one_change_us {:.1}", took.as_secs_f64() * 1e6 / APPLIES as f64);
+    println!("lookups_per_s_of_150000 {:.0}", lookups_per_s(&held, TENANTS));
+    let small = Snapshot::from_records(Version::NONE, (0..100).map(|number| tenant(number, 1).into()))?;
+    println!("lookups_per_s_of_100 {:.0}", lookups_per_s(&small, 100));
+    Ok(())
+}
