--- a/crates/capacity/src/configuration/process.rs
+++ b/crates/capacity/src/configuration/process.rs
@@ -97,6 +97,9 @@
     /// # Errors
     /// Why the spreader refuses.
     pub fn publish(&mut self, now: Ns, epoch: u64, changes: Vec<Change>) -> Result<Version, PublishError> {
+        if let Some(by) = self.spreader.glance().writer.and_then(|writer| writer.superseded) {
+            return Err(PublishError::Superseded { by });
+        }
         let Some((delta, snapshot)) = self.next(epoch, changes) else { return Err(PublishError::NotWriter) };
         let version = snapshot.version();
         let began = Instant::now();
--- a/crates/configuration/tests/spread.rs
+++ b/crates/configuration/tests/spread.rs
@@ -68,6 +68,10 @@
     fn run(&mut self, fleet: &mut Fleet, span: Ns) {
         let until = fleet.net.now() + span;
         let (count, digests) = (fleet.net.ids().count(), &fleet.digests);
+        // What a process took over between two runs, as when it goes on after a pause, it has had as well.
+        for id in 0..count {
+            self.record(&fleet.net, id);
+        }
         fleet.net.run(until, |net, moved| self.check(net, moved, count, digests));
     }
 
@@ -83,14 +87,19 @@
         let written =
             version == Version::NONE || digests.get(&version).is_some_and(|all| all.contains(&digest));
         assert!(written, "{} has {version} with a content that nobody wrote", name(moved));
-        let ever = self.ever.entry(moved).or_default();
-        *ever = version.max(*ever);
+        self.record(net, moved);
         if let Some(round) = process.spreader.glance().writer.and_then(|writer| writer.round) {
             self.rounds += 1;
             self.check_round(&round, count);
         }
     }
 
+    fn record(&mut self, net: &Net<Process>, id: Id) {
+        let version = net.part(id).map_or(Version::NONE, |process| process.in_force.version());
+        let ever = self.ever.entry(id).or_default();
+        *ever = version.max(*ever);
+    }
+
     /// A report claims no more than is true: those that have a version had it, and nobody is counted twice.
     fn check_round(&self, round: &RoundGlance, count: usize) {
         let had = self.ever.values().filter(|version| **version >= round.version).count();
