Hollow sidecars on the simulated network; views are told by one piece of code

The sidecar's periodic telling of views moves to crates/fellows/src/views.rs, free of I/O, so that the hollow sidecar of the scale tests runs the very same code.

--- /dev/null
+++ b/crates/capacity/examples/membership.rs
@@ -0,0 +1,29 @@
+//! Prints what membership costs: `cargo run --release -p havenplank-capacity --example membership -- full`, or some sizes
+//! and seconds after a common start: `-- start 100,400 60,120`.
+
+use havenplank_capacity::membership::{membership, Options};
+
+fn numbers<T: std::str::FromStr>(text: &str) -> Vec<T> {
+    text.split(',').filter_map(|number| number.parse().ok()).collect()
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let options = match words.as_slice() {
+        ["full"] => Options::full(),
+        ["start", sizes, windows] => {
+            Options { sizes: numbers(sizes), windows_s: numbers(windows), phase_s: 10, faults: false }
+        }
+        ["faults", sizes, phase] => Options {
+            sizes: numbers(sizes),
+            windows_s: vec![60],
+            phase_s: phase.parse().unwrap_or(60),
+            faults: true,
+        },
+        _ => Options::quick(),
+    };
+    for section in membership(&options) {
+        println!("{section}");
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/hollow.rs
@@ -0,0 +1,139 @@
+//! A sidecar with everything left out but membership and views: the real code, driven by a network of the test's choice.
+
+use havenplank_fellows::node::{Happened, Node};
+use havenplank_fellows::standing::{Rules as QuorumRules, Standing};
+use havenplank_fellows::swim::{Event, News, Rules, State};
+use havenplank_fellows::views::{Views, VIEWS};
+use havenplank_fellows::wire::{Key, Life};
+use havenplank_stand::net::{Ns, Part};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const ZONES: usize = 14;
+
+/// What one sidecar spent and saw since its start; kept over its restarts.
+#[derive(Clone, Debug, Default)]
+pub struct Cost {
+    pub received: u64,
+    pub received_bytes: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    /// Time within the sidecar's own code, the network's left out.
+    pub processor: Duration,
+    /// Peers that membership declared lost, and suspected.
+    pub lost: u64,
+    pub suspected: u64,
+    /// Rows of tables visited by membership and quorum state; the same on every machine.
+    pub rows_visited: u64,
+}
+
+pub struct HollowSidecar {
+    node: Node,
+    views: Views,
+    period: Ns,
+    next_tick: Ns,
+    cost: Cost,
+}
+
+/// The name of the nth sidecar.
+pub fn name(number: usize) -> String {
+    format!("sidecar-{number:04}")
+}
+
+/// The membership node of the nth sidecar, as the program makes it.
+pub fn node(now: Ns, at: SocketAddr, number: usize, incarnation: u64, seeds: Vec<SocketAddr>) -> Node {
+    let who = Life { name: name(number), life: incarnation };
+    let zone = format!("zone-{:02}", number % ZONES);
+    let me = News { who, at, zone, round: 0, state: State::Lives };
+    let seed = (number as u64) << 32 | incarnation;
+    let mut node = Node::new(now, seed, me, seeds, Rules::default(), vec![Key::new([7; 32])]);
+    node.reads(VIEWS);
+    node
+}
+
+impl HollowSidecar {
+    pub fn new(now: Ns, node: Node, cost: Cost) -> HollowSidecar {
+        let views = Views::new(now, node.fellows().me().who.clone(), QuorumRules::default());
+        HollowSidecar { node, views, period: Rules::default().period, next_tick: now, cost }
+    }
+
+    pub fn cost(&self) -> &Cost {
+        &self.cost
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.views.place().standing().0
+    }
+
+    /// How many peers it takes for living.
+    pub fn living(&self) -> usize {
+        self.node.fellows().living().count()
+    }
+
+    /// Whether it takes this incarnation for living.
+    pub fn sees(&self, name: &str, incarnation: u64) -> bool {
+        let known = self.node.fellows().get(name);
+        known.is_some_and(|news| {
+            news.who.life == incarnation && matches!(news.state, State::Lives | State::Suspected(_))
+        })
+    }
+
+    pub fn leave(&mut self) {
+        self.node.leave();
+    }
+
+    fn timed(&mut self, work: impl FnOnce(&mut HollowSidecar)) {
+        let began = Instant::now();
+        work(self);
+        self.cost.processor += began.elapsed();
+    }
+
+    fn take_events(&mut self, now: Ns) {
+        while let Some(happened) = self.node.happened() {
+            match happened {
+                Happened::Came { from, kind: VIEWS, body } => {
+                    let _ = self.views.receive(now, &from, &body);
+                }
+                Happened::Came { .. } => {}
+                Happened::Told(event) => {
+                    self.cost.lost += u64::from(matches!(event, Event::Lost(_)));
+                    self.cost.suspected += u64::from(matches!(event, Event::Suspected(_)));
+                    self.views.observe(now, &event);
+                }
+            }
+        }
+    }
+}
+
+impl Part for HollowSidecar {
+    fn heard(&mut self, now: Ns, bytes: &[u8]) {
+        self.cost.received += 1;
+        self.cost.received_bytes += bytes.len() as u64;
+        self.timed(|sidecar| {
+            sidecar.node.heard(now, bytes);
+            sidecar.take_events(now);
+        });
+    }
+
+    fn wake(&mut self, now: Ns) {
+        self.timed(|sidecar| {
+            sidecar.node.wake(now);
+            if now >= sidecar.next_tick {
+                sidecar.next_tick = now + sidecar.period;
+                sidecar.views.tick(now, &mut sidecar.node);
+            }
+            sidecar.take_events(now);
+        });
+    }
+
+    fn next_wake(&self) -> Option<Ns> {
+        self.node.next_wake().into_iter().chain([self.next_tick]).min()
+    }
+
+    fn datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        let datagram = self.node.datagram()?;
+        self.cost.sent += 1;
+        self.cost.sent_bytes += datagram.1.len() as u64;
+        Some(datagram)
+    }
+}
--- a/crates/sidecar/src/fellowship.rs
+++ b/crates/sidecar/src/fellowship.rs
@@ -3,11 +3,12 @@
 
 use havenplank_fellows::node::{Happened, Node};
 use havenplank_fellows::shell::{log, new_life, read_keys, KeysError, Talker};
-use havenplank_fellows::standing::{Dispute, Place, Rules as Belonging, Standing, View};
-use havenplank_fellows::swim::{Event, News, Rules, State};
+use havenplank_fellows::standing::{Dispute, Rules as Belonging, Standing};
+use havenplank_fellows::swim::{News, Rules, State};
+use havenplank_fellows::views::{Change, Views, VIEWS};
 use havenplank_fellows::wire::Life;
 use havenplank_settings::Fellowship as Settings;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -17,8 +18,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{interval, MissedTickBehavior};
 
-/// The kind of message in which views are told.
-const VIEWS: u8 = 3;
 /// Names of each sort that an operator is shown, at most; `Glance::reached` is whole.
 const SHOWN: usize = 32;
 
@@ -39,10 +38,9 @@
     me: Life,
     /// By kind of message. One row a part of the program that talks, set at the start.
     ears: RefCell<BTreeMap<u8, Ear>>,
-    place: RefCell<Place>,
+    views: RefCell<Views>,
     /// Views are told to one fellow after the other, once a period.
     period: Duration,
-    turn: Cell<usize>,
 }
 
 /// What an operator may look at.
@@ -90,10 +88,10 @@
         });
         let talker = talker.await.map_err(|error| FellowshipError::Listen { at: settings.listen, error })?;
         talker.call(|node, _| node.reads(VIEWS));
-        let place = RefCell::new(Place::new(talker.now(), me.clone(), Belonging::default()));
+        let views = RefCell::new(Views::new(talker.now(), me.clone(), Belonging::default()));
         let period = Duration::from_nanos(settings.period);
-        let (ears, turn) = (RefCell::default(), Cell::new(0));
-        Ok(Rc::new(Fellowship { talker, me, ears, place, period, turn }))
+        let ears = RefCell::default();
+        Ok(Rc::new(Fellowship { talker, me, ears, views, period }))
     }
 
     /// From now on messages of this kind come here. One part of the program owns a kind.
@@ -112,10 +110,12 @@
 
     fn happened(&self, happened: Happened) {
         match happened {
-            Happened::Came { from, kind: VIEWS, body } => match postcard::from_bytes::<View>(&body) {
-                Ok(view) => self.place.borrow_mut().heard(self.now(), &from, view),
-                Err(_) => tracing::warn!(fellow = from.name, "view passed over: not readable"),
-            },
+            Happened::Came { from, kind: VIEWS, body } => {
+                let received = self.views.borrow_mut().receive(self.now(), &from, &body);
+                if received.is_err() {
+                    tracing::warn!(fellow = from.name, "view passed over: not readable");
+                }
+            }
             Happened::Came { from, kind, body } => {
                 let ear = self.ears.borrow().get(&kind).cloned();
                 if let Some(ear) = ear {
@@ -123,11 +123,7 @@
                 }
             }
             Happened::Told(event) => {
-                match &event {
-                    Event::Left(who) => self.place.borrow_mut().left(self.now(), who),
-                    Event::Reborn(who) => self.place.borrow_mut().reborn(who),
-                    _ => {}
-                }
+                self.views.borrow_mut().observe(self.now(), &event);
                 log(event);
             }
         }
@@ -139,28 +135,23 @@
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             beat.tick().await;
-            let now = self.now();
-            let living: Vec<Life> = self.living(|others| others.map(|news| news.who.clone()).collect());
-            let mut place = self.place.borrow_mut();
-            place.living(now, living.iter());
-            if let Some((was, is)) = place.look(now) {
-                let (belong, missing) = (place.belong(), place.missing(now).count());
-                if is > was {
-                    tracing::warn!(?was, ?is, belong, missing, "standing");
-                } else {
-                    tracing::info!(?was, ?is, belong, missing, "standing");
-                }
-            }
-            self.turn.set(self.turn.get().wrapping_add(1));
-            let to = living.get(self.turn.get() % living.len().max(1));
-            let view = to.map(|to| (to, postcard::to_stdvec(&place.view(now, to))));
-            drop(place);
-            if let Some((to, Ok(body))) = view {
-                self.say(to, VIEWS, body);
+            let change = self.talker.call(|node, now| self.views.borrow_mut().tick(now, node));
+            if let Some(change) = change {
+                self.log_change(change);
             }
         }
     }
 
+    fn log_change(&self, Change { was, is }: Change) {
+        let (now, views) = (self.now(), self.views.borrow());
+        let (belong, missing) = (views.place().belong(), views.place().missing(now).count());
+        if is > was {
+            tracing::warn!(?was, ?is, belong, missing, "standing");
+        } else {
+            tracing::info!(?was, ?is, belong, missing, "standing");
+        }
+    }
+
     async fn reload(self: Rc<Self>, file: PathBuf) {
         let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
         while hangups.recv().await.is_some() {
@@ -205,7 +196,8 @@
 
     pub fn glance(&self) -> Glance {
         let unsent = self.talker.lost();
-        let (now, place) = (self.now(), self.place.borrow());
+        let (now, views) = (self.now(), self.views.borrow());
+        let place = views.place();
         let (standing, since) = place.standing();
         let shown = |names: &mut dyn Iterator<Item = &str>| names.take(SHOWN).map(str::to_string).collect();
         let mut disputes = place.disputes(now);
