Membership and views look only at rows that changed; digests kept until a row does

Cause: each period and each view walked all peers and hashed the whole roster several times, so that processor time grew with the square of the fleet. Peers and roster now keep indexes (living, gone, notable), digests are kept until a row changes; the digests' values on the wire are the same, so old and new versions agree. Views go round by name from a sidecar's own on: before, sidecars that started together all told the same one in the same period. The simulated network keeps its wakes in order instead of asking every part at each step.

--- a/crates/capacity/src/hollow.rs
+++ b/crates/capacity/src/hollow.rs
@@ -33,6 +33,8 @@
     period: Ns,
     next_tick: Ns,
     cost: Cost,
+    /// Rows visited by earlier incarnations.
+    earlier_rows: u64,
 }
 
 /// The name of the nth sidecar.
@@ -54,7 +56,8 @@
 impl HollowSidecar {
     pub fn new(now: Ns, node: Node, cost: Cost) -> HollowSidecar {
         let views = Views::new(now, node.fellows().me().who.clone(), QuorumRules::default());
-        HollowSidecar { node, views, period: Rules::default().period, next_tick: now, cost }
+        let earlier_rows = cost.rows_visited;
+        HollowSidecar { node, views, period: Rules::default().period, next_tick: now, cost, earlier_rows }
     }
 
     pub fn cost(&self) -> &Cost {
@@ -86,6 +89,8 @@
         let began = Instant::now();
         work(self);
         self.cost.processor += began.elapsed();
+        let rows = self.node.fellows().rows_visited() + self.views.place().rows_visited();
+        self.cost.rows_visited = self.earlier_rows + rows;
     }
 
     fn take_events(&mut self, now: Ns) {
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -6,7 +6,10 @@
 //! and back. [`node`] is both together, as the simulated network of the tests drives it; [`shell`] gives it one UDP
 //! socket. Other packages send their own kinds of message through the same socket, key and codec.
 
+mod gossip;
 pub mod node;
+pub mod peers;
+mod roster;
 pub mod shell;
 pub mod standing;
 pub mod swim;
--- a/crates/fellows/src/node.rs
+++ b/crates/fellows/src/node.rs
@@ -1,5 +1,6 @@
 //! Decision and codec together: datagrams in, datagrams out. The shell and the simulated network both drive this.
 
+use crate::peers::Changes;
 use crate::swim::{Effect, Event, Fellows, News, Rules, Talk};
 use crate::wire::{self, Counts, Key, Letter, Life, Refused, Seen, Way};
 use crate::Ns;
@@ -80,6 +81,11 @@
         &self.fellows
     }
 
+    /// Of whom something changed since this was last asked.
+    pub fn take_changes(&mut self) -> Changes {
+        self.fellows.take_changes()
+    }
+
     /// Keys read anew. An empty list is passed over: a fellowship without a key would be none.
     pub fn rekey(&mut self, keys: Vec<Key>) {
         if !keys.is_empty() {
@@ -111,9 +117,6 @@
     pub fn wake(&mut self, now: Ns) {
         self.fellows.wake(now);
         self.carry_out();
-        let fellows = &self.fellows;
-        self.seen.retain(|name, _| fellows.get(name).is_some());
-        self.seen_streams.retain(|name, _| fellows.get(name).is_some());
     }
 
     pub fn leave(&mut self) {
@@ -178,8 +181,7 @@
         if !self.kinds.contains(&kind) {
             return Err(Refused::UnknownKind);
         }
-        let lives = self.fellows.living().any(|news| news.who == from);
-        if !lives {
+        if !self.fellows.lives(&from) {
             return Err(Refused::Stranger);
         }
         let waiting = self.waiting.entry(kind).or_default();
@@ -200,6 +202,10 @@
                         self.seal(to, at, TALK, body);
                     }
                 }
+                Effect::Forgot(name) => {
+                    self.seen.remove(&name);
+                    self.seen_streams.remove(&name);
+                }
                 Effect::Told(event) => self.happened.push_back(Happened::Told(event)),
             }
         }
--- /dev/null
+++ b/crates/fellows/src/roster.rs
@@ -0,0 +1,222 @@
+//! Who belongs, with what is known of each: rows by name, and beside them the few of whom there is something to see, so
+//! that no look each period walks all rows. Digests are kept until a row changes.
+
+use crate::standing::View;
+use crate::wire::Life;
+use crate::Ns;
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+/// One who belongs, or did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub who: Life,
+    /// Raised by itself alone, to come back after it was voted out.
+    pub entry: u32,
+    pub belongs: bool,
+}
+
+impl Row {
+    /// A later life or entry is newer; of the same one, going is.
+    pub(crate) fn newer(&self, known: &Row) -> bool {
+        (self.who.life, self.entry, !self.belongs) > (known.who.life, known.entry, !known.belongs)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub row: Row,
+    pub lives: bool,
+    /// Since when it lives, or is missed.
+    pub since: Ns,
+    pub flaps: u32,
+    /// Whether it says that it does not reach us, and when.
+    pub misses_us: Option<Ns>,
+    /// Since when its view differs, and what it was when we last heard it: digests and `NAMED` names.
+    pub differs: Option<Ns>,
+    pub said: Option<(Ns, View)>,
+    /// Who would have it go, and when they last said so; a word leaves after `Rules::word`, and all once it lives.
+    pub out: BTreeMap<String, Ns>,
+}
+
+impl Member {
+    pub fn new(now: Ns, row: Row) -> Member {
+        let (misses_us, differs, said, out) = (None, None, None, BTreeMap::new());
+        Member { row, lives: false, since: now, flaps: 0, misses_us, differs, said, out }
+    }
+
+    /// Whether time alone may change what it counts for, or it is not as it should be.
+    fn is_notable(&self) -> bool {
+        let as_it_should_be = self.lives && self.row.belongs && self.flaps == 0;
+        !as_it_should_be || self.misses_us.is_some() || self.differs.is_some() || !self.out.is_empty()
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Roster {
+    members: BTreeMap<String, Member>,
+    /// Names of members that are notable.
+    notable: BTreeSet<String>,
+    /// When each member's view was heard, and its name.
+    views: BTreeSet<(Ns, String)>,
+    belonging: usize,
+    /// Those who belong and live by membership.
+    living: usize,
+    roster_digest: Cell<Option<u64>>,
+    living_digest: Cell<Option<u64>>,
+    rows_visited: Cell<u64>,
+}
+
+impl Roster {
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn count_belonging(&self) -> usize {
+        self.belonging
+    }
+
+    /// Those who belong and live by membership.
+    pub fn count_living(&self) -> usize {
+        self.living
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.visit(1);
+        self.members.get(name)
+    }
+
+    /// All names.
+    pub fn names(&self) -> Vec<String> {
+        self.visit(self.members.len() as u64);
+        self.members.keys().cloned().collect()
+    }
+
+    pub fn notable_names(&self) -> Vec<String> {
+        self.notable.iter().cloned().collect()
+    }
+
+    /// Members that are notable, by name.
+    pub fn notable(&self) -> impl Iterator<Item = &Member> {
+        self.notable.iter().filter_map(|name| self.get(name))
+    }
+
+    /// Members behind a name, by name.
+    pub fn behind(&self, name: &str) -> impl Iterator<Item = &Member> {
+        let members = self.members.range::<str, _>((Bound::Excluded(name), Bound::Unbounded));
+        members.map(|(_, member)| member).inspect(|_| self.visit(1))
+    }
+
+    /// The view that was heard longest ago: when, and whose.
+    pub fn oldest_view(&self) -> Option<(Ns, String)> {
+        self.views.first().cloned()
+    }
+
+    pub fn insert(&mut self, member: Member) {
+        let name = member.row.who.name.clone();
+        self.remove(&name);
+        self.count_in(&name, &member);
+        self.forget_digests(true);
+        self.members.insert(name, member);
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        if let Some(member) = self.members.remove(name) {
+            self.count_out(name, &member);
+            self.forget_digests(true);
+        }
+    }
+
+    /// Changes a member; nothing happens where none has that name.
+    pub fn update(&mut self, name: &str, change: impl FnOnce(&mut Member)) {
+        let Some(mut member) = self.members.remove(name) else { return };
+        self.count_out(name, &member);
+        let (row, lives) = (member.row.clone(), member.lives);
+        change(&mut member);
+        if member.row != row || member.lives != lives {
+            self.forget_digests(member.row != row);
+        }
+        self.count_in(name, &member);
+        self.members.insert(name.to_string(), member);
+    }
+
+    pub fn rows_visited(&self) -> u64 {
+        self.rows_visited.get()
+    }
+
+    /// Of all who belong, and of us.
+    pub fn digest_roster(&self, me: &Row) -> u64 {
+        kept(&self.roster_digest, || {
+            let rows = self.belonging().map(|member| &member.row).chain([me]);
+            digest(rows.map(|row| (row.who.name.as_str(), row.who.life, row.entry)))
+        })
+    }
+
+    /// Of all who belong and live, and of us. By membership alone: who comes and goes counts differently at each for a
+    /// while.
+    pub fn digest_living(&self, me: &Row) -> u64 {
+        kept(&self.living_digest, || {
+            let rows = self.belonging().filter(|member| member.lives).map(|member| &member.row);
+            digest(rows.chain([me]).map(|row| (row.who.name.as_str(), row.who.life, 0)))
+        })
+    }
+
+    /// Our own row changed, or that of a member did; or only who lives.
+    pub fn forget_digests(&self, rows: bool) {
+        self.living_digest.set(None);
+        if rows {
+            self.roster_digest.set(None);
+        }
+    }
+
+    fn belonging(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().inspect(|_| self.visit(1)).filter(|member| member.row.belongs)
+    }
+
+    fn visit(&self, rows: u64) {
+        self.rows_visited.set(self.rows_visited.get() + rows);
+    }
+
+    fn count_in(&mut self, name: &str, member: &Member) {
+        self.visit(1);
+        self.belonging += usize::from(member.row.belongs);
+        self.living += usize::from(member.row.belongs && member.lives);
+        if member.is_notable() {
+            self.notable.insert(name.to_string());
+        }
+        self.views.extend(member.said.as_ref().map(|(at, _)| (*at, name.to_string())));
+    }
+
+    fn count_out(&mut self, name: &str, member: &Member) {
+        self.belonging -= usize::from(member.row.belongs);
+        self.living -= usize::from(member.row.belongs && member.lives);
+        self.notable.remove(name);
+        if let Some((at, _)) = member.said {
+            self.views.remove(&(at, name.to_string()));
+        }
+    }
+}
+
+/// What is kept, or else made and kept.
+fn kept(cell: &Cell<Option<u64>>, make: impl FnOnce() -> u64) -> u64 {
+    let value = cell.get().unwrap_or_else(make);
+    cell.set(Some(value));
+    value
+}
+
+fn digest<'a>(rows: impl Iterator<Item = (&'a str, u64, u32)>) -> u64 {
+    let mut rows: Vec<(&str, u64, u32)> = rows.collect();
+    rows.sort_unstable();
+    let mut text = Vec::new();
+    for (name, life, entry) in rows {
+        text.extend_from_slice(&(name.len() as u64).to_le_bytes());
+        text.extend_from_slice(name.as_bytes());
+        text.extend_from_slice(&life.to_le_bytes());
+        text.extend_from_slice(&entry.to_le_bytes());
+    }
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&blake3::hash(&text).as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
--- a/crates/fellows/src/standing.rs
+++ b/crates/fellows/src/standing.rs
@@ -8,6 +8,8 @@
 //! Of the three promises (docs/fellows.md) this is none of the first kind: it says what a sidecar knows, and leases say
 //! what it may do. Standing falls at once and rises only after a while.
 
+pub use crate::roster::Row;
+use crate::roster::{Member, Roster};
 use crate::wire::{Life, NAME};
 use crate::Ns;
 use serde::{Deserialize, Serialize};
@@ -54,22 +56,6 @@
     Alone,
 }
 
-/// One who belongs, or did.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    pub who: Life,
-    /// Raised by itself alone, to come back after it was voted out.
-    pub entry: u32,
-    pub belongs: bool,
-}
-
-impl Row {
-    /// A later life or entry is newer; of the same one, going is.
-    fn newer(&self, known: &Row) -> bool {
-        (self.who.life, self.entry, !self.belongs) > (known.who.life, known.entry, !known.belongs)
-    }
-}
-
 /// What one says of its view, in one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
@@ -97,27 +83,11 @@
     pub roster: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Member {
-    row: Row,
-    lives: bool,
-    /// Since when it lives, or is missed.
-    since: Ns,
-    flaps: u32,
-    /// Whether it says that it does not reach us, and when.
-    misses_us: Option<Ns>,
-    /// Since when its view differs, and what it was when we last heard it: digests and `NAMED` names.
-    differs: Option<Ns>,
-    said: Option<(Ns, View)>,
-    /// Who would have it go, and when they last said so; a word leaves after `Rules::word`, and all once it lives.
-    out: BTreeMap<String, Ns>,
-}
-
 pub struct Place {
     me: Row,
     rules: Rules,
     /// By name, those that went among them for `Rules::leaves`; `Rules::most` bounds it.
-    roster: BTreeMap<String, Member>,
+    roster: Roster,
     standing: Standing,
     since: Ns,
     /// A better standing than ours, and since when it holds.
@@ -133,7 +103,7 @@
         Place {
             me,
             rules,
-            roster: BTreeMap::new(),
+            roster: Roster::default(),
             standing: Standing::Alone,
             since: now,
             better: None,
@@ -149,7 +119,12 @@
 
     /// How many belong, ourselves among them.
     pub fn belong(&self) -> usize {
-        1 + self.members().count()
+        1 + self.roster.count_belonging()
+    }
+
+    /// Rows of the roster that were visited so far: a measure of work that is the same on every machine.
+    pub fn rows_visited(&self) -> u64 {
+        self.roster.rows_visited()
     }
 
     /// Who belongs and is not reached.
@@ -170,10 +145,9 @@
     pub fn disputes(&self, now: Ns) -> Vec<Dispute> {
         let missing = self.members().filter(|member| !member.lives);
         let ours: BTreeSet<&str> = missing.map(|member| member.row.who.name.as_str()).collect();
-        let roster = self.digest_roster();
+        let roster = self.roster.digest_roster(&self.me);
         let of = |member: &Member| {
-            let since = member.differs.filter(|since| now.saturating_sub(*since) >= self.rules.settles)?;
-            let (_, view) = member.said.as_ref()?;
+            let (since, (_, view)) = (member.differs?, member.said.as_ref()?);
             let theirs: BTreeSet<&str> = view.missing.iter().map(String::as_str).collect();
             let only = |one: &BTreeSet<&str>, other: &BTreeSet<&str>| {
                 one.difference(other).take(NAMED).map(|name| name.to_string()).collect()
@@ -182,16 +156,27 @@
             let (it_misses, we_miss) = (only(&theirs, &ours), only(&ours, &theirs));
             Some(Dispute { with, since, it_misses, we_miss, roster: view.roster != roster })
         };
-        self.members().filter(|member| self.reaches(now, member)).filter_map(of).collect()
+        self.members().filter(|member| self.disputes_with(now, member)).filter_map(of).collect()
+    }
+
+    /// Whether one that is reached has seen it otherwise for long enough.
+    fn disputes_with(&self, now: Ns, member: &Member) -> bool {
+        let differs = member.differs.is_some_and(|since| now.saturating_sub(since) >= self.rules.settles);
+        differs && member.said.is_some() && self.reaches(now, member)
     }
 
+    /// Those who belong and of whom there is something to see; of the others, all is as it should be.
     fn members(&self) -> impl Iterator<Item = &Member> {
-        self.roster.values().filter(|member| member.row.belongs)
+        self.roster.notable().filter(|member| member.row.belongs)
     }
 
     fn steady(&self, now: Ns, member: &Member) -> bool {
-        let wait = self.rules.calms * ((1 << member.flaps) - 1);
-        now.saturating_sub(member.since) >= wait
+        now.saturating_sub(member.since) >= self.steady_after(member)
+    }
+
+    /// How long one must stay after it came back, so often as it came and went.
+    fn steady_after(&self, member: &Member) -> Ns {
+        self.rules.calms * ((1 << member.flaps) - 1)
     }
 
     fn misses_us(&self, now: Ns, member: &Member) -> bool {
@@ -202,42 +187,79 @@
         member.lives && self.steady(now, member) && !self.misses_us(now, member)
     }
 
-    /// Who lives, by membership; asked for again and again, as often as views are said.
+    /// Who lives, by membership: all of them.
     pub fn living<'a>(&mut self, now: Ns, living: impl Iterator<Item = &'a Life>) {
         let living: BTreeMap<&str, &Life> = living.map(|who| (who.name.as_str(), who)).collect();
         for who in living.values() {
-            let known = self.roster.get(&who.name).is_some_and(|member| member.row.who.life >= who.life);
-            if !known {
-                self.learn(now, Row { who: (*who).clone(), entry: 0, belongs: true });
-            }
+            self.meet(now, who);
         }
-        for (name, member) in &mut self.roster {
-            let lives = living.get(name.as_str()).is_some_and(|who| **who == member.row.who);
-            if lives == member.lives {
-                continue;
+        for name in self.roster.names() {
+            self.set_lives(now, &name, living.get(name.as_str()).copied());
+        }
+        self.forgive(now);
+    }
+
+    /// What membership says of some: who of a name lives, if any.
+    pub fn living_changed<'a>(
+        &mut self,
+        now: Ns,
+        changed: impl Iterator<Item = (&'a str, Option<&'a Life>)>,
+    ) {
+        for (name, who) in changed {
+            if let Some(who) = who {
+                self.meet(now, who);
             }
+            self.set_lives(now, name, who);
+        }
+        self.forgive(now);
+    }
+
+    /// One that lives belongs, unless its row says otherwise.
+    fn meet(&mut self, now: Ns, who: &Life) {
+        let known = self.roster.get(&who.name).is_some_and(|member| member.row.who.life >= who.life);
+        if !known {
+            self.learn(now, Row { who: who.clone(), entry: 0, belongs: true });
+        }
+    }
+
+    fn set_lives(&mut self, now: Ns, name: &str, who: Option<&Life>) {
+        let Some(member) = self.roster.get(name) else { return };
+        let lives = who.is_some_and(|who| *who == member.row.who);
+        if lives == member.lives {
+            return;
+        }
+        self.roster.update(name, |member| {
             // What was never met here has not come back.
             if !lives {
                 member.flaps = (member.flaps + 1).min(FLAPS);
                 (member.said, member.differs, member.misses_us) = (None, None, None);
             }
             (member.lives, member.since) = (lives, now);
-        }
-        for member in self.roster.values_mut() {
-            if member.lives {
-                member.out.clear();
-            }
-            // Steady for far longer than it had to be: forgiven.
-            let wait = self.rules.calms * ((1 << member.flaps) - 1);
-            if member.lives && member.flaps > 0 && now.saturating_sub(member.since) > 8 * wait {
-                (member.flaps, member.since) = (member.flaps - 1, now - wait);
+        });
+    }
+
+    /// Who lives need not go; who has been steady for far longer than it had to be is forgiven a step.
+    fn forgive(&mut self, now: Ns) {
+        for name in self.roster.notable_names() {
+            let Some(member) = self.roster.get(&name).filter(|member| member.lives) else { continue };
+            let wait = self.steady_after(member);
+            let steady = member.flaps > 0 && now.saturating_sub(member.since) > 8 * wait;
+            if !steady && member.out.is_empty() {
+                continue;
             }
+            self.roster.update(&name, |member| {
+                member.out.clear();
+                if steady {
+                    (member.flaps, member.since) = (member.flaps - 1, now - wait);
+                }
+            });
         }
     }
 
     /// Our name was known under a later life: ours is this one now.
     pub fn reborn(&mut self, who: &Life) {
         self.me = Row { who: who.clone(), entry: 0, belongs: true };
+        self.roster.forget_digests(true);
     }
 
     /// It said goodbye.
@@ -253,60 +275,62 @@
             // Voted out while we were away, maybe: we are here.
             if row.who.life == self.me.who.life && !row.belongs && row.entry >= self.me.entry {
                 self.me.entry = row.entry.saturating_add(1);
+                self.roster.forget_digests(true);
             }
             return;
         }
         if row.who.name.is_empty() || row.who.name.len() > NAME {
             return;
         }
-        let full = self.roster.len() >= self.rules.most;
-        match self.roster.get_mut(&row.who.name) {
-            Some(member) if row.newer(&member.row) => {
-                if member.row.who != row.who {
-                    // A start after a goodbye is no coming and going.
-                    member.flaps *= member.row.belongs as u32;
-                    member.lives = false;
-                }
-                if member.row.belongs != row.belongs {
-                    member.since = now;
-                }
-                member.out.clear();
-                member.row = row;
-            }
+        match self.roster.get(&row.who.name) {
+            Some(member) if row.newer(&member.row) => self.replace(now, row),
             Some(_) => {}
-            None if full => self.turned_away += 1,
-            None => {
-                let name = row.who.name.clone();
-                let (misses_us, differs, said, out) = (None, None, None, BTreeMap::new());
-                let member =
-                    Member { row, lives: false, since: now, flaps: 0, misses_us, differs, said, out };
-                self.roster.insert(name, member);
-            }
+            None if self.roster.len() >= self.rules.most => self.turned_away += 1,
+            None => self.roster.insert(Member::new(now, row)),
         }
     }
 
+    fn replace(&mut self, now: Ns, row: Row) {
+        let name = row.who.name.clone();
+        self.roster.update(&name, |member| {
+            if member.row.who != row.who {
+                // A start after a goodbye is no coming and going.
+                member.flaps *= member.row.belongs as u32;
+                member.lives = false;
+            }
+            if member.row.belongs != row.belongs {
+                member.since = now;
+            }
+            member.out.clear();
+            member.row = row;
+        });
+    }
+
     /// What a fellow says of its view.
     /// Of a view longer than any that we say only as much is read and kept, whatever its sender had the key for.
     pub fn heard(&mut self, now: Ns, from: &Life, mut view: View) {
         view.rows.drain(..).take(ROWS).for_each(|row| self.learn(now, row));
         view.missing.truncate(NAMED);
         view.missing.retain(|name| name.len() <= NAME);
-        let (roster, living) = (self.digest_roster(), self.digest_living());
-        let us = self.me.who.name.clone();
+        let (roster, living) = (self.roster.digest_roster(&self.me), self.roster.digest_living(&self.me));
         for (name, life, entry) in std::mem::take(&mut view.out).into_iter().take(NAMED) {
-            if let Some(member) = self.roster.get_mut(&name).filter(|member| !member.lives) {
-                if (member.row.who.life, member.row.entry) == (life, entry) {
+            let meant = |member: &Member| (member.row.who.life, member.row.entry) == (life, entry);
+            if self.roster.get(&name).is_some_and(|member| !member.lives && meant(member)) {
+                self.roster.update(&name, |member| {
                     member.out.insert(from.name.clone(), now);
-                }
+                });
             }
         }
-        let Some(member) = self.roster.get_mut(&from.name).filter(|member| member.row.who == *from) else {
+        if self.roster.get(&from.name).is_none_or(|member| member.row.who != *from) {
             return;
-        };
-        member.misses_us = view.missing.contains(&us).then_some(now);
+        }
+        let misses_us = view.missing.contains(&self.me.who.name);
         let differs = view.roster != roster || view.living != living;
-        member.differs = differs.then(|| member.differs.unwrap_or(now));
-        member.said = Some((now, view));
+        self.roster.update(&from.name, |member| {
+            member.misses_us = misses_us.then_some(now);
+            member.differs = differs.then(|| member.differs.unwrap_or(now));
+            member.said = Some((now, view));
+        });
     }
 
     /// What to say to this fellow now.
@@ -315,15 +339,13 @@
         let missing: Vec<String> = missing.map(|member| member.row.who.name.clone()).collect();
         let out = self.members().filter(|member| self.long_missed(now, member));
         let out = out.take(NAMED).map(|m| (m.row.who.name.clone(), m.row.who.life, m.row.entry)).collect();
-        let (roster, living) = (self.digest_roster(), self.digest_living());
+        let (roster, living) = (self.roster.digest_roster(&self.me), self.roster.digest_living(&self.me));
         let said = self.roster.get(&to.name).and_then(|member| member.said.as_ref());
         let alike = said.is_some_and(|(_, view)| view.roster == roster);
         let many = if alike { 1 } else { ROWS };
-        let behind = self
-            .roster
-            .range::<str, _>((std::ops::Bound::Excluded(self.told.as_str()), std::ops::Bound::Unbounded));
         let mut rows = vec![self.me.clone()];
-        rows.extend(behind.take(many - 1).map(|(_, member)| member.row.clone()));
+        let behind = self.roster.behind(&self.told);
+        rows.extend(behind.take(many - 1).map(|member| member.row.clone()));
         if !alike {
             let through = rows.len() < ROWS;
             self.told = if through { String::new() } else { rows[ROWS - 1].who.name.clone() };
@@ -339,15 +361,7 @@
     /// Looks again, and tells a change: what was before, and what is.
     pub fn look(&mut self, now: Ns) -> Option<(Standing, Standing)> {
         self.vote_out(now);
-        let (leaves, word) = (self.rules.leaves, self.rules.word);
-        let gone = |member: &Member| !member.row.belongs && now.saturating_sub(member.since) >= leaves;
-        self.roster.retain(|_, member| !gone(member));
-        for member in self.roster.values_mut() {
-            member.out.retain(|_, at| now.saturating_sub(*at) < word);
-            if member.said.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) >= word) {
-                (member.said, member.differs) = (None, None);
-            }
-        }
+        self.expire(now);
         let seen = self.seen(now);
         let was = self.standing;
         if seen >= was {
@@ -371,13 +385,31 @@
         Some((was, seen))
     }
 
+    /// Rows that went long ago leave, and words that are too old.
+    fn expire(&mut self, now: Ns) {
+        let (leaves, word) = (self.rules.leaves, self.rules.word);
+        let old = |at: Ns| now.saturating_sub(at) >= word;
+        for name in self.roster.notable_names() {
+            let Some(member) = self.roster.get(&name) else { continue };
+            if !member.row.belongs && now.saturating_sub(member.since) >= leaves {
+                self.roster.remove(&name);
+            } else if member.out.values().any(|at| old(*at)) {
+                self.roster.update(&name, |member| member.out.retain(|_, at| !old(*at)));
+            }
+        }
+        while let Some(name) = self.roster.oldest_view().filter(|(at, _)| old(*at)).map(|(_, name)| name) {
+            self.roster.update(&name, |member| (member.said, member.differs) = (None, None));
+        }
+    }
+
     fn seen(&self, now: Ns) -> Standing {
-        let reached = 1 + self.members().filter(|member| self.reaches(now, member)).count();
+        let unreached = self.members().filter(|member| member.lives && !self.reaches(now, member)).count();
+        let reached = 1 + self.roster.count_living() - unreached;
         if reached == 1 {
             Standing::Alone
         } else if 2 * reached <= self.belong() {
             Standing::Few
-        } else if self.disputes(now).is_empty() {
+        } else if !self.members().any(|member| self.disputes_with(now, member)) {
             Standing::Agreed
         } else {
             Standing::Disputed
@@ -388,36 +420,12 @@
     fn vote_out(&mut self, now: Ns) {
         let (belong, word) = (self.belong(), self.rules.word);
         let lasts = |at: &Ns| now.saturating_sub(*at) < word;
-        let belongs: BTreeSet<&str> = self.members().map(|member| member.row.who.name.as_str()).collect();
+        let belongs = |name: &str| self.roster.get(name).is_some_and(|member| member.row.belongs);
         let out = self.members().filter(|member| self.long_missed(now, member)).filter(|member| {
-            let by = member.out.iter().filter(|(name, at)| belongs.contains(name.as_str()) && lasts(at));
+            let by = member.out.iter().filter(|(name, at)| belongs(name) && lasts(at));
             2 * (1 + by.count()) > belong
         });
         let out: Vec<Row> = out.map(|member| Row { belongs: false, ..member.row.clone() }).collect();
         out.into_iter().for_each(|row| self.learn(now, row));
     }
-
-    fn digest_roster(&self) -> u64 {
-        let rows = self.members().map(|member| &member.row).chain([&self.me]);
-        digest(rows.map(|row| (row.who.name.as_str(), row.who.life, row.entry)))
-    }
-
-    /// By membership alone: who comes and goes counts differently at each for a while.
-    fn digest_living(&self) -> u64 {
-        let rows = self.members().filter(|member| member.lives).map(|member| &member.row);
-        digest(rows.chain([&self.me]).map(|row| (row.who.name.as_str(), row.who.life, 0)))
-    }
-}
-
-fn digest<'a>(rows: impl Iterator<Item = (&'a str, u64, u32)>) -> u64 {
-    let mut rows: Vec<(&str, u64, u32)> = rows.collect();
-    rows.sort_unstable();
-    let mut hash = blake3::Hasher::new();
-    for (name, life, entry) in rows {
-        hash.update(&(name.len() as u64).to_le_bytes()).update(name.as_bytes());
-        hash.update(&life.to_le_bytes()).update(&entry.to_le_bytes());
-    }
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(bytes)
 }
--- a/crates/fellows/src/swim.rs
+++ b/crates/fellows/src/swim.rs
@@ -7,6 +7,8 @@
 //!
 //! Of the three promises (docs/fellows.md) everything here belongs to the last: it holds while enough can talk.
 
+use crate::gossip::{Gossip, Offer};
+use crate::peers::{Changes, Peer, Peers};
 use crate::wire::Life;
 use crate::Ns;
 use oorandom::Rand64;
@@ -74,7 +76,7 @@
 }
 
 impl News {
-    fn is_there(&self) -> bool {
+    pub(crate) fn is_there(&self) -> bool {
         matches!(self.state, State::Lives | State::Suspected(_))
     }
 
@@ -141,16 +143,14 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Say { to: Life, at: SocketAddr, talk: Talk },
+    Say {
+        to: Life,
+        at: SocketAddr,
+        talk: Talk,
+    },
     Told(Event),
-}
-
-struct Member {
-    news: News,
-    since: Ns,
-    /// Who suspects it, `CONFIRM` at most, and since when.
-    doubted: BTreeSet<String>,
-    doubted_at: Ns,
+    /// Nothing is known of this name any more.
+    Forgot(String),
 }
 
 /// What comes due; in the order of time, then of asking.
@@ -160,6 +160,7 @@
     Suspicion(Life, u32),
     Nack(u64),
     Expires(u64),
+    Forget(String),
 }
 
 /// The one that is being asked in this period.
@@ -181,7 +182,7 @@
     rules: Rules,
     me: News,
     /// By name, those that are gone among them; `Rules::most` bounds it.
-    known: BTreeMap<String, Member>,
+    peers: Peers,
     /// Addresses from the settings.
     seeds: Vec<SocketAddr>,
     /// The order in which fellows are asked, shuffled anew when it is through.
@@ -189,8 +190,8 @@
     probe: Option<Probe>,
     /// By nonce; emptied by an answer or a period later, `WAITING` at most.
     waits: BTreeMap<u64, Waits>,
-    /// News that ride on pings, with how often they did; leave when that is often enough.
-    riding: BTreeMap<String, u32>,
+    /// News that ride on pings.
+    gossip: Gossip,
     due: BTreeMap<(Ns, u64), Due>,
     asked: u64,
     periods: u64,
@@ -204,15 +205,16 @@
 impl Fellows {
     /// `me` begins as living, in round 0.
     pub fn new(now: Ns, seed: u64, me: News, seeds: Vec<SocketAddr>, rules: Rules) -> Fellows {
+        let peers = Peers::new(rules.most);
         let mut fellows = Fellows {
             rules,
             me: News { round: 0, state: State::Lives, ..me },
-            known: BTreeMap::new(),
+            peers,
             seeds,
             turn: Vec::new(),
             probe: None,
             waits: BTreeMap::new(),
-            riding: BTreeMap::new(),
+            gossip: Gossip::default(),
             due: BTreeMap::new(),
             asked: 0,
             periods: 0,
@@ -233,11 +235,32 @@
 
     /// Those that live, suspected ones among them, by name; not ourselves.
     pub fn living(&self) -> impl Iterator<Item = &News> {
-        self.known.values().map(|member| &member.news).filter(|news| news.is_there())
+        self.peers.living()
+    }
+
+    /// The one that lives and follows this name; behind the last one, the first.
+    pub fn living_after(&self, name: &str) -> Option<&News> {
+        let next = self.peers.living_after(name).chain(self.peers.living_after("")).next();
+        next.map(|(news, _)| news)
     }
 
     pub fn get(&self, name: &str) -> Option<&News> {
-        self.known.get(name).map(|member| &member.news)
+        self.peers.get(name).map(|peer| &peer.news)
+    }
+
+    /// Whether this life is known and not gone.
+    pub fn lives(&self, who: &Life) -> bool {
+        self.get(&who.name).is_some_and(|news| news.who == *who && news.is_there())
+    }
+
+    /// Of whom something changed since this was last asked.
+    pub fn take_changes(&mut self) -> Changes {
+        self.peers.take_changes()
+    }
+
+    /// Rows of the table that were visited so far: a measure of work that is the same on every machine.
+    pub fn rows_visited(&self) -> u64 {
+        self.peers.rows_visited()
     }
 
     /// How slow this sidecar takes itself to be, 0 to 8.
@@ -266,6 +289,7 @@
                 Due::Expires(nonce) => {
                     self.waits.remove(&nonce);
                 }
+                Due::Forget(name) => self.forget(now, &name),
             }
         }
     }
@@ -281,7 +305,7 @@
 
     /// What a fellow or a stranger said; false where only fellows have a word in that.
     pub fn heard(&mut self, now: Ns, from: &Life, talk: Talk) -> bool {
-        let fellow = self.get(&from.name).is_some_and(|news| news.who == *from && news.is_there());
+        let fellow = self.lives(from);
         match talk {
             Talk::Hello { me } if me.who == *from => self.challenge(now, from, me.at),
             Talk::Ping { nonce, me, about } if me.who == *from => {
@@ -369,7 +393,6 @@
             self.slower(1);
         }
         self.periods += 1;
-        self.forget(now);
         self.look_round();
         if let Some((who, at)) = self.next_in_turn() {
             let (nonce, about) = (self.nonce(), self.pack(&who));
@@ -387,7 +410,7 @@
                     return Some((news.who.clone(), news.at));
                 }
             }
-            let mut names: Vec<String> = self.living().map(|news| news.who.name.clone()).collect();
+            let mut names: Vec<String> = self.peers.living_names().to_vec();
             for n in (1..names.len()).rev() {
                 names.swap(n, self.chance.rand_range(0..n as u64 + 1) as usize);
             }
@@ -399,12 +422,12 @@
     /// One address that no living fellow has, of the seeds and of those that are gone, gets a hello: each period
     /// while we are alone, else now and then. So a split that heals is noticed from either side.
     fn look_round(&mut self) {
-        let alone = self.living().next().is_none();
+        let alone = self.peers.count_living() == 0;
         if alone || self.periods.is_multiple_of(LOOK) {
-            let met: BTreeSet<SocketAddr> = self.living().map(|news| news.at).chain([self.me.at]).collect();
-            let gone = self.known.values().filter(|member| member.news.state == State::Gone);
-            let places = self.seeds.iter().copied().chain(gone.map(|member| member.news.at));
-            let places: Vec<SocketAddr> = places.filter(|at| !met.contains(at)).collect();
+            let gone = self.peers.gone().filter(|peer| peer.news.state == State::Gone);
+            let places = self.seeds.iter().copied().chain(gone.map(|peer| peer.news.at));
+            let met = |at: &SocketAddr| *at == self.me.at || self.peers.lives_at(at);
+            let places: Vec<SocketAddr> = places.filter(|at| !met(at)).collect();
             if let Some(at) = self.pick(&places) {
                 let nobody = Life { name: String::new(), life: 0 };
                 self.say(nobody, at, Talk::Hello { me: self.me.clone() });
@@ -412,8 +435,8 @@
         }
         if self.periods.is_multiple_of(REFRESH) {
             // From a name drawn by chance on, so that all of the table comes round.
-            let names: Vec<String> = self.known.keys().cloned().collect();
-            let after = self.pick(&names).unwrap_or_default();
+            let from = self.some(1, None);
+            let after = from.into_iter().next().map(|(who, _)| who.name).unwrap_or_default();
             for (to, at) in self.some(1, None) {
                 self.say(to, at, Talk::Want { after: after.clone() });
             }
@@ -427,15 +450,9 @@
 
     /// So many living fellows by chance, without one.
     fn some(&mut self, many: usize, without: Option<&Life>) -> Vec<(Life, SocketAddr)> {
-        let there = self.living().filter(|news| Some(&news.who) != without);
-        let mut all: Vec<(Life, SocketAddr)> = there.map(|news| (news.who.clone(), news.at)).collect();
-        let many = many.min(all.len());
-        for n in 0..many {
-            let other = self.chance.rand_range(n as u64..all.len() as u64) as usize;
-            all.swap(n, other);
-        }
-        all.truncate(many);
-        all
+        let without = without.map(|who| who.name.as_str());
+        let drawn = self.peers.draw(&mut self.chance, many, without);
+        drawn.into_iter().map(|news| (news.who.clone(), news.at)).collect()
     }
 
     fn no_answer(&mut self, nonce: u64, late: bool) {
@@ -535,13 +552,12 @@
         let Some(at) = self.get(&to.name).map(|news| news.at) else { return };
         let mut left = crate::wire::room(&self.me.who, to);
         let mut about = Vec::new();
-        // Ourselves first, as nobody else may have told of us.
-        let rest = self.known.values().map(|member| &member.news);
-        let mut rest = rest.filter(|news| news.who.name.as_str() > after && news.is_there()).peekable();
-        while let Some(news) = rest.next_if(|news| take(&mut left, news)) {
+        let mut rest = self.peers.living_after(after).peekable();
+        while let Some((news, _)) = rest.next_if(|(_, size)| take(&mut left, *size)) {
             about.push(news.clone());
         }
         let more = rest.peek().is_some() && !about.is_empty();
+        drop(rest);
         self.say(to.clone(), at, Talk::Table { about, more });
     }
 
@@ -549,27 +565,26 @@
     fn pack(&mut self, to: &Life) -> Vec<News> {
         // Two news of the largest size stay free, for `me` and what stands round it.
         let mut left = crate::wire::room(&self.me.who, to).saturating_sub(400);
-        let often = SENT_ON * (self.known.len() as f64 + 2.0).log2().ceil() as u32;
-        let mut order: Vec<(u32, String)> =
-            self.riding.iter().map(|(name, sent)| (*sent, name.clone())).collect();
-        order.sort();
-        let refute = self.get(&to.name).filter(|news| news.state != State::Lives && news.who.life >= to.life);
-        let mut about: Vec<News> = refute.filter(|news| take(&mut left, news)).cloned().into_iter().collect();
-        for (_, name) in order {
-            let Some(news) = self.known.get(&name).map(|member| &member.news) else {
-                self.riding.remove(&name);
-                continue;
-            };
-            if news.who.name == to.name || !take(&mut left, news) {
-                continue;
-            }
-            about.push(news.clone());
-            let sent = self.riding.entry(name.clone()).or_default();
-            *sent += 1;
-            if *sent >= often {
-                self.riding.remove(&name);
+        let often = SENT_ON * (self.peers.len() as f64 + 2.0).log2().ceil() as u32;
+        let mut about = Vec::new();
+        let peers = &self.peers;
+        if let Some((news, size)) = peers.news_with_size(&to.name) {
+            let refute = news.state != State::Lives && news.who.life >= to.life;
+            if refute && take(&mut left, size) {
+                about.push(news.clone());
             }
         }
+        self.gossip.fill(often, |name| {
+            let Some((news, size)) = peers.news_with_size(name) else { return Offer::Obsolete };
+            if name == to.name {
+                return Offer::Skipped;
+            }
+            if !take(&mut left, size) {
+                return Offer::Misfit;
+            }
+            about.push(news.clone());
+            Offer::Taken
+        });
         about
     }
 
@@ -581,58 +596,54 @@
         if news.who.name.is_empty() || news.who.name.len() > crate::wire::NAME {
             return;
         }
-        let Some(member) = self.known.get_mut(&news.who.name) else {
+        let Some(known) = self.peers.get(&news.who.name) else {
             if news.is_there() && self.make_room() {
                 self.enter(now, news);
             }
             return;
         };
-        if news.who.life > member.news.who.life {
-            if member.news.is_there() {
-                let old = member.news.who.clone();
+        if news.who.life > known.news.who.life {
+            if known.news.is_there() {
+                let old = known.news.who.clone();
                 self.told(Event::Lost(old));
             }
             return self.enter(now, news);
         }
-        if news.who.life < member.news.who.life {
+        if news.who.life < known.news.who.life {
             return;
         }
-        if let (State::Suspected(one), State::Suspected(_)) = (&news.state, &member.news.state) {
-            if news.round == member.news.round
-                && member.doubted.len() < CONFIRM
-                && member.doubted.insert(one.clone())
-            {
-                // Passed on as it was heard, so that others can count it, too.
-                member.news.state = news.state.clone();
-                self.riding.insert(news.who.name.clone(), 0);
-                let (who, round) = (news.who, news.round);
-                return self.suspicion(now, who, round);
-            }
+        if confirms(&news, known) {
+            return self.confirm(now, news);
         }
-        let Some(member) = self.known.get_mut(&news.who.name) else { return };
-        if !news.overrides(&member.news) {
+        if !news.overrides(&known.news) {
             return;
         }
-        let (was, who) = (member.news.is_there(), news.who.clone());
-        let was_doubted = matches!(member.news.state, State::Suspected(_));
-        if was != news.is_there() {
-            member.since = now;
-        }
-        member.doubted.clear();
+        let (was, who) = (known.news.is_there(), news.who.clone());
+        let was_doubted = matches!(known.news.state, State::Suspected(_));
+        let there = news.is_there();
         let (state, round) = (news.state.clone(), news.round);
         // Only its own word moves an address.
-        let at = if *by == who { news.at } else { member.news.at };
-        member.news = News { at, ..news };
-        self.riding.insert(who.name.clone(), 0);
+        let at = if *by == who { news.at } else { known.news.at };
+        self.peers.update(&who.name, |peer| {
+            if was != there {
+                peer.since = now;
+            }
+            peer.doubted.clear();
+            peer.news = News { at, ..news };
+            if let State::Suspected(one) = &peer.news.state {
+                peer.doubted.insert(one.clone());
+                peer.doubted_at = now;
+            }
+        });
+        self.gossip.add(&who.name);
+        if was && !there {
+            self.forget_later(now, &who.name);
+        }
         match state {
             State::Lives if !was => self.told(Event::Joined(who)),
             State::Lives if was_doubted => self.told(Event::Cleared(who)),
             State::Lives => {}
-            State::Suspected(one) => {
-                if let Some(member) = self.known.get_mut(&who.name) {
-                    member.doubted.insert(one);
-                    member.doubted_at = now;
-                }
+            State::Suspected(_) => {
                 self.told(Event::Suspected(who.clone()));
                 self.suspicion(now, who, round);
             }
@@ -642,6 +653,19 @@
         }
     }
 
+    /// One more who suspects the same: passed on as it was heard, so that others can count it, too.
+    fn confirm(&mut self, now: Ns, news: News) {
+        let (who, round) = (news.who, news.round);
+        self.peers.update(&who.name, |peer| {
+            if let State::Suspected(one) = &news.state {
+                peer.doubted.insert(one.clone());
+            }
+            peer.news.state = news.state;
+        });
+        self.gossip.add(&who.name);
+        self.suspicion(now, who, round);
+    }
+
     fn learn_of_us(&mut self, news: News) {
         if news.who.life > self.me.who.life {
             self.me.who.life = news.who.life.saturating_add(1);
@@ -665,8 +689,11 @@
             State::Suspected(by) => BTreeSet::from([by.clone()]),
             _ => BTreeSet::new(),
         };
-        self.known.insert(who.name.clone(), Member { news, since: now, doubted, doubted_at: now });
-        self.riding.insert(who.name.clone(), 0);
+        self.peers.insert(Peer { news, since: now, doubted, doubted_at: now });
+        self.gossip.add(&who.name);
+        if !there {
+            self.forget_later(now, &who.name);
+        }
         if there {
             // Somewhere in this round's order, so that it need not wait for the next.
             let at = self.chance.rand_range(0..self.turn.len() as u64 + 1) as usize;
@@ -680,13 +707,15 @@
 
     /// Whether one more fits; the longest gone makes way.
     fn make_room(&mut self) -> bool {
-        if self.known.len() < self.rules.most {
+        if self.peers.len() < self.rules.most {
             return true;
         }
-        let gone = self.known.iter().filter(|(_, member)| !member.news.is_there());
-        let longest = gone.min_by_key(|(_, member)| member.since).map(|(name, _)| name.clone());
+        let longest = self.peers.gone().min_by_key(|peer| peer.since).map(|peer| peer.news.who.name.clone());
         match longest {
-            Some(name) => self.known.remove(&name).is_some(),
+            Some(name) => {
+                self.remove(&name);
+                true
+            }
             None => {
                 self.turned_away += 1;
                 false
@@ -694,22 +723,36 @@
         }
     }
 
-    fn forget(&mut self, now: Ns) {
+    fn remove(&mut self, name: &str) {
+        if self.peers.remove(name) {
+            self.effects.push_back(Effect::Forgot(name.to_string()));
+        }
+    }
+
+    fn forget_later(&mut self, now: Ns, name: &str) {
+        self.at(now + self.rules.keep_gone, Due::Forget(name.to_string()));
+    }
+
+    /// Unless it came back, or went again, meanwhile.
+    fn forget(&mut self, now: Ns, name: &str) {
         let keep = self.rules.keep_gone;
-        self.known.retain(|_, member| member.news.is_there() || now.saturating_sub(member.since) < keep);
+        let gone = |peer: &Peer| !peer.news.is_there() && now.saturating_sub(peer.since) >= keep;
+        if self.peers.get(name).is_some_and(gone) {
+            self.remove(name);
+        }
     }
 
     /// Until when one is suspected: the more others confirm it, the shorter, by Lifeguard's logarithm.
     fn suspicion(&mut self, now: Ns, who: Life, round: u32) {
-        let Some(member) = self.known.get(&who.name) else { return };
-        let many = self.living().count() as f64 + 1.0;
+        let Some(peer) = self.peers.get(&who.name) else { return };
+        let many = self.peers.count_living() as f64 + 1.0;
         let least = SUSPECTED * many.log10().max(1.0) * self.rules.period as f64;
         let most = SUSPECTED_AT_MOST * least;
         let confirm = CONFIRM.min((many as usize).saturating_sub(2));
-        let others = member.doubted.len().saturating_sub(1) as f64;
+        let others = peer.doubted.len().saturating_sub(1) as f64;
         let shorter = if confirm == 0 { 1.0 } else { (others + 1.0).ln() / (confirm as f64 + 1.0).ln() };
         let wait = (most - (most - least) * shorter).max(least);
-        let until = (member.doubted_at + wait as Ns).max(now);
+        let until = (peer.doubted_at + wait as Ns).max(now);
         self.at(until, Due::Suspicion(who, round));
     }
 
@@ -729,8 +772,14 @@
     }
 }
 
-fn take(left: &mut usize, news: &News) -> bool {
-    let size = postcard::to_stdvec(news).map_or(usize::MAX, |bytes| bytes.len());
+/// Whether this is one more suspicion of the same life and round, of the first few.
+fn confirms(news: &News, known: &Peer) -> bool {
+    let (State::Suspected(one), State::Suspected(_)) = (&news.state, &known.news.state) else { return false };
+    news.round == known.news.round && known.doubted.len() < CONFIRM && !known.doubted.contains(one)
+}
+
+/// Takes so many bytes of what is left, where they fit.
+fn take(left: &mut usize, size: usize) -> bool {
     let fits = size <= *left;
     *left -= if fits { size } else { 0 };
     fits
--- a/crates/fellows/src/views.rs
+++ b/crates/fellows/src/views.rs
@@ -2,6 +2,7 @@
 //! view each period. No I/O; the sidecar's shell and the simulated network drive the same code.
 
 use crate::node::Node;
+use crate::peers::Changes;
 use crate::standing::{Place, Rules, Standing, View};
 use crate::swim::Event;
 use crate::wire::Life;
@@ -17,14 +18,21 @@
     pub is: Standing,
 }
 
+/// Periods between two looks at all who live; in between, only those who changed are looked at.
+const RESYNC: u64 = 120;
+
 pub struct Views {
     place: Place,
-    turn: usize,
+    periods: u64,
+    /// Whom our view was told last: it goes round by name, beginning behind our own, so that sidecars that started
+    /// together do not all tell the same one.
+    told: String,
 }
 
 impl Views {
     pub fn new(now: Ns, me: Life, rules: Rules) -> Views {
-        Views { place: Place::new(now, me, rules), turn: 0 }
+        let told = me.name.clone();
+        Views { place: Place::new(now, me, rules), periods: 0, told }
     }
 
     pub fn place(&self) -> &Place {
@@ -52,15 +60,31 @@
 
     /// Once a period: learns who lives, judges the quorum state anew and tells one peer our view.
     pub fn tick(&mut self, now: Ns, node: &mut Node) -> Option<Change> {
-        let living: Vec<Life> = node.fellows().living().map(|news| news.who.clone()).collect();
-        self.place.living(now, living.iter());
+        self.learn_who_lives(now, node);
         let change = self.place.look(now).map(|(was, is)| Change { was, is });
-        self.turn = self.turn.wrapping_add(1);
-        if let Some(to) = living.get(self.turn % living.len().max(1)) {
-            if let Ok(body) = postcard::to_stdvec(&self.place.view(now, to)) {
-                node.send(to, VIEWS, body);
+        if let Some(to) = node.fellows().living_after(&self.told).map(|news| news.who.clone()) {
+            if let Ok(body) = postcard::to_stdvec(&self.place.view(now, &to)) {
+                node.send(&to, VIEWS, body);
             }
+            self.told = to.name;
         }
         change
     }
+
+    fn learn_who_lives(&mut self, now: Ns, node: &mut Node) {
+        let changes = node.take_changes();
+        self.periods += 1;
+        let peers = node.fellows();
+        match changes {
+            Changes::Names(names) if !self.periods.is_multiple_of(RESYNC) => {
+                let who =
+                    |name: &String| peers.get(name).map(|news| &news.who).filter(|who| peers.lives(who));
+                let changed = names.iter().map(|name| (name.as_str(), who(name)));
+                self.place.living_changed(now, changed);
+            }
+            Changes::Names(_) | Changes::All => {
+                self.place.living(now, peers.living().map(|news| &news.who));
+            }
+        }
+    }
 }
--- a/crates/stand/src/net.rs
+++ b/crates/stand/src/net.rs
@@ -90,6 +90,8 @@
     clock: Clock,
     paused: bool,
     buffer: VecDeque<Vec<u8>>,
+    /// Its entry in `Net::wakes`.
+    wake: Option<Ns>,
 }
 
 pub struct Net<P> {
@@ -99,6 +101,9 @@
     /// Datagrams under way, by when they arrive.
     flying: BTreeMap<(Ns, u64), (Id, Vec<u8>)>,
     flown: u64,
+    /// When each part wants to be woken, and the parts whose entry may be out of date.
+    wakes: BTreeSet<(Ns, Id)>,
+    touched: Vec<Id>,
     pub weather: Weather,
     /// One-way cuts: from the first nothing reaches the second.
     cut: BTreeSet<(Id, Id)>,
@@ -118,6 +123,8 @@
             by_address: BTreeMap::new(),
             flying: BTreeMap::new(),
             flown: 0,
+            wakes: BTreeSet::new(),
+            touched: Vec::new(),
             weather,
             cut: BTreeSet::new(),
             chance: Rand64::new(seed as u128),
@@ -150,7 +157,8 @@
     pub fn join(&mut self, clock: Clock, make: impl FnOnce(Ns, SocketAddr) -> P) -> Id {
         let (id, at) = (self.places.len(), Self::address(self.places.len()));
         let part = Some(make(clock.own(self.now), at));
-        self.places.push(Place { part, at, clock, paused: false, buffer: VecDeque::new() });
+        self.places.push(Place { part, at, clock, paused: false, buffer: VecDeque::new(), wake: None });
+        self.touched.push(id);
         self.by_address.insert(at, id);
         id
     }
@@ -160,6 +168,7 @@
     }
 
     pub fn part_mut(&mut self, id: Id) -> Option<&mut P> {
+        self.touched.push(id);
         self.places[id].part.as_mut()
     }
 
@@ -169,11 +178,13 @@
 
     /// The part is gone at once, with what lay in its buffer.
     pub fn kill(&mut self, id: Id) {
+        self.touched.push(id);
         self.places[id].part = None;
         self.places[id].buffer.clear();
     }
 
     pub fn restart(&mut self, id: Id, make: impl FnOnce(Ns, SocketAddr) -> P) {
+        self.touched.push(id);
         let own = self.own_time(id);
         let place = &mut self.places[id];
         place.part = Some(make(own, place.at));
@@ -182,6 +193,7 @@
 
     /// Nothing runs in it until it is woken; what comes meanwhile waits, up to a buffer's worth.
     pub fn pause(&mut self, id: Id) {
+        self.touched.push(id);
         self.places[id].paused = true;
     }
 
@@ -240,14 +252,23 @@
         self.now = self.now.max(until);
     }
 
+    /// Brings the entries of parts that moved up to date.
+    fn refresh_wakes(&mut self) {
+        while let Some(id) = self.touched.pop() {
+            let place = &mut self.places[id];
+            if let Some(old) = place.wake.take() {
+                self.wakes.remove(&(old, id));
+            }
+            let own = place.part.as_ref().filter(|_| !place.paused).and_then(Part::next_wake);
+            place.wake = own.map(|own| place.clock.when(own).max(self.now));
+            self.wakes.extend(place.wake.map(|wake| (wake, id)));
+        }
+    }
+
     /// What comes next: a part's wake, or a datagram where that is due no later.
-    fn next(&self) -> Option<(Ns, Option<Id>)> {
-        let awake = self.places.iter().enumerate().filter(|(_, place)| !place.paused);
-        let due = |(id, place): (Id, &Place<P>)| {
-            let own = place.part.as_ref()?.next_wake()?;
-            Some((place.clock.when(own).max(self.now), Some(id)))
-        };
-        let wake = awake.filter_map(due).min_by_key(|(time, id)| (*time, *id));
+    fn next(&mut self) -> Option<(Ns, Option<Id>)> {
+        self.refresh_wakes();
+        let wake = self.wakes.first().map(|(time, id)| (*time, Some(*id)));
         let flying = self.flying.keys().next().map(|(time, _)| (*time, None));
         match (wake, flying) {
             (Some(wake), Some(flying)) => Some(if flying.0 <= wake.0 { flying } else { wake }),
@@ -275,6 +296,7 @@
 
     /// Takes what a part has to send and puts it on its way.
     pub fn post(&mut self, from: Id) {
+        self.touched.push(from);
         while let Some((at, bytes)) = self.places[from].part.as_mut().and_then(Part::datagram) {
             self.carried += 1;
             self.carried_bytes += bytes.len() as u64;
