--- a/crates/fellows/src/swim.rs
+++ b/crates/fellows/src/swim.rs
@@ -190,6 +190,9 @@
     probe: Option<Probe>,
     /// By nonce; emptied by an answer or a period later, `WAITING` at most.
     waits: BTreeMap<u64, Waits>,
+    /// Peers whose whole table is being fetched, piece by piece, `WAITING` at most. A refresh is one piece alone: the
+    /// rest of the table behind it would cost more the larger the fleet is.
+    catching_up: BTreeSet<Life>,
     /// News that ride on pings.
     gossip: Gossip,
     due: BTreeMap<(Ns, u64), Due>,
@@ -214,6 +217,7 @@
             turn: Vec::new(),
             probe: None,
             waits: BTreeMap::new(),
+            catching_up: BTreeSet::new(),
             gossip: Gossip::default(),
             due: BTreeMap::new(),
             asked: 0,
@@ -339,10 +343,7 @@
             Talk::Table { about, more } => {
                 let last = about.last().map(|news| news.who.name.clone());
                 about.into_iter().for_each(|news| self.learn(now, news, from));
-                if let Some((after, at)) = last.zip(self.get(&from.name).map(|news| news.at)).filter(|_| more)
-                {
-                    self.say(from.clone(), at, Talk::Want { after });
-                }
+                self.fetch_next(from, last.filter(|_| more));
             }
             Talk::Hello { .. } | Talk::Ping { .. } | Talk::Ack { .. } => return false,
         }
@@ -435,6 +436,8 @@
         }
         if self.periods.is_multiple_of(REFRESH) {
             // From a name drawn by chance on, so that all of the table comes round.
+            // A fetch that lost a message ends here.
+            self.catching_up.clear();
             let from = self.some(1, None);
             let after = from.into_iter().next().map(|(who, _)| who.name).unwrap_or_default();
             for (to, at) in self.some(1, None) {
@@ -519,6 +522,9 @@
                 if self.get(&from.name).is_some_and(|news| news.who == *from && news.is_there()) {
                     about.into_iter().for_each(|news| self.learn(now, news, from));
                     // What happened while we did not know each other.
+                    if self.catching_up.len() < WAITING {
+                        self.catching_up.insert(from.clone());
+                    }
                     self.say(from.clone(), at, Talk::Want { after: String::new() });
                 }
                 return true;
@@ -548,6 +554,19 @@
         true
     }
 
+    /// The next piece of a table that is fetched whole, if there is one.
+    fn fetch_next(&mut self, from: &Life, after: Option<String>) {
+        if !self.catching_up.contains(from) {
+            return;
+        }
+        match after.zip(self.get(&from.name).map(|news| news.at)) {
+            Some((after, at)) => self.say(from.clone(), at, Talk::Want { after }),
+            None => {
+                self.catching_up.remove(from);
+            }
+        }
+    }
+
     fn tell_table(&mut self, to: &Life, after: &str) {
         let Some(at) = self.get(&to.name).map(|news| news.at) else { return };
         let mut left = crate::wire::room(&self.me.who, to);
