--- a/crates/capacity/src/membership.rs
+++ b/crates/capacity/src/membership.rs
@@ -5,7 +5,7 @@
 //! that is counted is the same in each run and on each machine; the processor's time is not.
 
 use crate::hollow::{self, Cost, HollowSidecar};
-use crate::report::{Point, Section, Series};
+use crate::report::{fit, Point, Section, Series};
 use havenplank_fellows::standing::Standing;
 use havenplank_stand::net::{Clock, Id, Net, Ns, Weather};
 use std::net::SocketAddr;
@@ -56,34 +56,38 @@
 }
 
 /// Figures as they come, sorted into sections and series in the order in which they were first named.
-#[derive(Default)]
 pub(crate) struct Figures {
-    sections: Vec<(String, Vec<(String, Vec<Point>)>)>,
+    measured_on: String,
+    sections: Vec<Section>,
 }
 
 impl Figures {
+    pub(crate) fn new(measured_on: &str) -> Figures {
+        Figures { measured_on: measured_on.to_string(), sections: Vec::new() }
+    }
+
     pub(crate) fn add(&mut self, section: &str, series: &str, size: usize, value: f64) {
-        let at = self.sections.iter().position(|(title, _)| title == section).unwrap_or_else(|| {
-            self.sections.push((section.to_string(), Vec::new()));
+        let at = self.sections.iter().position(|known| known.title == section).unwrap_or_else(|| {
+            let title = section.to_string();
+            self.sections.push(Section { title, series: Vec::new(), notes: Vec::new() });
             self.sections.len() - 1
         });
-        let all = &mut self.sections[at].1;
-        let at = all.iter().position(|(name, _)| name == series).unwrap_or_else(|| {
-            all.push((series.to_string(), Vec::new()));
+        let all = &mut self.sections[at].series;
+        let at = all.iter().position(|known| known.name == series).unwrap_or_else(|| {
+            all.push(Series::new(series, "sidecars", &self.measured_on, Vec::new()));
             all.len() - 1
         });
-        all[at].1.push(Point { size: size as f64, value });
+        all[at].points.push(Point { size: size as f64, value });
     }
 
-    pub(crate) fn sections(self, measured_on: &str, notes: &[String]) -> Vec<Section> {
-        let series =
-            |(name, points): (String, Vec<Point>)| Series::new(&name, "sidecars", measured_on, points);
-        let section = |(title, all): (String, Vec<(String, Vec<Point>)>)| Section {
-            title,
-            series: all.into_iter().map(series).collect(),
+    /// All sections, with lines fitted and these notes.
+    pub(crate) fn sections(self, notes: &[String]) -> Vec<Section> {
+        let finish = |section: Section| Section {
+            series: section.series.into_iter().map(|s| Series { fit: fit(&s.points), ..s }).collect(),
             notes: notes.to_vec(),
+            ..section
         };
-        self.sections.into_iter().map(section).collect()
+        self.sections.into_iter().map(finish).collect()
     }
 }
 
@@ -342,7 +346,7 @@
 
 /// Everything, for each size.
 pub fn membership(options: &Options) -> Vec<Section> {
-    let mut figures = Figures::default();
+    let mut figures = Figures::new("simulated");
     let empty = resident_bytes();
     for size in &options.sizes {
         let mut fleet = Fleet::start(*size);
@@ -358,7 +362,7 @@
             regions_parted(&mut fleet, &mut figures, span);
         }
     }
-    figures.sections("simulated", &[format!(
+    figures.sections(&[format!(
         "seed {SEED}; names of 12 bytes, {SEEDS} addresses to begin with; one fleet of each size goes through all \
          sections in order; a restart each {} s at {TARGET}, fewer by size; a time that is missing was not reached \
          within {} s",
--- a/crates/capacity/src/membership_sockets.rs
+++ b/crates/capacity/src/membership_sockets.rs
@@ -157,7 +157,7 @@
 /// # Errors
 /// A runtime that the system does not give.
 pub fn membership_on_sockets(options: &Options) -> io::Result<Vec<Section>> {
-    let mut figures = Figures::default();
+    let mut figures = Figures::new("sockets");
     let mut notes = vec!["all sidecars in one thread of one process, on loopback".to_string()];
     for size in &options.sizes {
         // A runtime for each size: whatever runs in it ends with it.
@@ -166,5 +166,5 @@
         let done = check(*size).and_then(|()| LocalSet::new().block_on(&runtime, work));
         notes.extend(done.err().map(|refusal| format!("not measured: {refusal}")));
     }
-    Ok(figures.sections("sockets", &notes))
+    Ok(figures.sections(&notes))
 }
