--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -4,4 +4,7 @@
 //! them as JSON. What is counted (messages, bytes, steps) is the same on every machine; what is timed is not.
 
 pub mod configuration;
+pub mod hollow;
+pub mod membership;
+pub mod membership_sockets;
 pub mod report;
