--- a/crates/settings/tests/script.rs
+++ b/crates/settings/tests/script.rs
@@ -97,6 +97,36 @@
     assert!(told[0].2.contains("fellowship(listen = ...)"), "{told:?}");
 }
 
+/// Routes and tenants have one place each: the script, or a configuration that peers bring.
+#[test]
+fn beside_a_configuration_routes_tenants_and_traces_of_the_script_are_refused_by_line() {
+    let peers = "fellowship(listen = \"127.0.0.1:0\", keys = \"keys\")\n";
+    let configured = "configuration(keep = \"kept\", fetch_bytes_per_s = \"64KiB\")\n";
+    let site = run(&[("site", &format!("{WHOLE}{peers}{configured}"))], &[]).expect("a site");
+    let configuration = site.configuration.expect("a configuration");
+    assert_eq!((configuration.fetch_bytes_per_s, configuration.serve_bytes_per_s), (65_536, 8_000));
+    assert!(site.groups.is_empty());
+    let without = run(&[("site", &format!("{WHOLE}{GROUP}"))], &[]).expect("a site");
+    assert!(without.configuration.is_none(), "off by default");
+    let line = |text: &str| text.lines().count() + 1;
+    let both = format!("{WHOLE}{GROUP}{peers}{configured}");
+    let told = said(&format!("{both}trace(folder = \"traces\")\n"));
+    let fields: Vec<(usize, &str)> = told.iter().map(|(line, field, _)| (*line, field.as_str())).collect();
+    assert_eq!(fields, [(line(WHOLE) + 1, "path_group"), (line(&both), "trace.folder")], "{told:?}");
+    assert!(told[0].2.contains("route(...) in the script of `havenplank distribute`"), "{told:?}");
+    let customers = WHOLE.replacen("sidecar(", "sidecar(customers = [\"a\"], ", 1);
+    let told = said(&format!("{customers}{peers}{configured}"));
+    assert_eq!(told.iter().map(|(_, field, _)| field.as_str()).collect::<Vec<_>>(), ["sidecar.customers"]);
+    let told = said(&format!("{WHOLE}{configured}"));
+    assert_eq!(
+        told.iter().map(|(_, field, _)| field.as_str()).collect::<Vec<_>>(),
+        ["configuration.fellowship"]
+    );
+    let zones = WHOLE.replacen("zones = [", "zones = [\"distributor\", ", 1);
+    let told = said(&format!("{zones}{GROUP}"));
+    assert!(told.iter().any(|(_, field, _)| field == "sidecar.zones"), "{told:?}");
+}
+
 #[test]
 fn what_is_missing_is_told_once() {
     let found = said("votes(control = 'clock', life = '6s')\n");
--- a/crates/sidecar/tests/routes.rs
+++ b/crates/sidecar/tests/routes.rs
@@ -1,10 +1,15 @@
 //! The route table against the linear scan it replaces, and the slots that routes have in the decisions.
 
 use havenplank::port::{Ended, Kind, Ns, PathGroup, PodState, Scope};
+use havenplank_configuration::record::{
+    BackupMode, Record, RequestKind, RequestRules, Route, Tenant, TenantLimits,
+};
+use havenplank_configuration::snapshot::Snapshot;
+use havenplank_configuration::version::Version;
 use havenplank_feeds::nodes::Listed;
 use havenplank_settings::{Group, Guard};
 use havenplank_sidecar::engine::{Asked, Effect, Engine, EPOCH};
-use havenplank_sidecar::routes::RouteTable;
+use havenplank_sidecar::routes::{routes_of, KnownTenant, RouteTable};
 use havenplank_sidecar::slots::{Slot, SlotCounts};
 use havenplank_sidecar::told::Terms;
 use proptest::prelude::*;
@@ -33,6 +38,17 @@
     Group { name, methods, paths, rules: rules(S), guard: Guard::Off }
 }
 
+/// A route named by its only pattern.
+fn route(pattern: &str, kind: RequestKind) -> Record {
+    let rules = RequestRules { kind, ..RequestRules::from_path_group(&rules(S), BackupMode::Off) };
+    let (service, paths) = ("search".to_string(), vec![pattern.to_string()]);
+    Record::from(Route { name: pattern.to_string(), service, methods: Vec::new(), paths, rules })
+}
+
+fn snapshot(number: u64, records: Vec<Record>) -> Snapshot {
+    Snapshot::from_records(Version { epoch: 1, number }, records).unwrap_or_else(|error| panic!("{error}"))
+}
+
 /// An engine without routes of its own settings.
 fn engine(per_group: bool) -> Engine {
     static TERMS: LazyLock<Terms> = LazyLock::new(|| {
@@ -84,6 +100,31 @@
         }
     }
 
+    #[test]
+    fn in_a_snapshot_the_most_specific_pattern_wins_whatever_the_order_of_records(
+        patterns in proptest::collection::btree_set("/[ab/]{0,4}\\*?", 0..10),
+        rotated in 0..10usize,
+        paths in proptest::collection::vec("/[ab/]{0,6}", 1..12),
+    ) {
+        let patterns: Vec<String> = patterns.into_iter().collect();
+        let mut records: Vec<Record> = patterns.iter().map(|pattern| route(pattern, RequestKind::Idempotent)).collect();
+        records.rotate_left(rotated % patterns.len().max(1));
+        let snapshot = snapshot(1, records);
+        let groups = routes_of(&snapshot);
+        let slots = slots(&mut engine(false), &groups);
+        let table = RouteTable::from_snapshot(snapshot, &groups, slots);
+        for path in paths {
+            let fits = |pattern: &&String| match pattern.strip_suffix('*') {
+                Some(prefix) => path.starts_with(prefix),
+                None => **pattern == path,
+            };
+            let specific = |pattern: &&String| (!pattern.ends_with('*'), pattern.len());
+            let wanted = patterns.iter().filter(fits).max_by_key(specific);
+            let found = table.find("GET", &path).map(|route| &route.name);
+            prop_assert_eq!(found, wanted, "{:?}", path);
+        }
+    }
+
     #[test]
     fn no_two_routes_that_are_held_or_in_force_share_a_slot(
         versions in proptest::collection::vec(
@@ -235,3 +276,18 @@
     engine.set_routes(EPOCH, &[("b".into(), rules(S))]);
     assert!(!engine.flagged(EPOCH, "pod-0", "a", 0) && engine.flagged(EPOCH, "pod-0", "b", 0));
 }
+
+#[test]
+fn a_table_of_a_snapshot_knows_its_tenants_and_waits_only_before_the_first_version() {
+    let tenant = Tenant { name: "t".to_string(), limits: TenantLimits::default() };
+    let records = vec![route("/a", RequestKind::Keyed), Record::from(tenant)];
+    let (first, empty) = (snapshot(1, records), Snapshot::empty());
+    let groups = routes_of(&first);
+    assert_eq!(groups[0].rules.kind, Kind::Tagged);
+    let slots = slots(&mut engine(false), &groups);
+    let table = RouteTable::from_snapshot(first, &groups, slots);
+    assert_eq!((table.tenant("t"), table.tenant("u")), (Some(KnownTenant { index: None }), None));
+    assert!(!table.awaits_configuration());
+    assert!(RouteTable::from_snapshot(empty, &[], Vec::new()).awaits_configuration());
+    assert!(!RouteTable::from_settings(&[], Vec::new(), &[]).awaits_configuration());
+}
