takeover: hold.rs falls into modules of one job each, moved verbatim

Cause: one file of 1,015 lines held the owner's, the backup's, the election's and the waiter's part. Change: takeover.rs keeps the type, wake-ups and dispatch; claim, owner, backup, election and waiter stand beneath it; Rules moves to rules.rs. Bodies are moved as they were; Effect, Rules and Takeover are exported at the crate's root. Result: every_order finds 1390875 states with one fault before and after. Tests of havenplank-takeover and havenplank-sidecar pass. crates/cli/tests/takeover.rs, on cores shared at load 36: seven_of_ten_killed_at_once fails in 3 of 3 runs and a_client_that_comes_back in 1 of 3, at lines 310 and 90; the parent commit, run beside it, fails the same two there in 3 of 3 and 1 of 3.

--- a/crates/takeover/tests/every_order.rs
+++ b/crates/takeover/tests/every_order.rs
@@ -7,9 +7,8 @@
 //! By hand, more faults: HAVENPLANK_FAULTS=3 cargo test --release -p havenplank-takeover --test every_order
 
 use havenplank_fellows::wire::Life;
-use havenplank_takeover::hold::{Effect, Rules, Takeover};
 use havenplank_takeover::record::{Done, Mark, Say, Went};
-use havenplank_takeover::Ns;
+use havenplank_takeover::{Effect, Ns, Rules, Takeover};
 use rayon::prelude::*;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::HashSet;
--- a/crates/takeover/tests/simulated.rs
+++ b/crates/takeover/tests/simulated.rs
@@ -3,8 +3,8 @@
 use havenplank_fellows::wire::Life;
 use havenplank_stand::net::{Clock, Fate, Id, Net, Ns, Part, Weather};
 use havenplank_takeover::guardians::{pick, Candidate};
-use havenplank_takeover::hold::{Effect, Rules, Takeover};
 use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
+use havenplank_takeover::{Effect, Rules, Takeover};
 use oorandom::Rand64;
 use rayon::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
