--- a/crates/sidecar/src/guard.rs
+++ b/crates/sidecar/src/guard.rs
@@ -4,8 +4,8 @@
 use crate::fellowship::Fellowship;
 use havenplank_fellows::wire::Life;
 use havenplank_settings::Takeover as Settings;
-use havenplank_takeover::guardians::{pick, Candidate};
-use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
+use havenplank_takeover::placement::{pick, Candidate};
+use havenplank_takeover::record::{AttemptState, Message, Outcome, Record, RequestId};
 use havenplank_takeover::{Effect, Ns, Rules, Takeover};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,7 +28,7 @@
     /// It may be in hand elsewhere, and those who would know cannot be reached.
     Unsure,
     /// Its answer, by whoever finished it.
-    Done(Done),
+    Done(Outcome),
     /// Another hit under the same key.
     Differs,
     /// Whoever had it is gone, or its time is up.
@@ -59,7 +59,7 @@
     fellowship: Rc<Fellowship>,
     takeover: RefCell<Takeover>,
     /// Rows leave once nobody waits any more; one waiter a hit at the door at most, and the door bounds those.
-    waits: RefCell<HashMap<Mark, Waits>>,
+    waits: RefCell<HashMap<RequestId, Waits>>,
     many: usize,
     tick: Duration,
     own_marks: Cell<u64>,
@@ -77,10 +77,10 @@
     ) -> (Rc<Guard>, mpsc::UnboundedReceiver<Record>) {
         let rules = Rules {
             lease: settings.lease,
-            most_held: settings.held,
-            most_kept: settings.kept,
-            most_bytes: settings.kept_bytes,
-            keep: settings.keep,
+            max_owned: settings.held,
+            max_replicas: settings.kept,
+            max_replica_bytes: settings.kept_bytes,
+            retention: settings.keep,
             ..Rules::default()
         };
         let (begun, begins) = mpsc::unbounded_channel();
@@ -115,10 +115,10 @@
     }
 
     fn heard(&self, from: &Life, body: &[u8]) {
-        match postcard::from_bytes::<Say>(body) {
-            Ok(say) => {
+        match postcard::from_bytes::<Message>(body) {
+            Ok(message) => {
                 let now = self.fellowship.now();
-                self.takeover.borrow_mut().heard(now, from, say);
+                self.takeover.borrow_mut().receive(now, from, message);
                 self.act_all();
             }
             Err(_) => tracing::warn!(fellow = from.name, "word on work in hand passed over: not readable"),
@@ -127,17 +127,17 @@
 
     fn act(&self, effect: Effect) {
         match effect {
-            Effect::Say { to, say } => {
-                if let Ok(body) = postcard::to_stdvec(&say) {
+            Effect::Send { to, message } => {
+                if let Ok(body) = postcard::to_stdvec(&message) {
                     self.fellowship.say(&to, KIND, body);
                 }
             }
-            Effect::Taken(mark) => self.claimed(mark, Claim::Taken),
-            Effect::Unguarded(mark) => self.claimed(mark, Claim::Unguarded),
-            Effect::Unsure(mark) => self.claimed(mark, Claim::Unsure),
-            Effect::Differs(mark) => self.claimed(mark, Claim::Differs),
+            Effect::Claimed(mark) => self.claimed(mark, Claim::Taken),
+            Effect::Unprotected(mark) => self.claimed(mark, Claim::Unguarded),
+            Effect::Uncertain(mark) => self.claimed(mark, Claim::Unsure),
+            Effect::KeyReused(mark) => self.claimed(mark, Claim::Differs),
             Effect::Joined(mark) => self.waiting(mark, |waits| waits.answers.extend(waits.claimant.take())),
-            Effect::Go(mark, nth) => self.waiting(mark, |waits| {
+            Effect::AttemptReady(mark, nth) => self.waiting(mark, |waits| {
                 if let Some(go) = waits.goes.remove(&nth) {
                     let _ = go.send(());
                 }
@@ -154,7 +154,7 @@
                     }
                 });
             }
-            Effect::Answer(mark, done) => self.waiting(mark, |waits| {
+            Effect::Finished(mark, done) => self.waiting(mark, |waits| {
                 waits.claimant.take().into_iter().chain(waits.answers.drain(..)).for_each(|waits| {
                     let _ = waits.send(Claim::Done(done.clone()));
                 });
@@ -163,14 +163,14 @@
                     let _ = lost.send(());
                 }
             }),
-            Effect::Nobody(mark) => self.waiting(mark, |waits| {
+            Effect::Unknown(mark) => self.waiting(mark, |waits| {
                 waits.answers.drain(..).for_each(|waits| drop(waits.send(Claim::Nobody)));
             }),
-            Effect::Begin(record) => drop(self.begun.send(record)),
+            Effect::TakenOver(record) => drop(self.begun.send(record)),
         }
     }
 
-    fn claimed(&self, mark: Mark, claim: Claim) {
+    fn claimed(&self, mark: RequestId, claim: Claim) {
         self.waiting(mark, |waits| {
             if let Some(claimant) = waits.claimant.take() {
                 let _ = claimant.send(claim);
@@ -179,7 +179,7 @@
     }
 
     /// Changes who waits for a piece of work, and forgets it once nobody does.
-    fn waiting(&self, mark: Mark, change: impl FnOnce(&mut Waits)) {
+    fn waiting(&self, mark: RequestId, change: impl FnOnce(&mut Waits)) {
         let mut all = self.waits.borrow_mut();
         let Some(waits) = all.get_mut(&mark) else { return };
         change(waits);
@@ -192,14 +192,14 @@
     }
 
     /// A mark for a hit that its client cannot name.
-    pub fn own_mark(&self) -> Mark {
+    pub fn own_mark(&self) -> RequestId {
         self.own_marks.set(self.own_marks.get() + 1);
         let me = self.fellowship.me();
         let (name, life) = (me.name.as_bytes(), me.life.to_le_bytes());
         mark(&[name, &life, &self.own_marks.get().to_le_bytes()])
     }
 
-    fn guardians(&self, mark: Mark) -> Vec<Life> {
+    fn guardians(&self, mark: RequestId) -> Vec<Life> {
         self.fellowship.living(|others| {
             let others: Vec<Candidate<'_>> =
                 others.map(|news| Candidate { who: &news.who, zone: &news.zone }).collect();
@@ -208,18 +208,18 @@
     }
 
     /// Claims a piece of work, and waits until it is ours or done: no longer than its client does.
-    pub async fn claim(self: &Rc<Self>, mark: Mark, sum: u64, hit: (Vec<u8>, bool), left: Ns) -> Claim {
+    pub async fn claim(self: &Rc<Self>, mark: RequestId, sum: u64, hit: (Vec<u8>, bool), left: Ns) -> Claim {
         let (guardians, now) = (self.guardians(mark), self.fellowship.now());
         let (tell, told) = oneshot::channel();
-        self.takeover.borrow_mut().take(now, mark, sum, hit, left, guardians);
+        self.takeover.borrow_mut().claim(now, mark, sum, hit, left, guardians);
         let mut joined = false;
         loop {
             let effect = self.takeover.borrow_mut().effect();
             match effect {
-                Some(Effect::Answer(known, done)) if known == mark => return Claim::Done(done),
-                Some(Effect::Differs(known)) if known == mark => return Claim::Differs,
-                Some(Effect::Unguarded(known)) if known == mark => return Claim::Unguarded,
-                Some(Effect::Unsure(known)) if known == mark => return Claim::Unsure,
+                Some(Effect::Finished(known, done)) if known == mark => return Claim::Done(done),
+                Some(Effect::KeyReused(known)) if known == mark => return Claim::Differs,
+                Some(Effect::Unprotected(known)) if known == mark => return Claim::Unguarded,
+                Some(Effect::Uncertain(known)) if known == mark => return Claim::Unsure,
                 Some(Effect::Joined(known)) if known == mark => joined = true,
                 Some(effect) => self.act(effect),
                 None => break,
@@ -240,19 +240,19 @@
     }
 
     /// The same without waiting; where another has it, the hit is served all the same, as a repeat does no harm.
-    pub fn claim_behind(&self, mark: Mark, sum: u64, ask: Vec<u8>, left: Ns) {
+    pub fn claim_behind(&self, mark: RequestId, sum: u64, ask: Vec<u8>, left: Ns) {
         let (guardians, now) = (self.guardians(mark), self.fellowship.now());
-        self.takeover.borrow_mut().take_behind(now, mark, sum, ask, left, guardians);
+        self.takeover.borrow_mut().claim_in_background(now, mark, sum, ask, left, guardians);
         self.act_all();
     }
 
     /// Forgets whoever waits no more.
-    pub fn forget(&self, mark: Mark) {
+    pub fn forget(&self, mark: RequestId) {
         self.waiting(mark, |_| {});
     }
 
     /// For whoever holds a piece of work: told when it is lost, and its answer if another finishes it.
-    pub fn watch(&self, mark: Mark) -> (oneshot::Receiver<()>, oneshot::Receiver<Claim>) {
+    pub fn watch(&self, mark: RequestId) -> (oneshot::Receiver<()>, oneshot::Receiver<Claim>) {
         let (lose, lost) = oneshot::channel();
         let (tell, told) = oneshot::channel();
         let mut all = self.waits.borrow_mut();
@@ -263,11 +263,11 @@
     }
 
     /// The final answer of work that we hold, for its guardians and for whoever joined it here.
-    pub fn finish(&self, mark: Mark, done: Done) {
+    pub fn finish(&self, mark: RequestId, done: Outcome) {
         let now = self.fellowship.now();
         self.takeover.borrow_mut().finish(now, mark, done.clone());
         self.act_all();
-        self.act(Effect::Answer(mark, done));
+        self.act(Effect::Finished(mark, done));
     }
 
     /// Everything that a call left.
@@ -280,10 +280,10 @@
     }
 
     /// Tells the guardians of a forward, and where `wait` says so waits until they know. `None` where it may not go.
-    pub async fn before(self: &Rc<Self>, mark: Mark, pod: &str, wait: bool) -> Option<Going> {
+    pub async fn before(self: &Rc<Self>, mark: RequestId, pod: &str, wait: bool) -> Option<Going> {
         let (go, gone) = oneshot::channel();
         let now = self.fellowship.now();
-        let nth = self.takeover.borrow_mut().forward(now, mark, pod)?;
+        let nth = self.takeover.borrow_mut().begin_attempt(now, mark, pod)?;
         let going = Going { guard: self.clone(), mark, nth, sent: Cell::new(false), told: Cell::new(false) };
         if wait {
             self.waits.borrow_mut().entry(mark).or_default().goes.insert(nth, go);
@@ -296,8 +296,8 @@
     }
 
     /// Whether a forward of this work may be written at this moment.
-    pub fn may(&self, mark: Mark) -> bool {
-        self.takeover.borrow().may(self.fellowship.now(), mark)
+    pub fn may(&self, mark: RequestId) -> bool {
+        self.takeover.borrow().may_send(self.fellowship.now(), mark)
     }
 
     /// To be held as long as a hit is served.
@@ -313,7 +313,7 @@
     pub fn glance(&self) -> Glance {
         let takeover = self.takeover.borrow();
         let (held, kept, waiting) = takeover.sizes();
-        let (unguarded, turned_away) = (takeover.unguarded, takeover.turned_away);
+        let (unguarded, turned_away) = (takeover.unprotected, takeover.rejected_records);
         let taken_over = takeover.taken_over;
         Glance { held, kept, waiting, unguarded, turned_away, taken_over }
     }
@@ -322,7 +322,7 @@
 /// One forward that guardians were told of; whatever becomes of the task that carries it, they hear how it went.
 pub struct Going {
     guard: Rc<Guard>,
-    mark: Mark,
+    mark: RequestId,
     nth: usize,
     sent: Cell<bool>,
     told: Cell<bool>,
@@ -349,24 +349,24 @@
     fn drop(&mut self) {
         if !self.told.get() {
             let now = self.guard.fellowship.now();
-            let went = if self.sent.get() { Went::MayHaveRun } else { Went::NeverRan };
-            self.guard.takeover.borrow_mut().went(now, self.mark, self.nth, went);
+            let went = if self.sent.get() { AttemptState::MayHaveRun } else { AttemptState::NeverRan };
+            self.guard.takeover.borrow_mut().end_attempt(now, self.mark, self.nth, went);
             self.guard.act_all();
         }
     }
 }
 
 /// Of these parts, told apart by their lengths.
-pub fn mark(parts: &[&[u8]]) -> Mark {
+pub fn mark(parts: &[&[u8]]) -> RequestId {
     let mut hash = blake3::Hasher::new();
     for part in parts {
         hash.update(&(part.len() as u64).to_le_bytes()).update(part);
     }
     let mut bytes = [0; 16];
     bytes.copy_from_slice(&hash.finalize().as_bytes()[..16]);
-    Mark::from_le_bytes(bytes)
+    RequestId::from_le_bytes(bytes)
 }
 
-pub fn mark_text(mark: Mark) -> String {
+pub fn mark_text(mark: RequestId) -> String {
     format!("{mark:032x}")
 }
--- a/crates/sidecar/src/guarded.rs
+++ b/crates/sidecar/src/guarded.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use havenplank::port::{Earlier, Kind, Ns, PodId, Scope};
 use havenplank_settings::{Group, Guard as Mode};
-use havenplank_takeover::record::{Done, Mark, Record, Went};
+use havenplank_takeover::record::{AttemptState, Outcome, Record, RequestId};
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode};
@@ -35,7 +35,7 @@
 
 /// One piece of guarded work.
 pub struct Guarded {
-    pub mark: Mark,
+    pub mark: RequestId,
     /// The client can name it, and so finds it again.
     named: bool,
     sum: u64,
@@ -175,7 +175,7 @@
     past: Option<Vec<Earlier>>,
     asked: Asked,
     ask: Rc<Ask>,
-    mark: Mark,
+    mark: RequestId,
 ) -> Response<Body> {
     let (kind, left) = (shell.site.groups[asked.group].rules.kind, Duration::from_nanos(asked.left));
     let began = Instant::now();
@@ -204,41 +204,45 @@
 /// What the guardians keep of an answer. A bounce tells the client that a retry does no harm. Where it cannot name
 /// the work, and guardians may believe for a moment longer that it is to be finished, that is not sure: if this
 /// sidecar were lost now, both the retry and a takeover would run. So it promises nothing.
-async fn last_word(response: Response<Body>, kind: Kind, work: Option<&Guarded>) -> (Response<Body>, Done) {
+async fn last_word(
+    response: Response<Body>,
+    kind: Kind,
+    work: Option<&Guarded>,
+) -> (Response<Body>, Outcome) {
     let again = kind != Kind::Mutating;
     let doubtful = work.is_some_and(|work| !work.named && work.announced.get() && work.on.get()) && !again;
     match response.extensions().get::<Final>() {
-        Some(Final::Bounced) if doubtful => (errored(false), Done::Errored { again }),
-        Some(Final::Bounced) => (response, Done::Bounced),
-        Some(Final::Errored) => (response, Done::Errored { again }),
+        Some(Final::Bounced) if doubtful => (errored(false), Outcome::Failed { retryable: again }),
+        Some(Final::Bounced) => (response, Outcome::Rejected),
+        Some(Final::Errored) => (response, Outcome::Failed { retryable: again }),
         None => {
             let (parts, body) = response.into_parts();
             let Body::Whole(whole) = body else {
                 // Passed on as it comes: too long to be kept.
-                return (Response::from_parts(parts, body), Done::Delivered(Vec::new()));
+                return (Response::from_parts(parts, body), Outcome::Served(Vec::new()));
             };
             let whole = whole.collect().await.map(|whole| whole.to_bytes()).unwrap_or_default();
             let (status, headers) = (parts.status.as_u16(), heads_of(&parts.headers));
             let kept = KeptAnswer { status, headers, body: whole.to_vec() };
             let kept = postcard::to_stdvec(&kept).ok().filter(|bytes| bytes.len() <= LONGEST);
             let response = Response::from_parts(parts, Body::Whole(Full::new(whole)));
-            (response, Done::Delivered(kept.unwrap_or_default()))
+            (response, Outcome::Served(kept.unwrap_or_default()))
         }
     }
 }
 
 /// The answer to a client that came back.
-fn answer_of(done: Done) -> Response<Body> {
+fn answer_of(done: Outcome) -> Response<Body> {
     let delivered = match done {
-        Done::Bounced => return bounced(0),
-        Done::Errored { .. } => return errored(false),
-        Done::Delivered(kept) if kept.is_empty() => {
+        Outcome::Rejected => return bounced(0),
+        Outcome::Failed { .. } => return errored(false),
+        Outcome::Served(kept) if kept.is_empty() => {
             return plain(
                 StatusCode::BAD_GATEWAY,
                 "errored: it ran, but its answer was too long to be kept\n",
             )
         }
-        Done::Delivered(kept) => kept,
+        Outcome::Served(kept) => kept,
     };
     let Ok(KeptAnswer { status, headers, body }) = postcard::from_bytes(&delivered) else {
         return plain(StatusCode::BAD_GATEWAY, "errored: it ran, but its kept answer cannot be read here\n");
@@ -279,19 +283,19 @@
 /// Finishes work that was another's.
 pub fn take_over(shell: &Rc<Shell>, record: Record) {
     let Some(guard) = shell.guard.clone() else { return };
-    let (shell, mark, began) = (shell.clone(), record.mark, Instant::now());
+    let (shell, mark, began) = (shell.clone(), record.request, Instant::now());
     spawn_local(async move {
-        let may_have_run = record.past.iter().filter(|past| past.went != Went::NeverRan).count();
-        let (forwards, left_ms) = (record.past.len(), record.left / 1_000_000);
+        let may_have_run = record.attempts.iter().filter(|past| past.state != AttemptState::NeverRan).count();
+        let (forwards, left_ms) = (record.attempts.len(), record.remaining / 1_000_000);
         tracing::info!(mark = mark_text(mark), forwards, may_have_run, left_ms, "work taken over");
         let ended = match read(&shell, &record) {
             Some((asked, ask)) => {
-                let earlier = |past: &havenplank_takeover::record::Past| Earlier {
+                let earlier = |past: &havenplank_takeover::record::Attempt| Earlier {
                     pod: shell.look().find(&past.pod),
                     ago: past.age,
-                    may_have_run: past.went != Went::NeverRan,
+                    may_have_run: past.state != AttemptState::NeverRan,
                 };
-                let past = Some(record.past.iter().map(earlier).collect());
+                let past = Some(record.attempts.iter().map(earlier).collect());
                 run(&shell, &guard, past, asked, Rc::new(ask), mark).await.status()
             }
             None => {
@@ -299,7 +303,7 @@
                     mark = mark_text(mark),
                     "work of a path group that is not known here: errored"
                 );
-                guard.finish(mark, Done::Errored { again: false });
+                guard.finish(mark, Outcome::Failed { retryable: false });
                 StatusCode::BAD_GATEWAY
             }
         };
@@ -309,22 +313,22 @@
 }
 
 fn read(shell: &Shell, record: &Record) -> Option<(Asked, Ask)> {
-    let kept: Kept = postcard::from_bytes(&record.ask).ok()?;
+    let kept: Kept = postcard::from_bytes(&record.payload).ok()?;
     let site = &shell.site;
     let group = site.groups.iter().position(|group| group.name == kept.group)?;
     let asked = Asked {
         group,
         customer: kept.customer.and_then(|name| site.customers.iter().position(|known| *known == name)),
         key: kept.key,
-        left: record.left.min(site.groups[group].rules.client_timeout),
+        left: record.remaining.min(site.groups[group].rules.client_timeout),
         cost_hint: kept.cost_hint,
         repeat: false,
     };
     let (headers, uri) = heads::apart(&heads_from(&kept.headers), &kept.path);
     let guarded = Guarded {
-        mark: record.mark,
+        mark: record.request,
         named: false,
-        sum: record.sum,
+        sum: record.digest,
         wait: site.groups[group].guard != Mode::Behind,
         on: Cell::new(true),
         announced: Cell::new(true),
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -1,9 +1,9 @@
-//! Work in hand survives the loss of its sidecar: guardians know of it, and one of them finishes it.
+//! In-flight requests survive the loss of their sidecar: backups keep a record of each, and one of them finishes it.
 //!
-//! [`Takeover`] decides: free of I/O, time and chance handed in. [`Rules`] are its limits. [`record`] is what is known
-//! of one piece of work and what sidecars say to each other about it. [`guardians`] picks who guards.
+//! [`Takeover`] is the state machine, free of I/O: the time and a random seed are arguments. [`Rules`] are its limits.
+//! [`record`] holds the replicated record and the messages between sidecars. [`placement`] chooses the backups.
 
-pub mod guardians;
+pub mod placement;
 pub mod record;
 mod rules;
 mod takeover;
--- a/crates/takeover/src/guardians.rs
+++ b/crates/takeover/src/placement.rs
@@ -1,20 +1,20 @@
-//! Who guards a piece of work: by rendezvous, so that whoever knows the fellows finds the same ones from the mark.
+//! Chooses the backups of a request by rendezvous hashing, so that every sidecar with the same peers finds the same ones.
 
-use crate::record::Mark;
+use crate::record::RequestId;
 use havenplank_fellows::wire::Life;
 
-/// A fellow that may guard.
+/// A peer that may be chosen as a backup.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
     pub who: &'a Life,
     pub zone: &'a str,
 }
 
-/// So many fellows in the order in which they guard this mark: the first of each zone before the second of any.
-pub fn pick(mark: Mark, fellows: &[Candidate<'_>], many: usize) -> Vec<Life> {
+/// The first `many` peers in this request's order: the first of each zone before the second of any.
+pub fn pick(request: RequestId, fellows: &[Candidate<'_>], many: usize) -> Vec<Life> {
     let weight = |fellow: &Candidate<'_>| {
         let mut hash = blake3::Hasher::new();
-        hash.update(&mark.to_le_bytes()).update(fellow.who.name.as_bytes());
+        hash.update(&request.to_le_bytes()).update(fellow.who.name.as_bytes());
         *hash.finalize().as_bytes()
     };
     let mut ranked: Vec<([u8; 32], &Candidate<'_>)> = fellows.iter().map(|f| (weight(f), f)).collect();
@@ -42,22 +42,22 @@
             .collect();
         let zone = |who: &Life| fellows.iter().find(|f| f.who == who).map(|f| f.zone).unwrap();
         let mut moved = 0;
-        for mark in 0..300 {
-            let three = pick(mark, &fellows, 3);
+        for request in 0..300 {
+            let three = pick(request, &fellows, 3);
             let mut zones: Vec<&str> = three.iter().map(zone).collect();
             zones.sort();
             assert_eq!(zones, ["a", "b", "c"]);
             let without: Vec<Candidate<'_>> =
                 fellows.iter().filter(|f| f.who.name != "s-4").copied().collect();
-            let left = pick(mark, &without, 3);
+            let remaining = pick(request, &without, 3);
             if three.contains(&lives[4]) {
                 moved += 1;
-                assert_eq!(left.iter().filter(|who| three.contains(who)).count(), 2);
+                assert_eq!(remaining.iter().filter(|who| three.contains(who)).count(), 2);
             } else {
-                assert_eq!(left, three);
+                assert_eq!(remaining, three);
             }
         }
-        assert!((10..=55).contains(&moved), "{moved} of 300 marks were guarded by one of thirty");
+        assert!((10..=55).contains(&moved), "{moved} of 300 requests were guarded by one of thirty");
         assert_eq!(pick(1, &fellows[..2], 3).len(), 2);
     }
 }
--- a/crates/takeover/src/record.rs
+++ b/crates/takeover/src/record.rs
@@ -1,159 +1,130 @@
-//! One piece of work as its guardians know it, and what sidecars say to each other about work in hand.
+//! The replicated record of an in-flight request, and the messages between its owner, its backups and waiting sidecars.
+//!
+//! All types travel as `postcard`, which encodes fields and variants by position: their order is part of the protocol.
 
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use serde::{Deserialize, Serialize};
 
-/// Names a piece of work: made of the client's key, or of the hit's own mark where it has none.
-pub type Mark = u128;
+/// Identifies a request: a hash of the client's idempotency key, or of a unique value where it sent none.
+pub type RequestId = u128;
 
-/// What is known of a forward.
+/// How an attempt ended, as far as known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Went {
-    /// About to go, or gone with no end known: it may have run.
-    Out,
+pub enum AttemptState {
+    /// About to be written, or written with no known end: it may have run.
+    InFlight,
+    /// The pod provably did not run it.
     NeverRan,
+    /// The pod may have run it.
     MayHaveRun,
 }
 
+/// One attempt to run a request on a pod.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Past {
+pub struct Attempt {
+    /// The name of the pod.
     pub pod: String,
-    /// How long ago it was about to go.
+    /// How long ago it was about to be written.
     pub age: Ns,
-    pub went: Went,
+    pub state: AttemptState,
 }
 
-/// The final answer.
+/// The final outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Done {
-    Delivered(Vec<u8>),
-    /// Nothing of it has an effect, or pods drop the repeat.
-    Bounced,
-    /// `again`: pods drop the repeat of what may have run.
-    Errored {
-        again: bool,
-    },
+pub enum Outcome {
+    /// Served, with the encoded answer; empty if that was too long to be kept.
+    Served(Vec<u8>),
+    /// Rejected: it had no effect, or the pods drop a repeat.
+    Rejected,
+    /// Failed. `retryable`: the pods drop a repeat of what may have run.
+    Failed { retryable: bool },
 }
 
-impl Done {
-    /// Whether a new hit under the same key may begin, as the client was told that a retry does no harm.
+impl Outcome {
+    /// Whether a new request under the same key may begin, as the client was told that it may retry.
     pub fn reopens(&self) -> bool {
-        matches!(self, Done::Bounced | Done::Errored { again: true })
+        matches!(self, Outcome::Rejected | Outcome::Failed { retryable: true })
     }
 }
 
+/// What the owner of a request and its backups know of it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Record {
-    pub mark: Mark,
-    /// Who may act on it, and since which change of hands.
-    pub holder: Life,
+    pub request: RequestId,
+    /// The sidecar that may act on the request.
+    pub owner: Life,
+    /// Grows with each change of owner.
     pub term: u32,
-    /// Grows with each change that the holder of this term makes.
+    /// Grows with each change that the owner of this term makes.
     pub version: u32,
-    /// Whether the holder has learnt that more than half keep it. Until then it may yet serve the hit unguarded, so
-    /// that nobody else may begin.
-    pub firm: bool,
-    /// Who guards it, the same from its beginning to its end.
-    pub guardians: Vec<Life>,
-    /// A sum of the hit, so that another hit under the same key can be told.
-    pub sum: u64,
-    /// The hit, as it is sent.
-    pub ask: Vec<u8>,
-    /// What the client still waits.
-    pub left: Ns,
-    /// Its forwards, in the order of going.
-    pub past: Vec<Past>,
-    pub done: Option<Done>,
+    /// Whether the owner knows that a majority of the backups keep the record. Until then it may still serve the
+    /// request without backups, so nobody else may take over.
+    pub confirmed: bool,
+    /// The backups, the same from beginning to end.
+    pub backups: Vec<Life>,
+    /// A hash of the request, which reveals a different request under the same key.
+    pub digest: u64,
+    /// The encoded request.
+    pub payload: Vec<u8>,
+    /// The time left until the client's deadline.
+    pub remaining: Ns,
+    /// The attempts, oldest first.
+    pub attempts: Vec<Attempt>,
+    /// The final outcome, once known.
+    pub outcome: Option<Outcome>,
 }
 
 impl Record {
-    /// The same, so much later: spans travel, as no two clocks agree.
+    /// The record as of a later moment. Only time spans travel, as no two clocks agree.
     pub fn later(&self, by: Ns) -> Record {
         let mut record = self.clone();
-        record.left = record.left.saturating_sub(by);
-        record.past.iter_mut().for_each(|past| past.age = past.age.saturating_add(by));
+        record.remaining = record.remaining.saturating_sub(by);
+        record.attempts.iter_mut().for_each(|attempt| attempt.age = attempt.age.saturating_add(by));
         record
     }
 
-    /// Bytes of the hit and of its answer.
+    /// The bytes of the request and of its answer.
     pub fn weight(&self) -> usize {
-        let answer = match &self.done {
-            Some(Done::Delivered(answer)) => answer.len(),
+        let answer = match &self.outcome {
+            Some(Outcome::Served(answer)) => answer.len(),
             _ => 0,
         };
-        self.ask.len() + answer
+        self.payload.len() + answer
     }
 
-    /// More than half of its guardians.
-    pub fn enough(&self) -> usize {
-        self.guardians.len() / 2 + 1
+    /// The number of backups that is more than half of them.
+    pub fn majority(&self) -> usize {
+        self.backups.len() / 2 + 1
     }
 }
 
-/// Stamps are the sender's own clock and come back as they were.
+/// What sidecars send to each other. A `stamp` is a time of the first sender's own clock, returned unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Say {
-    /// Guard this, or this newer state of it.
-    Keep {
-        record: Record,
-        stamp: Ns,
-    },
-    Kept {
-        mark: Mark,
-        term: u32,
-        version: u32,
-        stamp: Ns,
-        epoch: u32,
-    },
-    /// Another holds it, by a later term or an earlier word.
-    Held {
-        mark: Mark,
-        term: u32,
-        by: Life,
-        differs: bool,
-    },
-    /// No room for more.
-    Full {
-        mark: Mark,
-    },
-    /// My right on all that you guard for me, for another span.
-    Renew {
-        stamp: Ns,
-    },
-    Renewed {
-        stamp: Ns,
-        epoch: u32,
-    },
-    /// I would finish it, in this term.
-    Vote {
-        mark: Mark,
-        term: u32,
-        stamp: Ns,
-    },
-    Voted {
-        record: Record,
-        term: u32,
-        stamp: Ns,
-        epoch: u32,
-    },
-    /// Tell me when it is done.
-    Wait {
-        mark: Mark,
-        sum: u64,
-    },
-    Done {
-        mark: Mark,
-        term: u32,
-        done: Done,
-    },
-    /// Nothing is known of it here.
-    Nothing {
-        mark: Mark,
-    },
-    /// A claim is given up; nothing was sent for it.
-    Free {
-        mark: Mark,
-        term: u32,
-    },
+pub enum Message {
+    /// To a backup: keep this record, or this newer version of it.
+    Store { record: Record, stamp: Ns },
+    /// The record is kept.
+    Stored { request: RequestId, term: u32, version: u32, stamp: Ns, epoch: u32 },
+    /// Another sidecar owns the request, by a later term or an earlier claim. `differs`: the key belongs to a different
+    /// request.
+    Owned { request: RequestId, term: u32, by: Life, differs: bool },
+    /// No room for another record.
+    Full { request: RequestId },
+    /// To a backup: renew the lease on all requests that it keeps for the sender.
+    RenewLease { stamp: Ns },
+    /// The lease is renewed.
+    LeaseRenewed { stamp: Ns, epoch: u32 },
+    /// The sender stands as the owner of the request in this term.
+    RequestVote { request: RequestId, term: u32, stamp: Ns },
+    /// A vote for the candidate, with the record that the voter keeps.
+    VoteGranted { record: Record, term: u32, stamp: Ns, epoch: u32 },
+    /// To a backup: report the outcome when it is known.
+    AwaitOutcome { request: RequestId, digest: u64 },
+    /// The final outcome.
+    Finished { request: RequestId, term: u32, outcome: Outcome },
+    /// The request is not known here.
+    Unknown { request: RequestId },
+    /// A claim is given up; no attempt was made.
+    Release { request: RequestId, term: u32 },
 }
--- a/crates/takeover/src/rules.rs
+++ b/crates/takeover/src/rules.rs
@@ -1,22 +1,23 @@
-//! The limits and spans that a takeover keeps to.
+//! The limits and time spans of a takeover.
 
 use crate::Ns;
 
+/// Limits and time spans of one [`Takeover`](crate::Takeover).
 #[derive(Clone, Debug)]
 pub struct Rules {
-    /// How long a promise lasts. It belongs to what holds while clocks drift less than `drift_ppm`.
+    /// How long a lease lasts. Its safety rests on clocks that drift less than `drift_ppm`.
     pub lease: Ns,
-    /// How fast or slow a clock may run, in millionths.
+    /// The greatest drift of a clock, in millionths.
     pub drift_ppm: u64,
-    /// Pieces of work held here with guardians, at most; more are served unguarded and counted.
-    pub most_held: usize,
-    /// Records kept here for others, at most; more are turned away.
-    pub most_kept: usize,
-    /// What hits and answers of those records may weigh together, in bytes, as of the last look: beyond it new records
-    /// are turned away, and answers that come are not kept, only that they were delivered.
-    pub most_bytes: usize,
-    /// How long a record stays after its time is up, so that a client that comes back finds its answer.
-    pub keep: Ns,
+    /// In-flight requests with backups, at most; further ones are served without backups and counted.
+    pub max_owned: usize,
+    /// Records kept for other sidecars, at most; further ones are rejected.
+    pub max_replicas: usize,
+    /// Total bytes of requests and answers in those records, as of the last wake-up. Beyond it new records are
+    /// rejected, and of an answer only the fact that it was served is kept.
+    pub max_replica_bytes: usize,
+    /// How long a record stays after its deadline, so that a client that retries finds its answer.
+    pub retention: Ns,
 }
 
 impl Default for Rules {
@@ -25,10 +26,10 @@
         Rules {
             lease: 600 * ms,
             drift_ppm: 10_000,
-            most_held: 20_000,
-            most_kept: 60_000,
-            most_bytes: 256 << 20,
-            keep: 5_000 * ms,
+            max_owned: 20_000,
+            max_replicas: 60_000,
+            max_replica_bytes: 256 << 20,
+            retention: 5_000 * ms,
         }
     }
 }
--- a/crates/takeover/src/takeover.rs
+++ b/crates/takeover/src/takeover.rs
@@ -1,14 +1,14 @@
-//! The decision: who may act on a piece of work, as its holder, as one of its guardians, or as one who waits for it.
+//! The state machine that decides who may act on a request: its owner, one of its backups, or nobody here.
 //!
-//! A holder may act while more than half of the work's guardians have promised it to begin nothing: each promise is a
-//! lease, counted from when the holder asked and kept by the guardian from when it heard, each on its own monotonic
-//! clock. A guardian whose promise has lapsed may ask the others for the work; more than half must agree, and each
-//! gives its word once a term. Any two such majorities share a guardian, so that no work is held by two at once:
-//! always, whatever is lost, repeated, late or paused, while clocks drift less than stated. That a takeover begins
-//! holds only while more than half of the guardians can talk; a lone one keeps the record and waits.
+//! An owner may act while more than half of the request's backups have granted it a lease. A lease counts from when the
+//! owner asked for it and is kept by the backup from when the request for it arrived, each on its own monotonic clock.
+//! A backup whose grant has expired may ask the other backups for their votes; a majority must agree, and each votes
+//! once a term. Any two majorities share a backup, so no request has two acting owners, whatever is lost, repeated,
+//! late or paused, while clocks drift less than stated. Liveness needs a majority: a takeover begins only while more
+//! than half of the backups can talk; a backup that is alone keeps the record and waits.
 //!
-//! A guardian that gave its word against a holder counts its epoch for that holder up. What the holder's lease says is
-//! worth something only for work that was kept in the same epoch, so that a renewal never revives what was voted away.
+//! A backup that votes against an owner raises its epoch for that owner. A lease counts only for records stored in the
+//! same epoch, so that a renewal never revives a record that was voted away.
 
 mod backup;
 mod claim;
@@ -16,193 +16,211 @@
 mod owner;
 mod waiter;
 
-use crate::record::{Done, Mark, Record, Say};
+use crate::record::{Message, Outcome, Record, RequestId};
 use crate::{Ns, Rules};
-use backup::Kept;
+use backup::Replica;
 use havenplank_fellows::wire::Life;
 use oorandom::Rand64;
-use owner::Held;
+use owner::OwnedRequest;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use waiter::Waiting;
 
+/// What the caller has to carry out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
-    Say {
-        to: Life,
-        say: Say,
-    },
-    /// More than half of the guardians know of it: it may begin.
-    Taken(Mark),
-    /// They know that this forward is about to go. Ask [`Takeover::may`] right before the write.
-    Go(Mark, usize),
-    /// Another holds it; its answer will come.
-    Joined(Mark),
-    /// Too few guardians can be reached, or they have no room: it is served as if there were none.
-    Unguarded(Mark),
-    /// The same, for a hit that may be in hand elsewhere and must not run twice: it is bounced, nothing was sent.
-    Unsure(Mark),
-    /// Another hit under the same key is in hand.
-    Differs(Mark),
-    /// It is ours now: finish it, with what its past says.
-    Begin(Record),
-    /// It is another's now: send nothing more for it. Its answer will come.
-    Lost(Mark),
-    /// The final answer of work that was waited for here.
-    Answer(Mark, Done),
-    /// None of its guardians knows of it any more.
-    Nobody(Mark),
+    /// Send this message.
+    Send { to: Life, message: Message },
+    /// More than half of the backups have the request: it may begin.
+    Claimed(RequestId),
+    /// They know of the attempt with this index. Ask [`Takeover::may_send`] right before the write.
+    AttemptReady(RequestId, usize),
+    /// Another sidecar owns the request; its answer will follow.
+    Joined(RequestId),
+    /// Too few backups can be reached or have room: the request is served without them.
+    Unprotected(RequestId),
+    /// The same, for a request that may be in flight elsewhere and must not run twice: reject it; nothing was sent.
+    Uncertain(RequestId),
+    /// A different request under the same idempotency key is in flight.
+    KeyReused(RequestId),
+    /// This sidecar owns the request now: finish it, considering its earlier attempts.
+    TakenOver(Record),
+    /// Another sidecar owns the request now: send nothing more for it. Its answer will follow.
+    Lost(RequestId),
+    /// The final outcome of a request that was waited for here.
+    Finished(RequestId, Outcome),
+    /// None of its backups knows the request any more.
+    Unknown(RequestId),
 }
 
+/// The in-flight requests of one sidecar, the records it keeps for others, and the clients that wait for an answer.
 #[derive(Clone)]
 pub struct Takeover {
     me: Life,
     rules: Rules,
-    /// Work in hand here; leaves when all guardians know its answer, or its time and `Rules::keep` are over.
-    held: BTreeMap<Mark, Held>,
-    /// Others' work; leaves `Rules::keep` after its time is up. What was in hand here stays in it as well, so that it
-    /// holds `Rules::most_kept` and as many more as `Rules::most_held`.
-    kept: BTreeMap<Mark, Kept>,
-    /// Work that is waited for; leaves with its answer, or when its client's time is up. One row a client that waits
-    /// here at most, whose number the door bounds.
-    waiting: BTreeMap<Mark, Waiting>,
-    /// Until when we begin nothing of a holder's. Rows leave with the last record kept for it.
-    promises: BTreeMap<Life, Ns>,
-    /// By holder, what this counter stood at when we last gave our word against it. One without a row has the
-    /// counter itself, so that a row that left and came again never shows an epoch that was.
+    /// Requests in flight here; removed when all backups know the outcome, or [`Rules::retention`] after the deadline.
+    owned: BTreeMap<RequestId, OwnedRequest>,
+    /// Records of other owners, removed [`Rules::retention`] after the deadline. Requests that were in flight here move
+    /// to this table, so it holds at most [`Rules::max_replicas`] and [`Rules::max_owned`] more.
+    replicas: BTreeMap<RequestId, Replica>,
+    /// Requests whose outcome is awaited here; removed with the outcome or at the client's deadline. At most one entry
+    /// a waiting client, whose number the listener bounds.
+    waiting: BTreeMap<RequestId, Waiting>,
+    /// Until when this sidecar takes over nothing from an owner. Removed with the last record kept for it.
+    granted: BTreeMap<Life, Ns>,
+    /// For each owner the value of `withdrawals` when this sidecar last voted against it. An owner without an entry has
+    /// the current value, so that an entry that was removed and added again never shows an earlier epoch.
     epochs: BTreeMap<Life, u32>,
-    turned: u32,
-    /// Until when a guardian's promise to us lasts, and its epoch. Rows leave with the last work that it guards.
+    withdrawals: u32,
+    /// By backup: until when its lease to this sidecar lasts, and its epoch. Removed with the last request it backs up.
     leases: BTreeMap<String, (Ns, u32)>,
-    renew: Ns,
-    chance: Rand64,
+    renew_at: Ns,
+    random: Rand64,
     effects: VecDeque<Effect>,
-    /// What the records kept weigh: summed up at each wake, and what came since on top.
-    bytes: usize,
-    /// Claims that found too few guardians, and records turned away.
-    pub unguarded: u64,
-    pub turned_away: u64,
+    /// Bytes of all records kept: summed up at each wake-up, with later additions on top.
+    replica_bytes: usize,
+    /// Claims that found too few backups.
+    pub unprotected: u64,
+    /// Records that were rejected for lack of room.
+    pub rejected_records: u64,
+    /// Requests taken over from lost owners.
     pub taken_over: u64,
 }
 
-/// For searches that must know a state again: all that it decides by but the scatter of its asking.
+/// For searches that recognise a state: all that decisions depend on except the random source of the retry jitter.
 impl Hash for Takeover {
     fn hash<H: Hasher>(&self, to: &mut H) {
-        (&self.me, &self.held, &self.kept, &self.waiting, &self.effects).hash(to);
-        (&self.promises, &self.epochs, self.turned, &self.leases, self.renew).hash(to);
+        (&self.me, &self.owned, &self.replicas, &self.waiting, &self.effects).hash(to);
+        (&self.granted, &self.epochs, self.withdrawals, &self.leases, self.renew_at).hash(to);
     }
 }
 
 impl Takeover {
+    /// An empty state machine; `seed` drives the retry jitter only.
     pub fn new(now: Ns, seed: u64, me: Life, rules: Rules) -> Takeover {
         Takeover {
             me,
             rules,
-            held: BTreeMap::new(),
-            kept: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            replicas: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            promises: BTreeMap::new(),
+            granted: BTreeMap::new(),
             epochs: BTreeMap::new(),
-            turned: 0,
+            withdrawals: 0,
             leases: BTreeMap::new(),
-            renew: now,
-            chance: Rand64::new(seed as u128),
+            renew_at: now,
+            random: Rand64::new(seed as u128),
             effects: VecDeque::new(),
-            bytes: 0,
-            unguarded: 0,
-            turned_away: 0,
+            replica_bytes: 0,
+            unprotected: 0,
+            rejected_records: 0,
             taken_over: 0,
         }
     }
 
+    /// The next effect to carry out, if any.
     pub fn effect(&mut self) -> Option<Effect> {
         self.effects.pop_front()
     }
 
+    /// When [`Takeover::wake`] is due next.
     pub fn next_wake(&self) -> Option<Ns> {
-        let held = self.held.values().map(|held| held.again);
-        let renew = (!self.held.is_empty()).then_some(self.renew);
-        let kept = self.kept.values().map(|kept| self.turn_of(kept).min(kept.forget));
-        let waiting = self.waiting.values().map(|waiting| waiting.again.min(waiting.forget));
-        held.chain(renew).chain(kept).chain(waiting).min()
+        let owned = self.owned.values().map(|owned| owned.retry_at);
+        let renew = (!self.owned.is_empty()).then_some(self.renew_at);
+        let replica = self.replicas.values().map(|replica| self.election_due(replica).min(replica.forget));
+        let waiting = self.waiting.values().map(|waiting| waiting.retry_at.min(waiting.forget));
+        owned.chain(renew).chain(replica).chain(waiting).min()
     }
 
-    /// Work in hand, records kept for others, and work waited for.
+    /// The sizes of the tables: requests in flight, records kept for others, and requests waited for.
     pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.held.len(), self.kept.len(), self.waiting.len())
+        (self.owned.len(), self.replicas.len(), self.waiting.len())
     }
 
-    /// What is kept here of this work for another.
-    pub fn keeps(&self, mark: Mark) -> Option<&Record> {
-        self.kept.get(&mark).map(|kept| &kept.record)
+    /// The record kept here for the request's owner.
+    pub fn replica(&self, request: RequestId) -> Option<&Record> {
+        self.replicas.get(&request).map(|replica| &replica.record)
     }
 
-    /// What another sidecar says.
-    pub fn heard(&mut self, now: Ns, from: &Life, say: Say) {
-        match say {
-            Say::Keep { record, stamp } if record.holder == *from => self.keep(now, from, record, stamp),
-            Say::Kept { mark, term, version, stamp, epoch } => {
-                self.kept(now, from, (mark, term, version), (stamp, epoch))
+    /// Handles a message of another sidecar.
+    pub fn receive(&mut self, now: Ns, from: &Life, message: Message) {
+        match message {
+            Message::Store { record, stamp } if record.owner == *from => {
+                self.on_store(now, from, record, stamp)
             }
-            Say::Held { mark, term, by, differs } => self.other(now, from, mark, term, &by, differs),
-            Say::Full { mark } => self.full(now, from, mark),
-            Say::Renew { stamp } => {
-                if self.kept.values().any(|kept| kept.holder == *from) {
-                    let epoch = self.promise(now, from);
-                    self.say(from, Say::Renewed { stamp, epoch });
+            Message::Stored { request, term, version, stamp, epoch } => {
+                self.on_stored(now, from, (request, term, version), (stamp, epoch))
+            }
+            Message::Owned { request, term, by, differs } => {
+                self.on_owned(now, from, request, term, &by, differs)
+            }
+            Message::Full { request } => self.on_full(now, from, request),
+            Message::RenewLease { stamp } => {
+                if self.replicas.values().any(|replica| replica.owner == *from) {
+                    let epoch = self.grant_lease(now, from);
+                    self.send(from, Message::LeaseRenewed { stamp, epoch });
                 }
             }
-            Say::Renewed { stamp, epoch } => self.lease(now, from, stamp, epoch),
-            Say::Vote { mark, term, stamp } => self.vote(now, from, mark, term, stamp),
-            Say::Voted { record, term, stamp, epoch } => self.voted(now, from, record, term, (stamp, epoch)),
-            Say::Wait { mark, sum } => self.waits(from, mark, sum),
-            Say::Done { mark, term, done } => self.done(now, mark, term, done),
-            Say::Nothing { mark } => self.nothing(from, mark),
-            Say::Free { mark, term } => {
-                self.kept.retain(|known, kept| {
-                    *known != mark
-                        || kept.holder != *from
-                        || kept.term != term
-                        || !kept.record.past.is_empty()
+            Message::LeaseRenewed { stamp, epoch } => self.extend_lease(now, from, stamp, epoch),
+            Message::RequestVote { request, term, stamp } => {
+                self.on_request_vote(now, from, request, term, stamp)
+            }
+            Message::VoteGranted { record, term, stamp, epoch } => {
+                self.on_vote_granted(now, from, record, term, (stamp, epoch))
+            }
+            Message::AwaitOutcome { request, digest } => self.on_await_outcome(from, request, digest),
+            Message::Finished { request, term, outcome } => self.on_finished(now, request, term, outcome),
+            Message::Unknown { request } => self.on_unknown(from, request),
+            Message::Release { request, term } => {
+                self.replicas.retain(|known, replica| {
+                    *known != request
+                        || replica.owner != *from
+                        || replica.term != term
+                        || !replica.record.attempts.is_empty()
                 });
             }
-            Say::Keep { .. } => {}
+            Message::Store { .. } => {}
         }
     }
 
+    /// Does what is due by now.
     pub fn wake(&mut self, now: Ns) {
-        self.renew(now);
-        self.bytes = self.kept.values().map(|kept| kept.record.weight()).sum();
+        self.renew_leases(now);
+        self.replica_bytes = self.replicas.values().map(|replica| replica.record.weight()).sum();
         let due = |at: Ns| at <= now;
-        let held: Vec<Mark> =
-            self.held.iter().filter(|(_, held)| due(held.again)).map(|(mark, _)| *mark).collect();
-        for mark in held {
-            self.again(now, mark);
+        let owned: Vec<RequestId> =
+            self.owned.iter().filter(|(_, owned)| due(owned.retry_at)).map(|(request, _)| *request).collect();
+        for request in owned {
+            self.retry(now, request);
         }
-        let waiting: Vec<Mark> =
-            self.waiting.iter().filter(|(_, w)| due(w.again)).map(|(mark, _)| *mark).collect();
-        for mark in waiting {
-            self.wait_again(now, mark);
+        let waiting: Vec<RequestId> =
+            self.waiting.iter().filter(|(_, w)| due(w.retry_at)).map(|(request, _)| *request).collect();
+        for request in waiting {
+            self.ask_again(now, request);
         }
         self.waiting.retain(|_, waiting| now < waiting.forget);
-        let over: Vec<Mark> =
-            self.kept.iter().filter(|(_, kept)| now >= kept.forget).map(|(m, _)| *m).collect();
-        over.into_iter().for_each(|mark| self.drop_kept(mark));
-        let kept: Vec<Mark> =
-            self.kept.iter().filter(|(_, kept)| due(self.turn_of(kept))).map(|(mark, _)| *mark).collect();
-        for mark in kept {
-            self.attempt(now, mark);
+        let over: Vec<RequestId> =
+            self.replicas.iter().filter(|(_, replica)| now >= replica.forget).map(|(m, _)| *m).collect();
+        over.into_iter().for_each(|request| self.drop_replica(request));
+        let replica: Vec<RequestId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| due(self.election_due(replica)))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in replica {
+            self.request_votes(now, request);
         }
-        let (kept, held) = (&self.kept, &self.held);
-        self.promises
-            .retain(|holder, until| now < *until || kept.values().any(|kept| kept.holder == *holder));
-        self.epochs.retain(|holder, _| self.promises.contains_key(holder));
+        let (replica, owned) = (&self.replicas, &self.owned);
+        self.granted
+            .retain(|owner, until| now < *until || replica.values().any(|replica| replica.owner == *owner));
+        self.epochs.retain(|owner, _| self.granted.contains_key(owner));
         let guards =
-            |name: &String| held.values().any(|h| h.record.guardians.iter().any(|life| life.name == *name));
+            |name: &String| owned.values().any(|h| h.record.backups.iter().any(|life| life.name == *name));
         self.leases.retain(|name, _| guards(name));
     }
 
-    fn say(&mut self, to: &Life, say: Say) {
-        self.effects.push_back(Effect::Say { to: to.clone(), say });
+    fn send(&mut self, to: &Life, message: Message) {
+        self.effects.push_back(Effect::Send { to: to.clone(), message });
     }
 }
--- a/crates/takeover/src/takeover/backup.rs
+++ b/crates/takeover/src/takeover/backup.rs
@@ -1,138 +1,145 @@
-//! The guardian's part: records kept for other sidecars, the promises to their owners, and the epochs of those.
+//! The backup's side: records kept for other sidecars, the leases granted to their owners, and the owners' epochs.
 
 use super::Takeover;
-use crate::record::{Done, Mark, Record, Say};
+use crate::record::{Message, Outcome, Record, RequestId};
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use std::collections::BTreeMap;
 
+/// The record of a request, kept for its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Kept {
+pub(super) struct Replica {
     pub(super) record: Record,
     pub(super) as_of: Ns,
-    /// The latest term that was given a word, and to whom; the record's own where none was.
+    /// The latest term that this sidecar voted in, and for whom; the record's own term and owner before any vote.
     pub(super) term: u32,
-    pub(super) holder: Life,
+    pub(super) owner: Life,
     pub(super) waiters: Vec<Life>,
-    /// Our own attempt: its term and the records of those that agreed.
+    /// This sidecar's own candidacy: its term, and the records of the backups that voted for it.
     pub(super) votes: Option<(u32, BTreeMap<String, Record>)>,
     pub(super) try_at: Ns,
     pub(super) forget: Ns,
 }
 
 impl Takeover {
-    /// Promises a holder another span, and says in which epoch.
-    pub(super) fn promise(&mut self, now: Ns, holder: &Life) -> u32 {
+    /// Grants an owner another lease, and returns its epoch.
+    pub(super) fn grant_lease(&mut self, now: Ns, owner: &Life) -> u32 {
         let until = now + self.rules.lease;
-        let promised = self.promises.entry(holder.clone()).or_default();
+        let promised = self.granted.entry(owner.clone()).or_default();
         *promised = (*promised).max(until);
-        self.epoch(holder)
+        self.epoch(owner)
     }
 
-    fn epoch(&mut self, holder: &Life) -> u32 {
-        *self.epochs.entry(holder.clone()).or_insert(self.turned)
+    fn epoch(&mut self, owner: &Life) -> u32 {
+        *self.epochs.entry(owner.clone()).or_insert(self.withdrawals)
     }
 
-    /// As a guardian: a holder's newest word on its work.
-    pub(super) fn keep(&mut self, now: Ns, from: &Life, mut record: Record, stamp: Ns) {
-        let (mark, term, version) = (record.mark, record.term, record.version);
-        if let Some(Done::Delivered(answer)) = record.done.as_mut().filter(|_| self.is_full()) {
+    /// Stores an owner's newest record.
+    pub(super) fn on_store(&mut self, now: Ns, from: &Life, mut record: Record, stamp: Ns) {
+        let (request, term, version) = (record.request, record.term, record.version);
+        if let Some(Outcome::Served(answer)) = record.outcome.as_mut().filter(|_| self.is_full()) {
             answer.clear();
         }
-        if let Some(held) = self.held.get(&mark) {
-            let (by, own) = (held.record.holder.clone(), held.record.term);
-            let (differs, done) = (held.record.sum != record.sum, held.record.done.clone());
+        if let Some(owned) = self.owned.get(&request) {
+            let (by, own) = (owned.record.owner.clone(), owned.record.term);
+            let (differs, outcome) = (owned.record.digest != record.digest, owned.record.outcome.clone());
             if term <= own {
-                return match done.filter(|_| !differs) {
-                    Some(done) => self.say(from, Say::Done { mark, term: own, done }),
-                    None => self.say(from, Say::Held { mark, term: own, by, differs }),
+                return match outcome.filter(|_| !differs) {
+                    Some(outcome) => self.send(from, Message::Finished { request, term: own, outcome }),
+                    None => self.send(from, Message::Owned { request, term: own, by, differs }),
                 };
             }
-            // A later term can only have been agreed on without us, or follow our bounce: ours is over.
-            match done {
-                Some(_) => drop(self.retire(now, mark)),
-                None => self.lose(now, mark),
+            // A later term was agreed on without this sidecar or follows its rejection: its own term is over.
+            match outcome {
+                Some(_) => drop(self.retire(now, request)),
+                None => self.lose(now, request),
             }
         }
-        let forget = now.saturating_add(record.left).saturating_add(self.rules.keep);
+        let forget = now.saturating_add(record.remaining).saturating_add(self.rules.retention);
         let full = self.is_full();
-        match self.kept.get_mut(&mark) {
-            Some(Kept { record: Record { done: Some(done), sum, .. }, term: own, .. })
-                if record.done.is_none()
-                    && record.sum == *sum
-                    && !(done.reopens() && !record.firm && term > *own) =>
+        match self.replicas.get_mut(&request) {
+            Some(Replica { record: Record { outcome: Some(outcome), digest, .. }, term: own, .. })
+                if record.outcome.is_none()
+                    && record.digest == *digest
+                    && !(outcome.reopens() && !record.confirmed && term > *own) =>
             {
-                // It came back to where it was taken, or a takeover crosses the answer.
-                let (done, term) = (done.clone(), *own);
-                return self.say(from, Say::Done { mark, term, done });
+                // A retry reached a backup that knows the outcome, or a takeover crossed the outcome.
+                let (outcome, term) = (outcome.clone(), *own);
+                return self.send(from, Message::Finished { request, term, outcome });
             }
-            Some(kept) if term > kept.term || (term == kept.term && kept.holder == *from) => {
-                let old = std::mem::replace(&mut kept.holder, from.clone());
-                kept.term = term;
-                if !kept.record.firm {
-                    kept.try_at = now + self.rules.lease;
+            Some(replica) if term > replica.term || (term == replica.term && replica.owner == *from) => {
+                let old = std::mem::replace(&mut replica.owner, from.clone());
+                replica.term = term;
+                if !replica.record.confirmed {
+                    replica.try_at = now + self.rules.lease;
                 }
-                let newer = (term, version) > (kept.record.term, kept.record.version);
+                let newer = (term, version) > (replica.record.term, replica.record.version);
                 if newer {
-                    self.bytes += record.weight();
-                    (kept.record, kept.as_of, kept.forget) = (record, now, forget);
+                    self.replica_bytes += record.weight();
+                    (replica.record, replica.as_of, replica.forget) = (record, now, forget);
                 }
                 if old != *from {
-                    self.turn_from(&old);
+                    self.withdraw_from(&old);
                 }
             }
-            Some(kept) => {
-                let (own, by) = (kept.term, kept.holder.clone());
-                let (differs, done) = (kept.record.sum != record.sum, kept.record.done.clone());
-                return match done.filter(|_| !differs) {
-                    Some(done) => self.say(from, Say::Done { mark, term: own, done }),
-                    None => self.say(from, Say::Held { mark, term: own, by, differs }),
+            Some(replica) => {
+                let (own, by) = (replica.term, replica.owner.clone());
+                let (differs, outcome) =
+                    (replica.record.digest != record.digest, replica.record.outcome.clone());
+                return match outcome.filter(|_| !differs) {
+                    Some(outcome) => self.send(from, Message::Finished { request, term: own, outcome }),
+                    None => self.send(from, Message::Owned { request, term: own, by, differs }),
                 };
             }
             None if full => {
-                self.turned_away += 1;
-                return self.say(from, Say::Full { mark });
+                self.rejected_records += 1;
+                return self.send(from, Message::Full { request });
             }
             None => {
-                self.enter(now, record, term, from.clone());
+                self.insert_replica(now, record, term, from.clone());
             }
         }
-        let epoch = self.promise(now, from);
-        self.say(from, Say::Kept { mark, term, version, stamp, epoch });
-        if let Some(kept) = self.kept.get_mut(&mark).filter(|kept| kept.record.done.is_some()) {
-            let (waiters, done) = (std::mem::take(&mut kept.waiters), kept.record.done.clone());
+        let epoch = self.grant_lease(now, from);
+        self.send(from, Message::Stored { request, term, version, stamp, epoch });
+        if let Some(replica) =
+            self.replicas.get_mut(&request).filter(|replica| replica.record.outcome.is_some())
+        {
+            let (waiters, outcome) = (std::mem::take(&mut replica.waiters), replica.record.outcome.clone());
             for waiter in waiters {
-                let done = done.clone().unwrap_or(Done::Errored { again: false });
-                self.say(&waiter, Say::Done { mark, term, done });
+                let outcome = outcome.clone().unwrap_or(Outcome::Failed { retryable: false });
+                self.send(&waiter, Message::Finished { request, term, outcome });
             }
-            self.done_here(mark, done);
+            self.finish_waiting(request, outcome);
         }
     }
 
     fn is_full(&self) -> bool {
-        self.kept.len() >= self.rules.most_kept || self.bytes >= self.rules.most_bytes
+        self.replicas.len() >= self.rules.max_replicas || self.replica_bytes >= self.rules.max_replica_bytes
     }
 
-    pub(super) fn enter(&mut self, now: Ns, record: Record, term: u32, holder: Life) {
-        let forget = now.saturating_add(record.left).saturating_add(self.rules.keep);
-        let mark = record.mark;
-        self.bytes += record.weight();
+    pub(super) fn insert_replica(&mut self, now: Ns, record: Record, term: u32, owner: Life) {
+        let forget = now.saturating_add(record.remaining).saturating_add(self.rules.retention);
+        let request = record.request;
+        self.replica_bytes += record.weight();
         let (waiters, votes) = (Vec::new(), None);
-        let try_at = if record.firm { now } else { now + self.rules.lease };
-        self.kept.insert(mark, Kept { record, as_of: now, term, holder, waiters, votes, try_at, forget });
+        let try_at = if record.confirmed { now } else { now + self.rules.lease };
+        self.replicas
+            .insert(request, Replica { record, as_of: now, term, owner, waiters, votes, try_at, forget });
     }
 
-    /// Forgets a record whose holder may believe that we keep it: as if our word had been given against it.
-    pub(super) fn drop_kept(&mut self, mark: Mark) {
-        if let Some(kept) = self.kept.remove(&mark).filter(|kept| kept.record.done.is_none()) {
-            self.turn_from(&kept.holder);
+    /// Drops a record. Its owner may rely on it, so this counts as a vote against the owner.
+    pub(super) fn drop_replica(&mut self, request: RequestId) {
+        if let Some(replica) =
+            self.replicas.remove(&request).filter(|replica| replica.record.outcome.is_none())
+        {
+            self.withdraw_from(&replica.owner);
         }
     }
 
-    /// Our word was given against a holder: what it was told before is worth nothing for that work.
-    pub(super) fn turn_from(&mut self, holder: &Life) {
-        self.turned += 1;
-        self.epochs.insert(holder.clone(), self.turned);
-        self.promises.entry(holder.clone()).or_default();
+    /// Starts a new epoch for an owner: what it was acknowledged before counts no more for its requests.
+    pub(super) fn withdraw_from(&mut self, owner: &Life) {
+        self.withdrawals += 1;
+        self.epochs.insert(owner.clone(), self.withdrawals);
+        self.granted.entry(owner.clone()).or_default();
     }
 }
--- a/crates/takeover/src/takeover/claim.rs
+++ b/crates/takeover/src/takeover/claim.rs
@@ -1,167 +1,216 @@
-//! Claims: a request that came in here is offered to its guardians, and becomes ours, joins another's, or goes
-//! unguarded.
+//! Claims of requests that arrived here. A claim ends in one of three ways: this sidecar owns the request, it joins
+//! another owner's, or the request is served without backups.
 
-use super::backup::Kept;
-use super::owner::Held;
+use super::backup::Replica;
+use super::owner::OwnedRequest;
 use super::{Effect, Takeover};
-use crate::record::{Mark, Record, Say};
+use crate::record::{Message, Record, RequestId};
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use std::collections::{BTreeMap, BTreeSet};
 
 impl Takeover {
-    /// A hit was taken here. `guardians` must not name this sidecar.
+    /// Claims a request that arrived here. `payload` is the request as it is stored; `backups` must not name this
+    /// sidecar.
     ///
-    /// `strict`: its client can name it, so that it may have sent it before, and a repeat could do harm. Of the first
-    /// claim's guardians the most may be lost and unknown to us by now, so that more than half of today's prove nothing:
-    /// each of them must say that it knows of no other.
-    pub fn take(
+    /// `exactly_once` says that the client may have sent the request before and that a repeat could do harm. Most of the
+    /// first claim's backups may be lost by now, so a majority of the current ones proves nothing: each of them must
+    /// report that it knows no other owner.
+    pub fn claim(
         &mut self,
         now: Ns,
-        mark: Mark,
-        sum: u64,
-        hit: (Vec<u8>, bool),
-        left: Ns,
-        guardians: Vec<Life>,
+        request: RequestId,
+        digest: u64,
+        (payload, exactly_once): (Vec<u8>, bool),
+        remaining: Ns,
+        backups: Vec<Life>,
     ) {
-        let (ask, strict) = hit;
-        if let Some(held) = self.held.get(&mark) {
-            let (differs, done) = (held.record.sum != sum, held.record.done.clone());
-            match done {
-                Some(done) if done.reopens() && !differs => {
-                    self.retire(now, mark);
+        if let Some(owned) = self.owned.get(&request) {
+            let (differs, outcome) = (owned.record.digest != digest, owned.record.outcome.clone());
+            match outcome {
+                Some(outcome) if outcome.reopens() && !differs => {
+                    self.retire(now, request);
                 }
-                done => {
-                    return self.effects.push_back(match done {
-                        _ if differs => Effect::Differs(mark),
-                        Some(done) => Effect::Answer(mark, done),
-                        None => Effect::Joined(mark),
+                outcome => {
+                    return self.effects.push_back(match outcome {
+                        _ if differs => Effect::KeyReused(request),
+                        Some(outcome) => Effect::Finished(request, outcome),
+                        None => Effect::Joined(request),
                     })
                 }
             }
         }
-        let reopens = |kept: &&Kept| {
-            kept.record.sum == sum && kept.record.done.as_ref().is_some_and(|done| done.reopens())
+        let reopens = |replica: &&Replica| {
+            replica.record.digest == digest
+                && replica.record.outcome.as_ref().is_some_and(|outcome| outcome.reopens())
         };
-        // What a client may try again begins anew, in a later term than whoever still knows of the first try.
-        let term = self.kept.get(&mark).filter(reopens).map(|kept| kept.term.saturating_add(1));
-        if let Some(kept) = self.kept.get(&mark).filter(|_| term.is_none()) {
-            if kept.record.sum != sum {
-                return self.effects.push_back(Effect::Differs(mark));
+        // A retry that the client was allowed starts anew, in a later term than any record of the first try.
+        let term = self.replicas.get(&request).filter(reopens).map(|replica| replica.term.saturating_add(1));
+        if let Some(replica) = self.replicas.get(&request).filter(|_| term.is_none()) {
+            if replica.record.digest != digest {
+                return self.effects.push_back(Effect::KeyReused(request));
             }
-            if let Some(done) = kept.record.done.clone() {
-                return self.effects.push_back(Effect::Answer(mark, done));
+            if let Some(outcome) = replica.record.outcome.clone() {
+                return self.effects.push_back(Effect::Finished(request, outcome));
             }
-            let guardians = kept.record.guardians.clone();
-            return self.wait(now, mark, sum, left, guardians);
+            let backups = replica.record.backups.clone();
+            return self.join(now, request, digest, remaining, backups);
         }
-        if guardians.is_empty() || self.held.len() >= self.rules.most_held {
-            return self.unguarded(mark, strict);
+        if backups.is_empty() || self.owned.len() >= self.rules.max_owned {
+            return self.claim_failed(request, exactly_once);
         }
-        let record = self.fresh(mark, term.unwrap_or(0), sum, ask, left, guardians);
-        let claims = Some(now + self.rules.lease.min(left / 2));
-        self.hold(now, record, claims, now);
-        if let Some(held) = self.held.get_mut(&mark) {
-            held.strict = strict;
+        let record = self.new_record(request, term.unwrap_or(0), digest, payload, remaining, backups);
+        let claim_until = Some(now + self.rules.lease.min(remaining / 2));
+        self.own(now, record, claim_until, now);
+        if let Some(owned) = self.owned.get_mut(&request) {
+            owned.exactly_once = exactly_once;
         }
     }
 
-    fn unguarded(&mut self, mark: Mark, strict: bool) {
-        self.unguarded += 1;
-        self.effects.push_back(if strict { Effect::Unsure(mark) } else { Effect::Unguarded(mark) });
+    fn claim_failed(&mut self, request: RequestId, exactly_once: bool) {
+        self.unprotected += 1;
+        self.effects.push_back(if exactly_once {
+            Effect::Uncertain(request)
+        } else {
+            Effect::Unprotected(request)
+        });
     }
 
-    /// A hit that may be repeated without harm was taken here, and is served whatever becomes of this. Its guardians
-    /// are told after a while: most are done by then, and those cost nobody anything.
-    pub fn take_behind(
+    /// Claims an idempotent request, which is served whatever becomes of the claim. Its backups are told after a delay:
+    /// most requests are finished by then and cost no message.
+    pub fn claim_in_background(
         &mut self,
         now: Ns,
-        mark: Mark,
-        sum: u64,
-        ask: Vec<u8>,
-        left: Ns,
-        guardians: Vec<Life>,
+        request: RequestId,
+        digest: u64,
+        payload: Vec<u8>,
+        remaining: Ns,
+        backups: Vec<Life>,
     ) {
-        if self.held.contains_key(&mark) || self.kept.contains_key(&mark) {
+        if self.owned.contains_key(&request) || self.replicas.contains_key(&request) {
             return;
         }
-        if guardians.is_empty() || self.held.len() >= self.rules.most_held {
-            self.unguarded += 1;
+        if backups.is_empty() || self.owned.len() >= self.rules.max_owned {
+            self.unprotected += 1;
             return;
         }
-        let record = self.fresh(mark, 0, sum, ask, left, guardians);
-        let tells = now + self.rules.lease / 6;
-        self.hold(now, record, Some(tells + self.rules.lease.min(left / 2)), tells);
+        let record = self.new_record(request, 0, digest, payload, remaining, backups);
+        let announce_at = now + self.rules.lease / 6;
+        self.own(now, record, Some(announce_at + self.rules.lease.min(remaining / 2)), announce_at);
     }
 
-    fn fresh(&self, mark: Mark, term: u32, sum: u64, ask: Vec<u8>, left: Ns, guardians: Vec<Life>) -> Record {
-        let (holder, past) = (self.me.clone(), Vec::new());
-        Record { mark, holder, term, version: 1, firm: false, guardians, sum, ask, left, past, done: None }
+    fn new_record(
+        &self,
+        request: RequestId,
+        term: u32,
+        digest: u64,
+        payload: Vec<u8>,
+        remaining: Ns,
+        backups: Vec<Life>,
+    ) -> Record {
+        let (owner, attempts) = (self.me.clone(), Vec::new());
+        Record {
+            request,
+            owner,
+            term,
+            version: 1,
+            confirmed: false,
+            backups,
+            digest,
+            payload,
+            remaining,
+            attempts,
+            outcome: None,
+        }
     }
 
-    pub(super) fn hold(&mut self, now: Ns, record: Record, claims: Option<Ns>, tells: Ns) {
-        let mark = record.mark;
-        let (acks, refused, waits) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
-        let strict = false;
-        let held =
-            Held { record, as_of: now, acks, claims, strict, refused, waits, tells, again: now, times: 0 };
-        self.held.insert(mark, held);
-        self.say_kept(now, mark);
+    /// Enters a request as owned here and sends its record to the backups.
+    pub(super) fn own(&mut self, now: Ns, record: Record, claim_until: Option<Ns>, announce_at: Ns) {
+        let request = record.request;
+        let (acks, refused, pending_attempts) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        let exactly_once = false;
+        let owned = OwnedRequest {
+            record,
+            as_of: now,
+            acks,
+            claim_until,
+            exactly_once,
+            refused,
+            pending_attempts,
+            announce_at,
+            retry_at: now,
+            retries: 0,
+        };
+        self.owned.insert(request, owned);
+        self.replicate(now, request);
     }
 
-    /// A claim without enough guardians: where another holds it we wait for that one, else nobody guards.
-    pub(super) fn give_up(&mut self, now: Ns, mark: Mark) {
-        let Some(held) = self.held.remove(&mark) else { return };
-        let Record { term, sum, guardians, .. } = held.record.clone();
-        // All of them: one may keep it whose word did not reach us, and would hold up the client's next try.
-        guardians.iter().for_each(|guardian| self.say(guardian, Say::Free { mark, term }));
-        if held.refused.is_empty() {
-            return self.unguarded(mark, held.strict);
+    /// Ends a claim without enough backups: joins the other owner if there is one, else goes without backups.
+    pub(super) fn give_up(&mut self, now: Ns, request: RequestId) {
+        let Some(owned) = self.owned.remove(&request) else { return };
+        let Record { term, digest, backups, .. } = owned.record.clone();
+        // All of them: one whose acknowledgement was lost may keep the record and would block the client's next try.
+        backups.iter().for_each(|backup| self.send(backup, Message::Release { request, term }));
+        if owned.refused.is_empty() {
+            return self.claim_failed(request, owned.exactly_once);
         }
-        let left = held.record.left.saturating_sub(now - held.as_of);
-        self.wait(now, mark, sum, left, guardians);
+        let remaining = owned.record.remaining.saturating_sub(now - owned.as_of);
+        self.join(now, request, digest, remaining, backups);
     }
 
-    /// As a holder or claimant, or while we wait: a guardian knows another holder.
-    pub(super) fn other(&mut self, now: Ns, from: &Life, mark: Mark, term: u32, by: &Life, differs: bool) {
-        if let Some(waiting) = self.waiting.get_mut(&mark) {
-            waiting.known = now;
+    /// A backup reports another owner, to a claim, to an owner that has lost its lease, or to a waiting client.
+    pub(super) fn on_owned(
+        &mut self,
+        now: Ns,
+        from: &Life,
+        request: RequestId,
+        term: u32,
+        by: &Life,
+        differs: bool,
+    ) {
+        if let Some(waiting) = self.waiting.get_mut(&request) {
+            waiting.last_known = now;
         }
-        let Some(held) = self.held.get_mut(&mark).filter(|held| held.record.guardians.contains(from)) else {
+        let Some(owned) = self.owned.get_mut(&request).filter(|owned| owned.record.backups.contains(from))
+        else {
             return;
         };
-        if *by == self.me && term <= held.record.term {
+        if *by == self.me && term <= owned.record.term {
             return;
         }
-        // To a claim that has moved on to a later term an earlier one is no answer.
-        let answers = if held.claims.is_some() { term >= held.record.term } else { term > held.record.term };
+        // A claim that has moved on to a later term ignores reports of an earlier one.
+        let answers =
+            if owned.claim_until.is_some() { term >= owned.record.term } else { term > owned.record.term };
         if !answers {
             return;
         }
-        held.acks.remove(&from.name);
-        held.refused.insert(from.name.clone());
-        if held.claims.is_none() {
-            // One that was cut off may have asked in vain; more than half of them are the others' majority.
-            if held.refused.len() >= held.record.enough() {
-                self.lose(now, mark);
+        owned.acks.remove(&from.name);
+        owned.refused.insert(from.name.clone());
+        if owned.claim_until.is_none() {
+            // A single candidate may have failed to win its election; a majority of reports means that it won.
+            if owned.refused.len() >= owned.record.majority() {
+                self.lose(now, request);
             }
             return;
         }
         if differs {
-            let (term, guardians) = (held.record.term, held.record.guardians.clone());
-            self.held.remove(&mark);
-            guardians.iter().for_each(|guardian| self.say(guardian, Say::Free { mark, term }));
-            return self.effects.push_back(Effect::Differs(mark));
+            let (term, backups) = (owned.record.term, owned.record.backups.clone());
+            self.owned.remove(&request);
+            backups.iter().for_each(|backup| self.send(backup, Message::Release { request, term }));
+            return self.effects.push_back(Effect::KeyReused(request));
         }
-        if held.strict || held.refused.len() >= held.record.enough() {
-            self.give_up(now, mark);
+        if owned.exactly_once || owned.refused.len() >= owned.record.majority() {
+            self.give_up(now, request);
         }
     }
 
-    pub(super) fn full(&mut self, now: Ns, from: &Life, mark: Mark) {
-        let Some(held) = self.held.get_mut(&mark).filter(|held| held.claims.is_some()) else { return };
-        // Without room at one the others may do; without room at most of them the claim's time decides.
-        held.acks.remove(&from.name);
-        self.settle(now, mark);
+    /// A backup has no room for the record of a claim.
+    pub(super) fn on_full(&mut self, now: Ns, from: &Life, request: RequestId) {
+        let Some(owned) = self.owned.get_mut(&request).filter(|owned| owned.claim_until.is_some()) else {
+            return;
+        };
+        // The other backups may suffice; if not, the claim runs into its time-out.
+        owned.acks.remove(&from.name);
+        self.advance(now, request);
     }
 }
--- a/crates/takeover/src/takeover/election.rs
+++ b/crates/takeover/src/takeover/election.rs
@@ -1,103 +1,103 @@
-//! Who takes over when a promise has lapsed: attempts, votes, and their count.
+//! Elections of a new owner once a granted lease has expired: candidacy, votes and their count.
 
-use super::backup::Kept;
+use super::backup::Replica;
 use super::{Effect, Takeover};
-use crate::record::{Mark, Record, Say, Went};
+use crate::record::{AttemptState, Message, Record, RequestId};
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use std::collections::BTreeMap;
 
 impl Takeover {
-    /// When a guardian may next ask for a piece of work.
-    pub(super) fn turn_of(&self, kept: &Kept) -> Ns {
-        if kept.record.done.is_some() || !kept.record.guardians.contains(&self.me) {
+    /// When this backup may next stand as a candidate for a request.
+    pub(super) fn election_due(&self, replica: &Replica) -> Ns {
+        if replica.record.outcome.is_some() || !replica.record.backups.contains(&self.me) {
             return Ns::MAX;
         }
-        // What is not firm may have been given up by a holder that lives and renews its other work.
-        let promised = self.promises.get(&kept.holder).copied().unwrap_or(0);
-        if kept.record.firm {
-            kept.try_at.max(promised)
+        // An unconfirmed claim may have been given up by an owner that lives and renews its lease for other requests.
+        let promised = self.granted.get(&replica.owner).copied().unwrap_or(0);
+        if replica.record.confirmed {
+            replica.try_at.max(promised)
         } else {
-            kept.try_at
+            replica.try_at
         }
     }
 
-    /// As a guardian whose promise has lapsed: asks the others for the work.
-    pub(super) fn attempt(&mut self, now: Ns, mark: Mark) {
-        let rest = self.chance.rand_range(self.rules.lease / 4..self.rules.lease + 1);
-        if self.kept.get(&mark).is_some_and(|kept| !kept.record.firm) {
-            // Nothing was sent for it that had to be known here, and another claim may come.
-            return self.drop_kept(mark);
+    /// Asks the other backups for their votes, after one random delay.
+    pub(super) fn request_votes(&mut self, now: Ns, request: RequestId) {
+        let pause = self.random.rand_range(self.rules.lease / 4..self.rules.lease + 1);
+        if self.replicas.get(&request).is_some_and(|replica| !replica.record.confirmed) {
+            // No attempt of it had to be known here, and another claim may follow.
+            return self.drop_replica(request);
         }
-        let Some(kept) = self.kept.get_mut(&mark) else { return };
-        kept.try_at = now + rest;
-        // The first look scatters only: others lapse at the same moment, and two that ask at once both lose.
-        if kept.votes.is_none() {
-            kept.votes = Some((kept.term, BTreeMap::new()));
-            let scatter = self.chance.rand_range(0..self.rules.lease / 4 + 1);
-            if let Some(kept) = self.kept.get_mut(&mark) {
-                kept.try_at = now + scatter;
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        replica.try_at = now + pause;
+        // The first round only draws a random delay: all leases expire at once, and two simultaneous candidates both lose.
+        if replica.votes.is_none() {
+            replica.votes = Some((replica.term, BTreeMap::new()));
+            let jitter = self.random.rand_range(0..self.rules.lease / 4 + 1);
+            if let Some(replica) = self.replicas.get_mut(&request) {
+                replica.try_at = now + jitter;
             }
             return;
         }
-        let Some(kept) = self.kept.get_mut(&mark) else { return };
-        let (term, old) = (kept.term.saturating_add(1), kept.holder.clone());
-        (kept.term, kept.holder) = (term, self.me.clone());
-        let record = kept.record.later(now - kept.as_of);
-        kept.votes = Some((term, BTreeMap::from([(self.me.name.clone(), record.clone())])));
-        let others: Vec<Life> = record.guardians.iter().filter(|life| **life != self.me).cloned().collect();
-        self.turn_from(&old);
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        let (term, old) = (replica.term.saturating_add(1), replica.owner.clone());
+        (replica.term, replica.owner) = (term, self.me.clone());
+        let record = replica.record.later(now - replica.as_of);
+        replica.votes = Some((term, BTreeMap::from([(self.me.name.clone(), record.clone())])));
+        let others: Vec<Life> = record.backups.iter().filter(|life| **life != self.me).cloned().collect();
+        self.withdraw_from(&old);
         for other in others {
-            self.say(&other, Say::Vote { mark, term, stamp: now });
+            self.send(&other, Message::RequestVote { request, term, stamp: now });
         }
-        self.count(now, mark);
+        self.count_votes(now, request);
     }
 
-    /// As a guardian: another asks for the work.
-    pub(super) fn vote(&mut self, now: Ns, from: &Life, mark: Mark, term: u32, stamp: Ns) {
-        let guards = |record: &Record| record.guardians.contains(from) && record.guardians.contains(&self.me);
-        let known = self.held.get(&mark).map(|held| &held.record);
-        let known = known.or(self.kept.get(&mark).map(|kept| &kept.record));
-        // What is not known here may have been, and forgotten: more than half of them would then agree, and none of
-        // them know the last forward.
-        if !known.is_some_and(guards) {
+    /// Another backup asks for a vote.
+    pub(super) fn on_request_vote(&mut self, now: Ns, from: &Life, request: RequestId, term: u32, stamp: Ns) {
+        let backs_up = |record: &Record| record.backups.contains(from) && record.backups.contains(&self.me);
+        let known = self.owned.get(&request).map(|owned| &owned.record);
+        let known = known.or(self.replicas.get(&request).map(|replica| &replica.record));
+        // An unknown request may have been known and forgotten. If such backups voted, a majority could form that does
+        // not know the last attempt.
+        if !known.is_some_and(backs_up) {
             return;
         }
-        if let Some(held) = self.held.get(&mark) {
-            let (own, by) = (held.record.term, held.record.holder.clone());
-            if term <= own || held.record.done.is_some() {
-                let say = match held.record.done.clone() {
-                    Some(done) => Say::Done { mark, term: own, done },
-                    None => Say::Held { mark, term: own, by, differs: false },
+        if let Some(owned) = self.owned.get(&request) {
+            let (own, by) = (owned.record.term, owned.record.owner.clone());
+            if term <= own || owned.record.outcome.is_some() {
+                let message = match owned.record.outcome.clone() {
+                    Some(outcome) => Message::Finished { request, term: own, outcome },
+                    None => Message::Owned { request, term: own, by, differs: false },
                 };
-                return self.say(from, say);
+                return self.send(from, message);
             }
-            if self.may(now, mark) {
+            if self.may_send(now, request) {
                 return;
             }
-            // We won it once and can no longer act.
-            self.retire(now, mark);
-            self.effects.push_back(Effect::Lost(mark));
+            // This sidecar owned it once and can no longer act.
+            self.retire(now, request);
+            self.effects.push_back(Effect::Lost(request));
         }
-        let Some(kept) = self.kept.get_mut(&mark) else { return };
-        if let Some(done) = kept.record.done.clone() {
-            let term = kept.term;
-            return self.say(from, Say::Done { mark, term, done });
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        if let Some(outcome) = replica.record.outcome.clone() {
+            let term = replica.term;
+            return self.send(from, Message::Finished { request, term, outcome });
         }
-        let promised = self.promises.get(&kept.holder).is_some_and(|until| now < *until);
-        if term <= kept.term || (promised && kept.holder != *from) {
+        let promised = self.granted.get(&replica.owner).is_some_and(|until| now < *until);
+        if term <= replica.term || (promised && replica.owner != *from) {
             return;
         }
-        let old = kept.holder.clone();
-        (kept.term, kept.holder, kept.votes) = (term, from.clone(), None);
-        let record = kept.record.later(now - kept.as_of);
-        self.turn_from(&old);
-        let epoch = self.promise(now, from);
-        self.say(from, Say::Voted { record, term, stamp, epoch });
+        let old = replica.owner.clone();
+        (replica.term, replica.owner, replica.votes) = (term, from.clone(), None);
+        let record = replica.record.later(now - replica.as_of);
+        self.withdraw_from(&old);
+        let epoch = self.grant_lease(now, from);
+        self.send(from, Message::VoteGranted { record, term, stamp, epoch });
     }
 
-    /// Another guardian agrees that we finish it.
-    pub(super) fn voted(
+    /// Another backup votes for this candidate.
+    pub(super) fn on_vote_granted(
         &mut self,
         now: Ns,
         from: &Life,
@@ -105,41 +105,47 @@
         term: u32,
         (stamp, epoch): (Ns, u32),
     ) {
-        let mark = record.mark;
-        let Some(kept) = self.kept.get_mut(&mark).filter(|kept| kept.term == term && kept.holder == self.me)
+        let request = record.request;
+        let Some(replica) = self
+            .replicas
+            .get_mut(&request)
+            .filter(|replica| replica.term == term && replica.owner == self.me)
         else {
             return;
         };
-        if !kept.record.guardians.contains(from) {
+        if !replica.record.backups.contains(from) {
             return;
         }
-        if let Some((_, votes)) = kept.votes.as_mut().filter(|(own, _)| *own == term) {
+        if let Some((_, votes)) = replica.votes.as_mut().filter(|(own, _)| *own == term) {
             votes.insert(from.name.clone(), record);
         }
-        self.lease(now, from, stamp, epoch);
-        self.count(now, mark);
+        self.extend_lease(now, from, stamp, epoch);
+        self.count_votes(now, request);
     }
 
-    pub(super) fn count(&mut self, now: Ns, mark: Mark) {
-        let Some(kept) = self.kept.get(&mark) else { return };
-        let Some((term, votes)) = kept.votes.as_ref() else { return };
-        if votes.len() < kept.record.enough() {
+    /// Takes the request over once a majority has voted for this candidate.
+    fn count_votes(&mut self, now: Ns, request: RequestId) {
+        let Some(replica) = self.replicas.get(&request) else { return };
+        let Some((term, votes)) = replica.votes.as_ref() else { return };
+        if votes.len() < replica.record.majority() {
             return;
         }
         let newest = votes.values().max_by_key(|record| (record.term, record.version));
         let Some(mut record) = newest.cloned() else { return };
         let term = *term;
-        self.kept.remove(&mark);
-        (record.term, record.version, record.holder) =
+        self.replicas.remove(&request);
+        (record.term, record.version, record.owner) =
             (term, record.version.saturating_add(1), self.me.clone());
-        // Whatever was about to go when its holder was lost may have run.
-        for past in &mut record.past {
-            past.went = if past.went == Went::Out { Went::MayHaveRun } else { past.went };
+        // An attempt that was in flight when the owner was lost may have run.
+        for attempt in &mut record.attempts {
+            if attempt.state == AttemptState::InFlight {
+                attempt.state = AttemptState::MayHaveRun;
+            }
         }
         self.taken_over += 1;
-        self.waiting.remove(&mark);
-        self.effects.push_back(Effect::Begin(record.clone()));
-        // Those that waited with us ask again by themselves.
-        self.hold(now, record, None, now);
+        self.waiting.remove(&request);
+        self.effects.push_back(Effect::TakenOver(record.clone()));
+        // Sidecars that wait for the outcome here ask again by themselves.
+        self.own(now, record, None, now);
     }
 }
--- a/crates/takeover/src/takeover/owner.rs
+++ b/crates/takeover/src/takeover/owner.rs
@@ -1,216 +1,227 @@
-//! The owner's part: requests in flight here, the leases that allow acting on them, and what guardians are told.
+//! The owner's side: requests in flight here, the leases that allow acting on them, and their replication.
 
 use super::waiter::Waiting;
 use super::{Effect, Takeover};
-use crate::record::{Done, Mark, Past, Record, Say, Went};
+use crate::record::{Attempt, AttemptState, Message, Outcome, Record, RequestId};
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A guardian's word on one piece of work.
+/// A backup's latest acknowledgement of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default)]
 pub(super) struct Ack {
     pub(super) version: u32,
     pub(super) epoch: u32,
 }
 
+/// A request that this sidecar claims or owns.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Held {
+pub(super) struct OwnedRequest {
     pub(super) record: Record,
     pub(super) as_of: Ns,
     pub(super) acks: BTreeMap<String, Ack>,
-    /// Until when a claim may take; none once it stands.
-    pub(super) claims: Option<Ns>,
-    /// It may have been in hand elsewhere before, and a repeat could do harm.
-    pub(super) strict: bool,
-    /// Guardians that know another holder.
+    /// The claim's time-out; none once the claim has succeeded.
+    pub(super) claim_until: Option<Ns>,
+    /// The request may have been in flight elsewhere before, and a repeat could do harm.
+    pub(super) exactly_once: bool,
+    /// Backups that reported another owner.
     pub(super) refused: BTreeSet<String>,
-    /// Forwards that wait until the version that tells of them is known.
-    pub(super) waits: Vec<(usize, u32)>,
-    /// When guardians are told first.
-    pub(super) tells: Ns,
-    /// When what is not acknowledged is said again, and how often it was.
-    pub(super) again: Ns,
-    pub(super) times: u32,
+    /// Attempts not yet written, each with the version of the record that first lists it.
+    pub(super) pending_attempts: Vec<(usize, u32)>,
+    /// When the record is first sent to the backups.
+    pub(super) announce_at: Ns,
+    /// When an unacknowledged record is sent again, and how often it was.
+    pub(super) retry_at: Ns,
+    pub(super) retries: u32,
 }
 
 impl Takeover {
-    /// Whether a forward of this work may be written at this moment; to be asked right before the write. What lies
-    /// between is the caller's: a mutating forward that may have run is never sent again by anyone, and of a tagged
-    /// one the pods drop the repeat.
-    pub fn may(&self, now: Ns, mark: Mark) -> bool {
-        self.held.get(&mark).is_some_and(|held| {
-            held.claims.is_none()
-                && held.record.done.is_none()
-                && self.standing(now, held, 1) >= held.record.enough()
+    /// Whether an attempt of this request may be written now; to be asked right before the write. The window between the
+    /// two is harmless: a non-idempotent attempt that may have run is never sent again, and of a keyed one the pods
+    /// drop the repeat.
+    pub fn may_send(&self, now: Ns, request: RequestId) -> bool {
+        self.owned.get(&request).is_some_and(|owned| {
+            owned.claim_until.is_none()
+                && owned.record.outcome.is_none()
+                && self.leased_backups(now, owned, 1) >= owned.record.majority()
         })
     }
 
-    /// A forward is about to go to a pod; [`Effect::Go`] tells when it may. Its number, from 0.
-    pub fn forward(&mut self, now: Ns, mark: Mark, pod: &str) -> Option<usize> {
-        let held = self.held.get_mut(&mark)?;
-        held.change(now, |record| record.past.push(Past { pod: pod.to_string(), age: 0, went: Went::Out }));
-        let nth = held.record.past.len() - 1;
-        held.waits.push((nth, held.record.version));
-        self.say_kept(now, mark);
-        Some(nth)
+    /// Records an attempt that is about to go to a pod and returns its index. [`Effect::AttemptReady`] tells when it may.
+    pub fn begin_attempt(&mut self, now: Ns, request: RequestId, pod: &str) -> Option<usize> {
+        let owned = self.owned.get_mut(&request)?;
+        owned.change(now, |record| {
+            record.attempts.push(Attempt { pod: pod.to_string(), age: 0, state: AttemptState::InFlight })
+        });
+        let index = owned.record.attempts.len() - 1;
+        owned.pending_attempts.push((index, owned.record.version));
+        self.replicate(now, request);
+        Some(index)
     }
 
-    /// How a forward ended.
-    pub fn went(&mut self, now: Ns, mark: Mark, nth: usize, went: Went) {
-        let Some(held) = self.held.get_mut(&mark) else { return };
-        held.change(now, |record| {
-            if let Some(past) = record.past.get_mut(nth) {
-                past.went = went;
+    /// Records how an attempt ended.
+    pub fn end_attempt(&mut self, now: Ns, request: RequestId, index: usize, state: AttemptState) {
+        let Some(owned) = self.owned.get_mut(&request) else { return };
+        owned.change(now, |record| {
+            if let Some(attempt) = record.attempts.get_mut(index) {
+                attempt.state = state;
             }
         });
-        self.say_kept(now, mark);
+        self.replicate(now, request);
     }
 
-    /// The final answer is known.
-    pub fn finish(&mut self, now: Ns, mark: Mark, done: Done) {
-        let Some(held) = self.held.get_mut(&mark) else { return };
-        if now < held.tells {
-            // Nobody was told.
-            self.held.remove(&mark);
+    /// Records the final outcome.
+    pub fn finish(&mut self, now: Ns, request: RequestId, outcome: Outcome) {
+        let Some(owned) = self.owned.get_mut(&request) else { return };
+        if now < owned.announce_at {
+            // No backup knows of it.
+            self.owned.remove(&request);
             return;
         }
-        held.change(now, |record| record.done = Some(done));
-        held.waits.clear();
-        self.say_kept(now, mark);
+        owned.change(now, |record| record.outcome = Some(outcome));
+        owned.pending_attempts.clear();
+        self.replicate(now, request);
     }
 
-    /// Guardians whose promise stands, for what was kept from this version on. Our own word as a guardian counts
-    /// like any other's: it lapses, too, unless the loop runs.
-    fn standing(&self, now: Ns, held: &Held, version: u32) -> usize {
-        let stands = |guardian: &&Life| {
-            let ack = held.acks.get(&guardian.name);
-            let lease = self.leases.get(&guardian.name);
+    /// The number of backups that hold at least this version and whose lease is valid. This sidecar counts as a backup
+    /// like any other: its own lease expires, too, unless the event loop runs.
+    fn leased_backups(&self, now: Ns, owned: &OwnedRequest, version: u32) -> usize {
+        let is_leased = |backup: &&Life| {
+            let ack = owned.acks.get(&backup.name);
+            let lease = self.leases.get(&backup.name);
             ack.zip(lease).is_some_and(|(ack, (until, epoch))| {
                 ack.version >= version && ack.epoch == *epoch && now < *until
             })
         };
-        held.record.guardians.iter().filter(stands).count()
+        owned.record.backups.iter().filter(is_leased).count()
     }
 
-    /// Tells its guardians how a piece of work stands, those that do not know it yet.
-    pub(super) fn say_kept(&mut self, now: Ns, mark: Mark) {
-        let Some(held) = self.held.get_mut(&mark) else { return };
-        // What a client waits for is said again soon, then less and less often.
-        let waited = held.claims.is_some() || !held.waits.is_empty();
-        let soon = (self.rules.lease / 24) << held.times.min(3);
-        let again = now + if waited { soon } else { self.rules.lease / 3 };
-        if now < held.tells {
-            held.again = held.tells;
+    /// Sends the record to the backups that have not acknowledged this version.
+    pub(super) fn replicate(&mut self, now: Ns, request: RequestId) {
+        let Some(owned) = self.owned.get_mut(&request) else { return };
+        // What a client waits for is sent again soon, then with exponential backoff.
+        let waited = owned.claim_until.is_some() || !owned.pending_attempts.is_empty();
+        let soon = (self.rules.lease / 24) << owned.retries.min(3);
+        let retry_at = now + if waited { soon } else { self.rules.lease / 3 };
+        if now < owned.announce_at {
+            owned.retry_at = owned.announce_at;
             return;
         }
-        held.again = again;
-        let record = held.record.later(now - held.as_of);
-        let knows =
-            |life: &Life, held: &Held| held.acks.get(&life.name).is_some_and(|a| a.version >= record.version);
+        owned.retry_at = retry_at;
+        let record = owned.record.later(now - owned.as_of);
+        let knows = |life: &Life, owned: &OwnedRequest| {
+            owned.acks.get(&life.name).is_some_and(|a| a.version >= record.version)
+        };
         let (own, rest): (Vec<Life>, Vec<Life>) = record
-            .guardians
+            .backups
             .iter()
-            .filter(|life| !knows(life, held))
+            .filter(|life| !knows(life, owned))
             .cloned()
             .partition(|life| *life == self.me);
-        for guardian in own {
-            // We are one of them: known at once. Nobody gives our word against us but ourselves, in `vote`.
+        for backup in own {
+            // This sidecar is a backup itself: stored at once. Only `on_request_vote` here can vote against it.
             let epoch = 0;
             let ack = Ack { version: record.version, epoch };
-            held.acks.insert(guardian.name.clone(), ack);
-            self.leases.insert(guardian.name, (now + self.rules.lease, epoch));
+            owned.acks.insert(backup.name.clone(), ack);
+            self.leases.insert(backup.name, (now + self.rules.lease, epoch));
         }
-        for guardian in rest {
-            self.say(&guardian, Say::Keep { record: record.clone(), stamp: now });
+        for backup in rest {
+            self.send(&backup, Message::Store { record: record.clone(), stamp: now });
         }
-        self.settle(now, mark);
+        self.advance(now, request);
     }
 
-    /// What became possible as a guardian answered.
-    pub(super) fn settle(&mut self, now: Ns, mark: Mark) {
-        let Some(held) = self.held.get(&mark) else { return };
-        let enough = held.record.enough();
-        let version_known = |version| self.standing(now, held, version) >= enough;
-        let all = held.record.guardians.len();
-        let claimed = if held.strict { self.standing(now, held, 1) >= all } else { version_known(1) };
-        let taken = held.claims.is_some() && claimed;
+    /// Does what the acknowledgements so far allow: the claim succeeds, attempts may go, the request is finished.
+    pub(super) fn advance(&mut self, now: Ns, request: RequestId) {
+        let Some(owned) = self.owned.get(&request) else { return };
+        let majority = owned.record.majority();
+        let version_known = |version| self.leased_backups(now, owned, version) >= majority;
+        let all = owned.record.backups.len();
+        let claimed =
+            if owned.exactly_once { self.leased_backups(now, owned, 1) >= all } else { version_known(1) };
+        let taken = owned.claim_until.is_some() && claimed;
         let go: Vec<usize> =
-            held.waits.iter().filter(|(_, v)| version_known(*v)).map(|(nth, _)| *nth).collect();
-        let told = held.record.done.is_some() && {
-            let version = held.record.version;
-            held.record
-                .guardians
+            owned.pending_attempts.iter().filter(|(_, v)| version_known(*v)).map(|(nth, _)| *nth).collect();
+        let told = owned.record.outcome.is_some() && {
+            let version = owned.record.version;
+            owned
+                .record
+                .backups
                 .iter()
-                .all(|g| held.acks.get(&g.name).is_some_and(|ack| ack.version >= version))
+                .all(|g| owned.acks.get(&g.name).is_some_and(|ack| ack.version >= version))
         };
-        let Some(held) = self.held.get_mut(&mark) else { return };
-        held.waits.retain(|(nth, _)| !go.contains(nth));
+        let Some(owned) = self.owned.get_mut(&request) else { return };
+        owned.pending_attempts.retain(|(nth, _)| !go.contains(nth));
         if taken {
-            held.claims = None;
-            // Said with the next word on it, which is that of the first forward.
-            held.change(now, |record| record.firm = true);
-            self.effects.push_back(Effect::Taken(mark));
+            owned.claim_until = None;
+            // Replicated with the next change, which is the first attempt.
+            owned.change(now, |record| record.confirmed = true);
+            self.effects.push_back(Effect::Claimed(request));
         }
-        self.effects.extend(go.into_iter().map(|nth| Effect::Go(mark, nth)));
+        self.effects.extend(go.into_iter().map(|nth| Effect::AttemptReady(request, nth)));
         if told {
-            self.retire(now, mark);
+            self.retire(now, request);
         }
     }
 
-    pub(super) fn renew(&mut self, now: Ns) {
-        if now < self.renew {
+    /// Asks the backups of all open requests to renew their leases.
+    pub(super) fn renew_leases(&mut self, now: Ns) {
+        if now < self.renew_at {
             return;
         }
-        self.renew = now + self.rules.lease / 3;
-        let open = self.held.values().filter(|held| held.record.done.is_none() && now >= held.tells);
-        let guardians: BTreeSet<Life> = open.flat_map(|held| held.record.guardians.iter().cloned()).collect();
-        for guardian in guardians {
-            if guardian == self.me {
-                self.leases.insert(guardian.name, (now + self.rules.lease, 0));
+        self.renew_at = now + self.rules.lease / 3;
+        let open =
+            self.owned.values().filter(|owned| owned.record.outcome.is_none() && now >= owned.announce_at);
+        let backups: BTreeSet<Life> = open.flat_map(|owned| owned.record.backups.iter().cloned()).collect();
+        for backup in backups {
+            if backup == self.me {
+                self.leases.insert(backup.name, (now + self.rules.lease, 0));
             } else {
-                self.say(&guardian, Say::Renew { stamp: now });
+                self.send(&backup, Message::RenewLease { stamp: now });
             }
         }
     }
 
-    /// Says again what was not acknowledged; a claim that took too long ends.
-    pub(super) fn again(&mut self, now: Ns, mark: Mark) {
-        let Some(held) = self.held.get_mut(&mark) else { return };
-        held.times += 1;
-        let over = now.saturating_sub(held.as_of) > held.record.left.saturating_add(self.rules.keep);
-        if over || (held.record.done.is_some() && held.times > 8) {
-            self.retire(now, mark);
+    /// Sends an unacknowledged record again, or ends a claim that took too long.
+    pub(super) fn retry(&mut self, now: Ns, request: RequestId) {
+        let Some(owned) = self.owned.get_mut(&request) else { return };
+        owned.retries += 1;
+        let over =
+            now.saturating_sub(owned.as_of) > owned.record.remaining.saturating_add(self.rules.retention);
+        if over || (owned.record.outcome.is_some() && owned.retries > 8) {
+            self.retire(now, request);
             return;
         }
-        match held.claims {
-            Some(until) if now >= until => self.give_up(now, mark),
-            _ => self.say_kept(now, mark),
+        match owned.claim_until {
+            Some(until) if now >= until => self.give_up(now, request),
+            _ => self.replicate(now, request),
         }
     }
 
-    /// As a holder: a guardian keeps it.
-    pub(super) fn kept(
+    /// A backup acknowledges a record.
+    pub(super) fn on_stored(
         &mut self,
         now: Ns,
         from: &Life,
-        (mark, term, version): (Mark, u32, u32),
+        (request, term, version): (RequestId, u32, u32),
         (stamp, epoch): (Ns, u32),
     ) {
-        self.lease(now, from, stamp, epoch);
-        let Some(held) = self.held.get_mut(&mark).filter(|held| held.record.term == term) else { return };
-        if !held.record.guardians.contains(from) {
+        self.extend_lease(now, from, stamp, epoch);
+        let Some(owned) = self.owned.get_mut(&request).filter(|owned| owned.record.term == term) else {
+            return;
+        };
+        if !owned.record.backups.contains(from) {
             return;
         }
-        let ack = held.acks.entry(from.name.clone()).or_default();
+        let ack = owned.acks.entry(from.name.clone()).or_default();
         if (epoch, version) > (ack.epoch, ack.version) {
             *ack = Ack { version, epoch };
         }
-        self.settle(now, mark);
+        self.advance(now, request);
     }
 
-    /// A promise counts from when it was asked for, and shorter by what two clocks may drift.
-    pub(super) fn lease(&mut self, now: Ns, from: &Life, stamp: Ns, epoch: u32) {
+    /// Extends a lease. It counts from when it was asked for, shortened by the drift of two clocks.
+    pub(super) fn extend_lease(&mut self, now: Ns, from: &Life, stamp: Ns, epoch: u32) {
         if stamp > now {
             return;
         }
@@ -220,51 +231,61 @@
         if epoch < lease.1 {
             return;
         }
-        let voted_away = epoch > lease.1;
-        *lease = if voted_away { (until, epoch) } else { (lease.0.max(until), epoch) };
-        if voted_away {
-            // What it guards for us must be said anew: it may have gone to another.
-            let guards =
-                |held: &Held| held.record.guardians.contains(from) && held.acks.contains_key(&from.name);
-            let marks: Vec<Mark> =
-                self.held.iter().filter(|(_, held)| guards(held)).map(|(mark, _)| *mark).collect();
-            for mark in marks {
-                if let Some(held) = self.held.get_mut(&mark).filter(|h| h.acks[&from.name].epoch < epoch) {
-                    held.acks.remove(&from.name);
-                    self.say_kept(now, mark);
+        let new_epoch = epoch > lease.1;
+        *lease = if new_epoch { (until, epoch) } else { (lease.0.max(until), epoch) };
+        if new_epoch {
+            // Its records of our requests must be sent anew: it may have voted for another owner.
+            let backs_up = |owned: &OwnedRequest| {
+                owned.record.backups.contains(from) && owned.acks.contains_key(&from.name)
+            };
+            let requests: Vec<RequestId> =
+                self.owned.iter().filter(|(_, owned)| backs_up(owned)).map(|(request, _)| *request).collect();
+            for request in requests {
+                if let Some(owned) = self.owned.get_mut(&request).filter(|h| h.acks[&from.name].epoch < epoch)
+                {
+                    owned.acks.remove(&from.name);
+                    self.replicate(now, request);
                 }
             }
         }
     }
 
-    /// Work that is not held here any more, but stays known here like a record kept for another: where we won it as
-    /// one of its guardians, others' majorities count on that; where we took it first, a later claim may have us for a
-    /// guardian, and of its majority we may be the only one to know.
-    pub(super) fn retire(&mut self, now: Ns, mark: Mark) -> Option<Record> {
-        let held = self.held.remove(&mark)?;
-        let record = held.record.later(now - held.as_of);
-        self.enter(now, record.clone(), record.term, self.me.clone());
+    /// Moves a request that is no longer owned here to the records kept for others. If it was taken over here, the other
+    /// backups' majorities count on that record; if it arrived here, a later claim may choose this sidecar as a backup,
+    /// and it may be the only one of that majority to know the request.
+    pub(super) fn retire(&mut self, now: Ns, request: RequestId) -> Option<Record> {
+        let owned = self.owned.remove(&request)?;
+        let record = owned.record.later(now - owned.as_of);
+        self.insert_replica(now, record.clone(), record.term, self.me.clone());
         Some(record)
     }
 
-    /// It is another's now.
-    pub(super) fn lose(&mut self, now: Ns, mark: Mark) {
-        let Some(record) = self.retire(now, mark) else { return };
-        self.effects.push_back(Effect::Lost(mark));
-        let Record { sum, guardians, left, .. } = record;
-        let (nothing, known, again) = (BTreeSet::new(), now, now);
-        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now.saturating_add(left) };
-        self.waiting.insert(mark, waiting);
-        self.wait_again(now, mark);
+    /// Gives a request up to another owner and waits for its outcome.
+    pub(super) fn lose(&mut self, now: Ns, request: RequestId) {
+        let Some(record) = self.retire(now, request) else { return };
+        self.effects.push_back(Effect::Lost(request));
+        let Record { digest, backups, remaining, .. } = record;
+        let (unknown_at, last_known, retry_at) = (BTreeSet::new(), now, now);
+        let waiting = Waiting {
+            digest,
+            backups,
+            unknown_at,
+            last_known,
+            retry_at,
+            forget: now.saturating_add(remaining),
+        };
+        self.waiting.insert(request, waiting);
+        self.ask_again(now, request);
     }
 }
 
-impl Held {
+impl OwnedRequest {
+    /// Changes the record and raises its version.
     pub(super) fn change(&mut self, now: Ns, change: impl FnOnce(&mut Record)) {
         self.record = self.record.later(now - self.as_of);
         self.as_of = now;
         change(&mut self.record);
         self.record.version += 1;
-        self.times = 0;
+        self.retries = 0;
     }
 }
--- a/crates/takeover/src/takeover/waiter.rs
+++ b/crates/takeover/src/takeover/waiter.rs
@@ -1,122 +1,141 @@
-//! Clients that came back: waiting for the answer of whoever has their request, and telling those that wait.
+//! Clients that retried: waiting for the outcome of a request that another sidecar owns, and telling those that wait.
 
 use super::{Effect, Takeover};
-use crate::record::{Done, Mark, Say};
+use crate::record::{Message, Outcome, RequestId};
 use crate::Ns;
 use havenplank_fellows::wire::Life;
 use std::collections::BTreeSet;
 
-/// Sidecars that wait for one answer at one guardian, at most; a further one is told nothing and asks again.
-const WAITERS: usize = 8;
+/// Sidecars that one backup tells of an outcome, at most; a further one has to ask again.
+const MAX_WAITERS: usize = 8;
 
-/// One that waits here for another's answer.
+/// A request whose outcome is awaited here.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Waiting {
-    pub(super) sum: u64,
-    pub(super) guardians: Vec<Life>,
-    pub(super) nothing: BTreeSet<String>,
-    /// When a guardian last said that it is in hand.
-    pub(super) known: Ns,
-    pub(super) again: Ns,
+    pub(super) digest: u64,
+    pub(super) backups: Vec<Life>,
+    pub(super) unknown_at: BTreeSet<String>,
+    /// When a backup last reported it as in flight.
+    pub(super) last_known: Ns,
+    pub(super) retry_at: Ns,
     pub(super) forget: Ns,
 }
 
 impl Takeover {
-    pub(super) fn wait(&mut self, now: Ns, mark: Mark, sum: u64, left: Ns, guardians: Vec<Life>) {
-        let (nothing, known, again) = (BTreeSet::new(), now, now);
-        let waiting = Waiting { sum, guardians, nothing, known, again, forget: now.saturating_add(left) };
-        self.waiting.insert(mark, waiting);
-        self.effects.push_back(Effect::Joined(mark));
-        self.wait_again(now, mark);
+    /// Waits for the outcome of a request that another sidecar owns.
+    pub(super) fn join(
+        &mut self,
+        now: Ns,
+        request: RequestId,
+        digest: u64,
+        remaining: Ns,
+        backups: Vec<Life>,
+    ) {
+        let (unknown_at, last_known, retry_at) = (BTreeSet::new(), now, now);
+        let waiting = Waiting {
+            digest,
+            backups,
+            unknown_at,
+            last_known,
+            retry_at,
+            forget: now.saturating_add(remaining),
+        };
+        self.waiting.insert(request, waiting);
+        self.effects.push_back(Effect::Joined(request));
+        self.ask_again(now, request);
     }
 
-    pub(super) fn wait_again(&mut self, now: Ns, mark: Mark) {
-        let again = now + self.rules.lease / 3;
-        let Some(waiting) = self.waiting.get_mut(&mark) else { return };
-        if now > waiting.known + self.rules.lease {
-            // Some may be lost and say nothing at all.
-            self.waiting.remove(&mark);
-            return self.effects.push_back(Effect::Nobody(mark));
+    /// Asks the backups for the outcome, or gives up when none of them has known the request for a lease.
+    pub(super) fn ask_again(&mut self, now: Ns, request: RequestId) {
+        let retry_at = now + self.rules.lease / 3;
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if now > waiting.last_known + self.rules.lease {
+            // Some backups may be lost and never answer.
+            self.waiting.remove(&request);
+            return self.effects.push_back(Effect::Unknown(request));
         }
-        waiting.again = again;
-        let sum = waiting.sum;
-        let guardians: Vec<Life> =
-            waiting.guardians.iter().filter(|life| **life != self.me).cloned().collect();
-        for guardian in guardians {
-            self.say(&guardian, Say::Wait { mark, sum });
+        waiting.retry_at = retry_at;
+        let digest = waiting.digest;
+        let backups: Vec<Life> = waiting.backups.iter().filter(|life| **life != self.me).cloned().collect();
+        for backup in backups {
+            self.send(&backup, Message::AwaitOutcome { request, digest });
         }
     }
 
-    /// As a guardian: one waits for the answer.
-    pub(super) fn waits(&mut self, from: &Life, mark: Mark, sum: u64) {
-        if let Some(held) = self.held.get(&mark) {
-            let term = held.record.term;
-            if let Some(done) = held.record.done.clone().filter(|_| held.record.sum == sum) {
-                return self.say(from, Say::Done { mark, term, done });
+    /// A sidecar waits for the outcome of a request that this one may know.
+    pub(super) fn on_await_outcome(&mut self, from: &Life, request: RequestId, digest: u64) {
+        if let Some(owned) = self.owned.get(&request) {
+            let term = owned.record.term;
+            if let Some(outcome) = owned.record.outcome.clone().filter(|_| owned.record.digest == digest) {
+                return self.send(from, Message::Finished { request, term, outcome });
             }
-            let by = held.record.holder.clone();
-            return self.say(from, Say::Held { mark, term, by, differs: false });
+            let by = owned.record.owner.clone();
+            return self.send(from, Message::Owned { request, term, by, differs: false });
         }
-        let Some(kept) = self.kept.get_mut(&mark) else { return self.say(from, Say::Nothing { mark }) };
-        let term = kept.term;
-        if let Some(done) = kept.record.done.clone().filter(|_| kept.record.sum == sum) {
-            return self.say(from, Say::Done { mark, term, done });
+        let Some(replica) = self.replicas.get_mut(&request) else {
+            return self.send(from, Message::Unknown { request });
+        };
+        let term = replica.term;
+        if let Some(outcome) = replica.record.outcome.clone().filter(|_| replica.record.digest == digest) {
+            return self.send(from, Message::Finished { request, term, outcome });
         }
-        if !kept.waiters.contains(from) && kept.waiters.len() < WAITERS {
-            kept.waiters.push(from.clone());
+        if !replica.waiters.contains(from) && replica.waiters.len() < MAX_WAITERS {
+            replica.waiters.push(from.clone());
         }
-        let by = kept.holder.clone();
-        self.say(from, Say::Held { mark, term, by, differs: false });
+        let by = replica.owner.clone();
+        self.send(from, Message::Owned { request, term, by, differs: false });
     }
 
-    /// The final answer, by a guardian's word.
-    pub(super) fn done(&mut self, now: Ns, mark: Mark, term: u32, done: Done) {
-        let reopens = done.reopens();
-        if let Some(kept) = self.kept.get_mut(&mark) {
-            // A bounce says nothing of a later term: its work may be in hand. Our own attempt is not, yet.
-            let ours = kept.holder == self.me && kept.votes.is_some() && term >= kept.record.term;
-            if !reopens || term == kept.term || ours {
-                kept.record.done.get_or_insert(done.clone());
-                kept.votes = None;
+    /// A backup reports the final outcome.
+    pub(super) fn on_finished(&mut self, now: Ns, request: RequestId, term: u32, outcome: Outcome) {
+        let reopens = outcome.reopens();
+        if let Some(replica) = self.replicas.get_mut(&request) {
+            // A rejection does not end a later term, whose request may be in flight. Our own candidacy is not, yet.
+            let ours = replica.owner == self.me && replica.votes.is_some() && term >= replica.record.term;
+            if !reopens || term == replica.term || ours {
+                replica.record.outcome.get_or_insert(outcome.clone());
+                replica.votes = None;
             }
         }
-        // Done already: a claim comes too late, and a takeover has nothing left to finish but to tell the others.
-        let open = self.held.get_mut(&mark).filter(|held| held.record.done.is_none());
-        if let Some(held) = open {
-            let claims = held.claims.is_some();
-            if reopens && term < held.record.term {
+        // Finished already: a claim comes too late, and an owner only tells its backups.
+        let open = self.owned.get_mut(&request).filter(|owned| owned.record.outcome.is_none());
+        if let Some(owned) = open {
+            let claiming = owned.claim_until.is_some();
+            if reopens && term < owned.record.term {
                 return;
             }
-            if reopens && claims {
-                // Another try of the client's: in a later term than the one that bounced.
-                held.record.term = term.saturating_add(1);
-                held.acks.clear();
-                held.refused.clear();
-                return self.say_kept(now, mark);
+            if reopens && claiming {
+                // The client's retry: in a later term than the rejected one.
+                owned.record.term = term.saturating_add(1);
+                owned.acks.clear();
+                owned.refused.clear();
+                return self.replicate(now, request);
             }
-            if claims {
-                self.held.remove(&mark);
+            if claiming {
+                self.owned.remove(&request);
             } else {
-                self.finish(now, mark, done.clone());
+                self.finish(now, request, outcome.clone());
             }
-            return self.effects.push_back(Effect::Answer(mark, done));
+            return self.effects.push_back(Effect::Finished(request, outcome));
         }
-        self.done_here(mark, Some(done));
+        self.finish_waiting(request, Some(outcome));
     }
 
-    pub(super) fn done_here(&mut self, mark: Mark, done: Option<Done>) {
-        if let Some(done) = done.filter(|_| self.waiting.contains_key(&mark)) {
-            self.waiting.remove(&mark);
-            self.effects.push_back(Effect::Answer(mark, done));
+    /// Passes the outcome to clients that wait for it here.
+    pub(super) fn finish_waiting(&mut self, request: RequestId, outcome: Option<Outcome>) {
+        if let Some(outcome) = outcome.filter(|_| self.waiting.contains_key(&request)) {
+            self.waiting.remove(&request);
+            self.effects.push_back(Effect::Finished(request, outcome));
         }
     }
 
-    pub(super) fn nothing(&mut self, from: &Life, mark: Mark) {
-        let Some(waiting) = self.waiting.get_mut(&mark) else { return };
-        waiting.nothing.insert(from.name.clone());
-        if waiting.guardians.iter().all(|life| *life == self.me || waiting.nothing.contains(&life.name)) {
-            self.waiting.remove(&mark);
-            self.effects.push_back(Effect::Nobody(mark));
+    /// A backup does not know the request that is waited for.
+    pub(super) fn on_unknown(&mut self, from: &Life, request: RequestId) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        waiting.unknown_at.insert(from.name.clone());
+        if waiting.backups.iter().all(|life| *life == self.me || waiting.unknown_at.contains(&life.name)) {
+            self.waiting.remove(&request);
+            self.effects.push_back(Effect::Unknown(request));
         }
     }
 }
--- a/crates/takeover/tests/every_order.rs
+++ b/crates/takeover/tests/every_order.rs
@@ -7,7 +7,7 @@
 //! By hand, more faults: HAVENPLANK_FAULTS=3 cargo test --release -p havenplank-takeover --test every_order
 
 use havenplank_fellows::wire::Life;
-use havenplank_takeover::record::{Done, Mark, Say, Went};
+use havenplank_takeover::record::{AttemptState, Message, Outcome, RequestId};
 use havenplank_takeover::{Effect, Ns, Rules, Takeover};
 use rayon::prelude::*;
 use std::collections::hash_map::DefaultHasher;
@@ -16,7 +16,7 @@
 use std::sync::Mutex;
 
 const MS: Ns = 1_000_000;
-const MARK: Mark = 1;
+const REQUEST: RequestId = 1;
 const MANY: usize = 4;
 /// What a step of time is, and how many there are: until all records are forgotten by the slowest clock.
 const STEP: Ns = 200 * MS;
@@ -41,7 +41,7 @@
 struct World {
     step: u64,
     sidecars: Vec<Option<Sidecar>>,
-    flying: Vec<(usize, usize, Say)>,
+    flying: Vec<(usize, usize, Message)>,
     effects: usize,
     faults: usize,
     killed: bool,
@@ -81,7 +81,7 @@
 
 impl World {
     fn new(faults: usize) -> World {
-        let rules = Rules { keep: 6 * STEP, ..Rules::default() };
+        let rules = Rules { retention: 6 * STEP, ..Rules::default() };
         let sidecar = |id| {
             let takeover = Takeover::new(Self::clock(id, 0), id as u64, life(id), rules.clone());
             Some(Sidecar { takeover, paused: false, cut: [false; MANY], out: None })
@@ -89,9 +89,9 @@
         let sidecars = (0..MANY).map(sidecar).collect();
         let (flying, killed, never_ran) = (Vec::new(), false, false);
         let mut world = World { step: 0, sidecars, flying, effects: 0, faults, killed, never_ran };
-        let guardians = (1..MANY).map(life).collect();
+        let backups = (1..MANY).map(life).collect();
         world.call(0, |takeover, now| {
-            takeover.take(now, MARK, 5, (vec![1], false), 6 * STEP, guardians);
+            takeover.claim(now, REQUEST, 5, (vec![1], false), 6 * STEP, backups);
         });
         world
     }
@@ -113,30 +113,31 @@
     fn carry_out(&mut self, id: usize, now: Ns, effect: Effect) {
         let Some(sidecar) = &mut self.sidecars[id] else { return };
         match effect {
-            Effect::Say { to, say } => {
+            Effect::Send { to, message } => {
                 let to: usize = to.name[2..].parse().unwrap();
                 if sidecar.cut[to] || self.sidecars[to].is_none() {
                     return;
                 }
                 // Said again while it is under way: one of them is enough, which comes when the other would.
-                let same =
-                    |known: &(usize, usize, Say)| (known.0, known.1) == (id, to) && alike(&known.2, &say);
+                let same = |known: &(usize, usize, Message)| {
+                    (known.0, known.1) == (id, to) && alike(&known.2, &message)
+                };
                 match self.flying.iter().position(same) {
-                    Some(at) => self.flying[at].2 = say,
-                    None => self.flying.push((id, to, say)),
+                    Some(at) => self.flying[at].2 = message,
+                    None => self.flying.push((id, to, message)),
                 }
             }
-            Effect::Taken(mark) => drop(sidecar.takeover.forward(now, mark, "pod")),
-            Effect::Go(mark, nth) if sidecar.takeover.may(now, mark) => {
+            Effect::Claimed(request) => drop(sidecar.takeover.begin_attempt(now, request, "pod")),
+            Effect::AttemptReady(request, nth) if sidecar.takeover.may_send(now, request) => {
                 sidecar.out = Some(nth);
                 self.effects += 1;
             }
-            Effect::Unguarded(_) => self.effects += 1,
-            Effect::Begin(record) => {
-                if record.past.iter().any(|past| past.went != Went::NeverRan) {
-                    sidecar.takeover.finish(now, record.mark, Done::Errored { again: false });
+            Effect::Unprotected(_) => self.effects += 1,
+            Effect::TakenOver(record) => {
+                if record.attempts.iter().any(|attempt| attempt.state != AttemptState::NeverRan) {
+                    sidecar.takeover.finish(now, record.request, Outcome::Failed { retryable: false });
                 } else {
-                    sidecar.takeover.forward(now, record.mark, "pod");
+                    sidecar.takeover.begin_attempt(now, record.request, "pod");
                 }
             }
             _ => {}
@@ -199,15 +200,15 @@
             }
             Act::Ran(id) => {
                 next.sidecars[id].iter_mut().for_each(|one| one.out = None);
-                next.call(id, |takeover, now| takeover.finish(now, MARK, Done::Delivered(vec![])));
+                next.call(id, |takeover, now| takeover.finish(now, REQUEST, Outcome::Served(vec![])));
             }
             Act::NeverRan(id) => {
                 next.never_ran = true;
                 next.effects -= 1;
                 let nth = next.sidecars[id].as_mut().and_then(|one| one.out.take()).unwrap();
                 next.call(id, |takeover, now| {
-                    takeover.went(now, MARK, nth, Went::NeverRan);
-                    takeover.forward(now, MARK, "pod");
+                    takeover.end_attempt(now, REQUEST, nth, AttemptState::NeverRan);
+                    takeover.begin_attempt(now, REQUEST, "pod");
                 });
             }
             Act::Killed(id) => {
@@ -237,21 +238,21 @@
     }
 
     fn comes(&mut self, n: usize, gone: bool) {
-        let (from, to, say) = self.flying[n].clone();
+        let (from, to, message) = self.flying[n].clone();
         if gone {
             self.flying.remove(n);
         }
-        self.call(to, |takeover, now| takeover.heard(now, &life(from), say));
+        self.call(to, |takeover, now| takeover.receive(now, &life(from), message));
     }
 
     fn broken(&self) -> Option<String> {
         let may = |id: &usize| {
             let one = self.sidecars[*id].as_ref();
-            one.is_some_and(|one| one.takeover.may(Self::clock(*id, self.step), MARK))
+            one.is_some_and(|one| one.takeover.may_send(Self::clock(*id, self.step), REQUEST))
         };
-        let holders: Vec<usize> = (0..MANY).filter(may).collect();
-        if holders.len() > 1 {
-            return Some(format!("{holders:?} may all act"));
+        let owners: Vec<usize> = (0..MANY).filter(may).collect();
+        if owners.len() > 1 {
+            return Some(format!("{owners:?} may all act"));
         }
         (self.effects > 1).then(|| format!("{} effects", self.effects))
     }
@@ -302,18 +303,19 @@
     }
 }
 
-/// The same word, but for when it was said.
-fn alike(one: &Say, other: &Say) -> bool {
+/// The same message, but for its time.
+fn alike(one: &Message, other: &Message) -> bool {
     match (one, other) {
-        (Say::Keep { record: a, .. }, Say::Keep { record: b, .. }) => {
-            (a.term, a.version, &a.holder) == (b.term, b.version, &b.holder)
+        (Message::Store { record: a, .. }, Message::Store { record: b, .. }) => {
+            (a.term, a.version, &a.owner) == (b.term, b.version, &b.owner)
         }
-        (Say::Kept { term: a, version: b, epoch: c, .. }, Say::Kept { term, version, epoch, .. }) => {
-            (a, b, c) == (term, version, epoch)
-        }
-        (Say::Renew { .. }, Say::Renew { .. }) => true,
-        (Say::Renewed { epoch: a, .. }, Say::Renewed { epoch, .. }) => a == epoch,
-        (Say::Vote { term: a, .. }, Say::Vote { term, .. }) => a == term,
+        (
+            Message::Stored { term: a, version: b, epoch: c, .. },
+            Message::Stored { term, version, epoch, .. },
+        ) => (a, b, c) == (term, version, epoch),
+        (Message::RenewLease { .. }, Message::RenewLease { .. }) => true,
+        (Message::LeaseRenewed { epoch: a, .. }, Message::LeaseRenewed { epoch, .. }) => a == epoch,
+        (Message::RequestVote { term: a, .. }, Message::RequestVote { term, .. }) => a == term,
         (one, other) => one == other,
     }
 }
--- a/crates/takeover/tests/simulated.rs
+++ b/crates/takeover/tests/simulated.rs
@@ -2,8 +2,8 @@
 
 use havenplank_fellows::wire::Life;
 use havenplank_stand::net::{Clock, Fate, Id, Net, Ns, Part, Weather};
-use havenplank_takeover::guardians::{pick, Candidate};
-use havenplank_takeover::record::{Done, Mark, Record, Say, Went};
+use havenplank_takeover::placement::{pick, Candidate};
+use havenplank_takeover::record::{AttemptState, Message, Outcome, Record, RequestId};
 use havenplank_takeover::{Effect, Rules, Takeover};
 use oorandom::Rand64;
 use rayon::prelude::*;
@@ -15,8 +15,8 @@
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
 enum Act {
-    Hit(Mark, u64),
-    End(Mark, usize),
+    Hit(RequestId, u64),
+    End(RequestId, usize),
 }
 
 /// A sidecar that finishes mutating hits: one forward, another only if the last one never ran.
@@ -29,9 +29,9 @@
     chance: Rand64,
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     /// Forwards written, that is effects, by mark, and answers known here.
-    wrote: Vec<Mark>,
-    answers: Vec<(Mark, Done)>,
-    began: Vec<(Ns, Mark)>,
+    wrote: Vec<RequestId>,
+    answers: Vec<(RequestId, Outcome)>,
+    began: Vec<(Ns, RequestId)>,
     unguarded: usize,
     differs: usize,
     /// Parts of forwards that never ran, and of those that are given up at once.
@@ -40,7 +40,7 @@
     /// How long a forward takes at most, in ms.
     takes: u64,
     /// What was done for which piece of work, since it was last read; not kept where nobody wants to know.
-    story: Option<Vec<(Mark, String)>>,
+    story: Option<Vec<(RequestId, String)>>,
 }
 
 fn life(id: Id) -> Life {
@@ -70,9 +70,9 @@
         }
     }
 
-    fn note(&mut self, mark: Mark, what: impl FnOnce() -> String) {
+    fn note(&mut self, request: RequestId, what: impl FnOnce() -> String) {
         if let Some(story) = &mut self.story {
-            story.push((mark, what()));
+            story.push((request, what()));
         }
     }
 
@@ -81,65 +81,66 @@
         self.acts.insert((time, self.acted), act);
     }
 
-    fn guardians(&self, mark: Mark, many: usize) -> Vec<Life> {
+    fn backups(&self, request: RequestId, many: usize) -> Vec<Life> {
         let zone = |who: &Life| ZONES[who.name[2..].parse::<usize>().unwrap() % 3];
         let others = self.fellows.iter().filter(|who| **who != self.me);
         let others: Vec<Candidate<'_>> = others.map(|who| Candidate { who, zone: zone(who) }).collect();
-        pick(mark, &others, many)
+        pick(request, &others, many)
     }
 
     fn go_on(&mut self, now: Ns, record: &Record) {
-        let (mark, out) = (record.mark, record.past.iter().any(|past| past.went != Went::NeverRan));
+        let (request, out) =
+            (record.request, record.attempts.iter().any(|attempt| attempt.state != AttemptState::NeverRan));
         if out {
-            self.takeover.finish(now, mark, Done::Errored { again: false });
+            self.takeover.finish(now, request, Outcome::Failed { retryable: false });
         } else {
-            self.takeover.forward(now, mark, "pod");
+            self.takeover.begin_attempt(now, request, "pod");
         }
     }
 
     fn carry_out(&mut self, now: Ns) {
         while let Some(effect) = self.takeover.effect() {
             match effect {
-                Effect::Say { to, say } => {
+                Effect::Send { to, message } => {
                     let id = to.name[2..].parse().unwrap();
-                    let bytes = postcard::to_stdvec(&(&self.me, &to, &say)).unwrap();
+                    let bytes = postcard::to_stdvec(&(&self.me, &to, &message)).unwrap();
                     self.out.push_back((Net::<Sidecar>::address(id), bytes));
                 }
-                Effect::Taken(mark) => {
-                    self.takeover.forward(now, mark, "pod");
+                Effect::Claimed(request) => {
+                    self.takeover.begin_attempt(now, request, "pod");
                 }
-                Effect::Go(mark, nth) => {
-                    let may = self.takeover.may(now, mark);
-                    self.note(mark, || {
+                Effect::AttemptReady(request, nth) => {
+                    let may = self.takeover.may_send(now, request);
+                    self.note(request, || {
                         format!("forward {nth} {}", if may { "WRITTEN" } else { "not allowed" })
                     });
                     if may {
-                        self.wrote.push(mark);
+                        self.wrote.push(request);
                         let takes = self.chance.rand_range(1..self.takes) * MS;
-                        self.at(now + takes, Act::End(mark, nth));
+                        self.at(now + takes, Act::End(request, nth));
                     }
                 }
-                Effect::Begin(record) => {
-                    self.began.push((now, record.mark));
-                    self.note(record.mark, || {
-                        format!("begins, term {} with past {:?}", record.term, record.past)
+                Effect::TakenOver(record) => {
+                    self.began.push((now, record.request));
+                    self.note(record.request, || {
+                        format!("begins, term {} with past {:?}", record.term, record.attempts)
                     });
                     self.go_on(now, &record);
                 }
-                Effect::Answer(mark, done) => {
-                    self.note(mark, || format!("hears {done:?}"));
-                    self.answers.push((mark, done));
+                Effect::Finished(request, done) => {
+                    self.note(request, || format!("hears {done:?}"));
+                    self.answers.push((request, done));
                 }
-                Effect::Unguarded(mark) => {
-                    self.note(mark, || "WRITTEN unguarded".to_string());
+                Effect::Unprotected(request) => {
+                    self.note(request, || "WRITTEN unguarded".to_string());
                     self.unguarded += 1;
-                    self.wrote.push(mark);
+                    self.wrote.push(request);
                 }
-                Effect::Differs(_) => self.differs += 1,
-                Effect::Joined(mark) => self.note(mark, || "joins".to_string()),
-                Effect::Unsure(mark) => self.note(mark, || "bounces, unsure".to_string()),
-                Effect::Lost(mark) => self.note(mark, || "lost it".to_string()),
-                Effect::Nobody(mark) => self.note(mark, || "hears that nobody has it".to_string()),
+                Effect::KeyReused(_) => self.differs += 1,
+                Effect::Joined(request) => self.note(request, || "joins".to_string()),
+                Effect::Uncertain(request) => self.note(request, || "bounces, unsure".to_string()),
+                Effect::Lost(request) => self.note(request, || "lost it".to_string()),
+                Effect::Unknown(request) => self.note(request, || "hears that nobody has it".to_string()),
             }
         }
     }
@@ -147,42 +148,42 @@
 
 impl Part for Sidecar {
     fn heard(&mut self, now: Ns, bytes: &[u8]) {
-        let (from, to, say): (Life, Life, Say) = postcard::from_bytes(bytes).unwrap();
+        let (from, to, message): (Life, Life, Message) = postcard::from_bytes(bytes).unwrap();
         if to == self.me {
-            self.takeover.heard(now, &from, say);
+            self.takeover.receive(now, &from, message);
             self.carry_out(now);
         }
     }
     fn wake(&mut self, now: Ns) {
         while let Some(entry) = self.acts.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
-                Act::Hit(mark, sum) => {
-                    let guardians = self.guardians(mark, 3);
+                Act::Hit(request, sum) => {
+                    let backups = self.backups(request, 3);
                     // Clients come back with these only.
-                    let strict = mark % 3 == 0;
-                    self.note(mark, || {
-                        let names: Vec<&str> = guardians.iter().map(|life| life.name.as_str()).collect();
-                        format!("takes it, guardians {names:?}")
+                    let strict = request % 3 == 0;
+                    self.note(request, || {
+                        let names: Vec<&str> = backups.iter().map(|life| life.name.as_str()).collect();
+                        format!("takes it, backups {names:?}")
                     });
-                    self.takeover.take(now, mark, sum, (vec![1], strict), 6 * S, guardians);
+                    self.takeover.claim(now, request, sum, (vec![1], strict), 6 * S, backups);
                 }
-                Act::End(mark, nth) => {
+                Act::End(request, nth) => {
                     let never = self.chance.rand_float() < self.never_ran;
-                    self.note(mark, || {
+                    self.note(request, || {
                         format!("forward {nth} ends, {}", if never { "never ran" } else { "ran" })
                     });
                     if never {
                         // It never ran after all, so it was no effect; the next one may go.
-                        let at = self.wrote.iter().position(|known| *known == mark).unwrap();
+                        let at = self.wrote.iter().position(|known| *known == request).unwrap();
                         self.wrote.remove(at);
-                        self.takeover.went(now, mark, nth, Went::NeverRan);
+                        self.takeover.end_attempt(now, request, nth, AttemptState::NeverRan);
                         // Given up: the client is told that a retry does no harm, and may come back.
                         match self.chance.rand_float() < self.gives_up {
-                            true => self.takeover.finish(now, mark, Done::Bounced),
-                            false => drop(self.takeover.forward(now, mark, "pod")),
+                            true => self.takeover.finish(now, request, Outcome::Rejected),
+                            false => drop(self.takeover.begin_attempt(now, request, "pod")),
                         }
                     } else {
-                        self.takeover.finish(now, mark, Done::Delivered(vec![mark as u8]));
+                        self.takeover.finish(now, request, Outcome::Served(vec![request as u8]));
                     }
                 }
             }
@@ -203,11 +204,11 @@
 struct Run {
     seed: u64,
     net: Net<Sidecar>,
-    marks: Vec<Mark>,
+    requests: Vec<RequestId>,
     /// Effects by mark over all sidecars and lives.
-    wrote: BTreeMap<Mark, usize>,
+    wrote: BTreeMap<RequestId, usize>,
     /// All that happened, by time: the piece of work, none where it is about all, and what.
-    story: Option<Vec<(Ns, Option<Mark>, String)>>,
+    story: Option<Vec<(Ns, Option<RequestId>, String)>>,
     /// Rights shared, as far as seen.
     broken: Vec<String>,
 }
@@ -219,8 +220,8 @@
             let clock = Clock { began: id as Ns * 991 * S, drift_ppm: (id as i64 % 3 - 1) * 10_000 };
             net.join(clock, |now, _| Sidecar::new(now, id, many, seed, Rules::default()));
         }
-        let (marks, wrote, broken) = (Vec::new(), BTreeMap::new(), Vec::new());
-        Run { seed, net, marks, wrote, story: None, broken }
+        let (requests, wrote, broken) = (Vec::new(), BTreeMap::new(), Vec::new());
+        Run { seed, net, requests, wrote, story: None, broken }
     }
 
     fn tell(&mut self) {
@@ -234,27 +235,28 @@
         self.story.iter_mut().for_each(|story| story.push((now, None, what.clone())));
     }
 
-    fn hit(&mut self, id: Id, mark: Mark, after: Ns) {
+    fn hit(&mut self, id: Id, request: RequestId, after: Ns) {
         let at = self.net.own_time(id) + after;
-        self.net.part_mut(id).unwrap().at(at, Act::Hit(mark, 5));
-        if !self.marks.contains(&mark) {
-            self.marks.push(mark);
+        self.net.part_mut(id).unwrap().at(at, Act::Hit(request, 5));
+        if !self.requests.contains(&request) {
+            self.requests.push(request);
         }
     }
 
     /// Plays on; after every step nobody shares the right to a piece of work.
     fn play(&mut self, until: Ns) {
-        let (marks, story, broken) = (&self.marks, &mut self.story, &mut self.broken);
+        let (requests, story, broken) = (&self.requests, &mut self.story, &mut self.broken);
         self.net.run(until, |net, moved| {
             if let Some(story) = story {
                 read(net, moved, story);
             }
-            for mark in marks {
-                let may =
-                    |id: &Id| net.part(*id).is_some_and(|part| part.takeover.may(net.own_time(*id), *mark));
-                let holders: Vec<Id> = net.ids().filter(may).collect();
-                if holders.len() > 1 && broken.is_empty() {
-                    broken.push(format!("{holders:?} may all act on mark {mark} at {}", net.now()));
+            for request in requests {
+                let may = |id: &Id| {
+                    net.part(*id).is_some_and(|part| part.takeover.may_send(net.own_time(*id), *request))
+                };
+                let owners: Vec<Id> = net.ids().filter(may).collect();
+                if owners.len() > 1 && broken.is_empty() {
+                    broken.push(format!("{owners:?} may all act on request {request} at {}", net.now()));
                 }
             }
         });
@@ -274,7 +276,7 @@
         if let Some(part) = self.net.part_mut(id) {
             std::mem::take(&mut part.wrote)
                 .into_iter()
-                .for_each(|mark| *self.wrote.entry(mark).or_default() += 1);
+                .for_each(|request| *self.wrote.entry(request).or_default() += 1);
         }
     }
 
@@ -282,7 +284,7 @@
     fn broken(&mut self) -> Vec<String> {
         self.net.ids().for_each(|id| self.note(id));
         let twice = self.wrote.iter().filter(|(_, times)| **times > 1);
-        let twice = twice.map(|(mark, times)| format!("mark {mark} had {times} effects"));
+        let twice = twice.map(|(request, times)| format!("request {request} had {times} effects"));
         let all = self.broken.drain(..).chain(twice);
         all.map(|what| format!("seed {}: {what}", self.seed)).collect()
     }
@@ -293,49 +295,49 @@
 }
 
 /// A record as holder, term, version, firmness and what became of its forwards.
-fn brief(say: &Say) -> (Option<Mark>, String) {
+fn brief(message: &Message) -> (Option<RequestId>, String) {
     let of = |record: &Record| {
-        let went: Vec<Went> = record.past.iter().map(|past| past.went).collect();
-        let firm = if record.firm { "firm" } else { "not firm" };
-        let Record { holder, term, version, done, .. } = record;
-        format!("{} term {term} version {version} {firm} {went:?} {done:?}", holder.name)
+        let states: Vec<AttemptState> = record.attempts.iter().map(|attempt| attempt.state).collect();
+        let firm = if record.confirmed { "firm" } else { "not firm" };
+        let Record { owner, term, version, outcome, .. } = record;
+        format!("{} term {term} version {version} {firm} {states:?} {outcome:?}", owner.name)
     };
-    match say {
-        Say::Keep { record, .. } => (Some(record.mark), format!("keep {}", of(record))),
-        Say::Vote { mark, term, .. } => (Some(*mark), format!("vote for term {term}")),
-        Say::Voted { record, term, epoch, .. } => {
-            (Some(record.mark), format!("voted for term {term}, epoch {epoch}, knows {}", of(record)))
+    match message {
+        Message::Store { record, .. } => (Some(record.request), format!("keep {}", of(record))),
+        Message::RequestVote { request, term, .. } => (Some(*request), format!("vote for term {term}")),
+        Message::VoteGranted { record, term, epoch, .. } => {
+            (Some(record.request), format!("voted for term {term}, epoch {epoch}, knows {}", of(record)))
         }
-        Say::Kept { mark, term, version, epoch, .. } => {
-            (Some(*mark), format!("kept term {term} version {version}, epoch {epoch}"))
-        }
-        Say::Renew { .. } => (None, "renew".to_string()),
-        Say::Renewed { epoch, .. } => (None, format!("renewed, epoch {epoch}")),
-        Say::Held { mark, .. } | Say::Full { mark } | Say::Wait { mark, .. } => {
-            (Some(*mark), format!("{say:?}"))
-        }
-        Say::Done { mark, .. } | Say::Nothing { mark } | Say::Free { mark, .. } => {
-            (Some(*mark), format!("{say:?}"))
+        Message::Stored { request, term, version, epoch, .. } => {
+            (Some(*request), format!("kept term {term} version {version}, epoch {epoch}"))
         }
+        Message::RenewLease { .. } => (None, "renew".to_string()),
+        Message::LeaseRenewed { epoch, .. } => (None, format!("renewed, epoch {epoch}")),
+        Message::Owned { request, .. }
+        | Message::Full { request }
+        | Message::AwaitOutcome { request, .. } => (Some(*request), format!("{message:?}")),
+        Message::Finished { request, .. }
+        | Message::Unknown { request }
+        | Message::Release { request, .. } => (Some(*request), format!("{message:?}")),
     }
 }
 
 /// Takes over what a part and the network wrote down.
-fn read(net: &mut Net<Sidecar>, moved: Id, story: &mut Vec<(Ns, Option<Mark>, String)>) {
+fn read(net: &mut Net<Sidecar>, moved: Id, story: &mut Vec<(Ns, Option<RequestId>, String)>) {
     let now = net.now();
     for passed in net.written.iter_mut().flat_map(|written| written.drain(..)) {
-        let (from, to, say): (Life, Life, Say) = postcard::from_bytes(&passed.bytes).unwrap();
-        let (mark, said) = brief(&say);
+        let (from, to, message): (Life, Life, Message) = postcard::from_bytes(&passed.bytes).unwrap();
+        let (request, said) = brief(&message);
         let way = match passed.fate {
             Fate::Heard | Fate::Waits | Fate::Dropped => "arrives",
             Fate::Cut | Fate::Lost | Fate::Goes(_) => "says",
         };
         let what = format!("{} to {} {way} {:?}: {said}", from.name, to.name, passed.fate);
-        story.push((passed.at, mark, what));
+        story.push((passed.at, request, what));
     }
     let part = net.part_mut(moved).and_then(|part| part.story.as_mut()).map(std::mem::take);
-    for (mark, what) in part.into_iter().flatten() {
-        story.push((now, Some(mark), format!("s-{moved} {what}")));
+    for (request, what) in part.into_iter().flatten() {
+        story.push((now, Some(request), format!("s-{moved} {what}")));
     }
 }
 
@@ -367,11 +369,11 @@
     for n in 0..20 {
         let id = chance.rand_range(0..many as u64) as usize;
         let after = chance.rand_range(0..4 * S);
-        run.hit(id, n as Mark, after);
+        run.hit(id, n as RequestId, after);
         if n % 3 == 0 {
             // The client comes back elsewhere with the same key.
             let other = chance.rand_range(0..many as u64) as usize;
-            run.hit(other, n as Mark, after + chance.rand_range(0..S));
+            run.hit(other, n as RequestId, after + chance.rand_range(0..S));
         }
     }
     let (mut now, mut killed) = (0, 0);
@@ -433,7 +435,7 @@
     began: usize,
     effects: usize,
     broken: Vec<String>,
-    story: Vec<(Ns, Option<Mark>, String)>,
+    story: Vec<(Ns, Option<RequestId>, String)>,
 }
 
 fn number(name: &str) -> Option<u64> {
@@ -446,12 +448,12 @@
 fn all_seeds(kind: Kind) {
     if let Some(seed) = number("HAVENPLANK_SEED") {
         let (played, wanted) = (chaos(seed, kind, true), number("HAVENPLANK_MARK"));
-        for (at, mark, what) in &played.story {
-            if mark.is_none_or(|mark| wanted.is_none_or(|wanted| mark == wanted as Mark)) {
+        for (at, request, what) in &played.story {
+            if request.is_none_or(|request| wanted.is_none_or(|wanted| request == wanted as RequestId)) {
                 println!(
                     "{:>10.3} ms {} {what}",
                     *at as f64 / 1e6,
-                    mark.map_or("-".into(), |m| m.to_string())
+                    request.map_or("-".into(), |m| m.to_string())
                 );
             }
         }
@@ -518,8 +520,8 @@
         run.play(10_800 * MS + seed % 20 * 50 * MS);
         run.net.heal();
         run.net.unpause(3);
-        let open = |record: &Record| record.firm && record.done.is_none();
-        knew += run.net.part(3).unwrap().takeover.keeps(1).is_some_and(open) as usize;
+        let open = |record: &Record| record.confirmed && record.outcome.is_none();
+        knew += run.net.part(3).unwrap().takeover.replica(1).is_some_and(open) as usize;
         run.play(20 * S);
         broken.extend(run.broken());
         for (at, _, what) in run.story.iter().flatten() {
@@ -540,28 +542,28 @@
     let own = |time: Ns, rate: u64| time / 1_000 * rate / 1_000;
     let mut all: Vec<Takeover> =
         lives.iter().map(|me| Takeover::new(0, 1, me.clone(), rules.clone())).collect();
-    all[0].take(0, 1, 5, (vec![1], false), 6 * S, lives[1..].to_vec());
+    all[0].claim(0, 1, 5, (vec![1], false), 6 * S, lives[1..].to_vec());
     // The first forward is known to all at time 0, and nothing is heard after.
     let mut turns = VecDeque::from([0]);
     while let Some(id) = turns.pop_front() {
         while let Some(effect) = all[id].effect() {
             match effect {
-                Effect::Say { to, say } => {
+                Effect::Send { to, message } => {
                     let to = lives.iter().position(|life| *life == to).unwrap();
                     let from = lives[id].clone();
-                    all[to].heard(0, &from, say);
+                    all[to].receive(0, &from, message);
                     turns.push_back(to);
                 }
-                Effect::Taken(mark) => drop(all[id].forward(0, mark, "pod")),
+                Effect::Claimed(request) => drop(all[id].begin_attempt(0, request, "pod")),
                 _ => {}
             }
         }
     }
     let first =
-        (1..4).filter_map(|id| all[id].next_wake()).min().expect("guardians wait for their promise to lapse");
+        (1..4).filter_map(|id| all[id].next_wake()).min().expect("backups wait for their promise to lapse");
     let lapses = first / fast * 1_000_000 + first % fast * 1_000_000 / fast;
-    assert!(all[0].may(own(lapses * 9 / 10, slow), 1), "the holder may act for nine tenths of it");
-    assert!(!all[0].may(own(lapses, slow), 1), "the holder may act as a promise lapses, at {lapses}");
+    assert!(all[0].may_send(own(lapses * 9 / 10, slow), 1), "the owner may act for nine tenths of it");
+    assert!(!all[0].may_send(own(lapses, slow), 1), "the owner may act as a promise lapses, at {lapses}");
 }
 
 /// All that were told of a piece of work are dead, and its client comes back elsewhere: of the new claim's guardians the
@@ -569,11 +571,11 @@
 #[test]
 fn who_took_it_first_remembers_when_all_its_guardians_are_dead() {
     let mut knew = 0;
-    for mark in 0..60 {
-        let mut run = Run::new(8, mark as u64, Weather::default());
-        let told = run.net.part(0).unwrap().guardians(mark, 3);
+    for request in 0..60 {
+        let mut run = Run::new(8, request as u64, Weather::default());
+        let told = run.net.part(0).unwrap().backups(request, 3);
         run.net.part_mut(0).unwrap().never_ran = 0.0;
-        run.hit(0, mark, 0);
+        run.hit(0, request, 0);
         run.play(S);
         let dead: Vec<Id> = told.iter().map(|life| life.name[2..].parse().unwrap()).collect();
         dead.iter().for_each(|id| run.kill(*id));
@@ -583,16 +585,16 @@
         }
         let other = (1..8).find(|id| !dead.contains(id)).unwrap();
         // Where it is not among those asked, nobody asked knows: what docs/takeover-design.md says is left.
-        if !run.net.part(other).unwrap().guardians(mark, 3).contains(&life(0)) {
+        if !run.net.part(other).unwrap().backups(request, 3).contains(&life(0)) {
             continue;
         }
         knew += 1;
-        run.hit(other, mark, 0);
+        run.hit(other, request, 0);
         run.play(3 * S);
         run.effects_once();
-        assert_eq!(run.wrote.get(&mark), Some(&1), "mark {mark}");
+        assert_eq!(run.wrote.get(&request), Some(&1), "request {request}");
     }
-    assert!(knew > 30, "{knew} of 60 marks asked the one that knew");
+    assert!(knew > 30, "{knew} of 60 requests asked the one that knew");
 }
 
 #[test]
@@ -604,21 +606,21 @@
         run.play(150 * MS + seed * 5 * MS);
         run.kill(0);
         let killed = run.net.now();
-        let known: Vec<Mark> = (0..20)
-            .filter(|mark| {
-                let kept = |id: Id| run.net.part(id)?.takeover.keeps(*mark);
+        let known: Vec<RequestId> = (0..20)
+            .filter(|request| {
+                let kept = |id: Id| run.net.part(id)?.takeover.replica(*request);
                 let kept: Vec<&Record> = (1..7).filter_map(kept).collect();
-                kept.len() >= 2 && kept.iter().all(|record| record.firm && record.done.is_none())
+                kept.len() >= 2 && kept.iter().all(|record| record.confirmed && record.outcome.is_none())
             })
             .collect();
         run.play(killed + 5 * S);
-        for mark in &known {
+        for request in &known {
             taken += 1;
             let began = (1..7).find_map(|id| {
                 let part = run.net.part(id).unwrap();
-                part.began.iter().find(|(_, known)| known == mark).copied()
+                part.began.iter().find(|(_, known)| known == request).copied()
             });
-            assert!(began.is_some(), "seed {seed}: nobody finished {mark}");
+            assert!(began.is_some(), "seed {seed}: nobody finished {request}");
             in_time += 1;
         }
         run.effects_once();
@@ -640,7 +642,7 @@
         assert_eq!(run.wrote.get(&1), Some(&1));
         for id in [1, 2] {
             let part = run.net.part(id).unwrap();
-            assert_eq!(part.answers, [(1, Done::Delivered(vec![1]))], "seed {seed}, sidecar {id}");
+            assert_eq!(part.answers, [(1, Outcome::Served(vec![1]))], "seed {seed}, sidecar {id}");
         }
         assert_eq!(run.net.part(3).unwrap().differs, 1);
     }
@@ -662,7 +664,7 @@
         run.effects_once();
         assert_eq!(run.wrote.get(&1), Some(&1), "seed {seed}");
         let last = run.net.part(((seed + 1) % 6) as Id).unwrap();
-        assert_eq!(last.answers.last(), Some(&(1, Done::Delivered(vec![1]))), "seed {seed}");
+        assert_eq!(last.answers.last(), Some(&(1, Outcome::Served(vec![1]))), "seed {seed}");
     }
 }
 
@@ -671,16 +673,16 @@
     let mut run = Run::new(4, 1, Weather::default());
     let at = run.net.own_time(0);
     let first = run.net.part_mut(0).unwrap();
-    for mark in [1, 2] {
-        let guardians = first.guardians(mark, 3);
-        first.takeover.take_behind(at, mark, 5, vec![1], 6 * S, guardians);
-        assert_eq!(first.takeover.forward(at, mark, "pod"), Some(0));
+    for request in [1, 2] {
+        let backups = first.backups(request, 3);
+        first.takeover.claim_in_background(at, request, 5, vec![1], 6 * S, backups);
+        assert_eq!(first.takeover.begin_attempt(at, request, "pod"), Some(0));
     }
-    first.takeover.finish(at + 50 * MS, 1, Done::Delivered(vec![1]));
+    first.takeover.finish(at + 50 * MS, 1, Outcome::Served(vec![1]));
     assert!(first.takeover.effect().is_none() && first.takeover.sizes() == (1, 0, 0));
     run.play(400 * MS);
-    let keeps = |run: &Run, mark| {
-        (1..4).filter(|id| run.net.part(*id).unwrap().takeover.keeps(mark).is_some()).count()
+    let keeps = |run: &Run, request| {
+        (1..4).filter(|id| run.net.part(*id).unwrap().takeover.replica(request).is_some()).count()
     };
     assert_eq!((keeps(&run, 1), keeps(&run, 2)), (0, 3));
 }
@@ -688,43 +690,43 @@
 #[test]
 fn records_stop_at_their_bytes_and_answers_beyond_are_not_kept() {
     let lives: Vec<Life> = (0..2).map(life).collect();
-    let rules = Rules { most_bytes: 1_000, ..Rules::default() };
-    let mut guardian = Takeover::new(0, 1, lives[1].clone(), rules);
-    let record = |mark: Mark, version: u32, done: Option<Done>| Record {
-        mark,
-        holder: lives[0].clone(),
+    let rules = Rules { max_replica_bytes: 1_000, ..Rules::default() };
+    let mut backup = Takeover::new(0, 1, lives[1].clone(), rules);
+    let record = |request: RequestId, version: u32, outcome: Option<Outcome>| Record {
+        request,
+        owner: lives[0].clone(),
         term: 0,
         version,
-        firm: true,
-        guardians: vec![lives[1].clone()],
-        sum: 5,
-        ask: vec![0; 400],
-        left: S,
-        past: Vec::new(),
-        done,
+        confirmed: true,
+        backups: vec![lives[1].clone()],
+        digest: 5,
+        payload: vec![0; 400],
+        remaining: S,
+        attempts: Vec::new(),
+        outcome,
     };
-    let mut say = |record: Record| {
-        guardian.heard(0, &lives[0], Say::Keep { record, stamp: 0 });
-        match guardian.effect() {
-            Some(Effect::Say { say, .. }) => say,
+    let mut reply_to = |record: Record| {
+        backup.receive(0, &lives[0], Message::Store { record, stamp: 0 });
+        match backup.effect() {
+            Some(Effect::Send { message, .. }) => message,
             other => panic!("{other:?}"),
         }
     };
-    for mark in 1..=3 {
+    for request in 1..=3 {
         assert!(
-            matches!(say(record(mark, 1, None)), Say::Kept { .. }),
-            "{mark}: up to the bound and one over it"
+            matches!(reply_to(record(request, 1, None)), Message::Stored { .. }),
+            "{request}: up to the bound and one over it"
         );
     }
-    assert!(matches!(say(record(4, 1, None)), Say::Full { mark: 4 }));
+    assert!(matches!(reply_to(record(4, 1, None)), Message::Full { request: 4 }));
     // Work that it guards already goes on: its end is known, its answer is not.
-    assert!(matches!(say(record(1, 2, Some(Done::Delivered(vec![1; 50])))), Say::Kept { .. }));
-    assert_eq!(guardian.keeps(1).and_then(|kept| kept.done.clone()), Some(Done::Delivered(Vec::new())));
-    guardian.wake(10 * S);
-    assert_eq!(guardian.sizes(), (0, 0, 0));
-    guardian.wake(10 * S);
-    guardian.heard(10 * S, &lives[0], Say::Keep { record: record(4, 1, None), stamp: 0 });
-    assert!(guardian.keeps(4).is_some(), "room again once they are gone");
+    assert!(matches!(reply_to(record(1, 2, Some(Outcome::Served(vec![1; 50])))), Message::Stored { .. }));
+    assert_eq!(backup.replica(1).and_then(|kept| kept.outcome.clone()), Some(Outcome::Served(Vec::new())));
+    backup.wake(10 * S);
+    assert_eq!(backup.sizes(), (0, 0, 0));
+    backup.wake(10 * S);
+    backup.receive(10 * S, &lives[0], Message::Store { record: record(4, 1, None), stamp: 0 });
+    assert!(backup.replica(4).is_some(), "room again once they are gone");
 }
 
 #[test]
