takeover: long functions split into named steps, twofold logic said once

Cause: claim, on_store, on_owned, on_request_vote, receive and wake ran to 40 to 80 lines, and a refusal, a wait and the check for an allowed retry stood in two or three places each. Change: steps with names (yield_to_record, accept_record, update_replica, report_outcome, yield_to_candidate, vote_for, reject_claim, hold_elections, drop_expired, prune_leases); refusal, claim_effect, await_outcome and Record::reopens_for stand once.

--- a/crates/takeover/src/record.rs
+++ b/crates/takeover/src/record.rs
@@ -93,6 +93,11 @@
         self.payload.len() + answer
     }
 
+    /// Whether a claim of the same request may begin anew, as the client was told that it may retry.
+    pub fn reopens_for(&self, digest: u64) -> bool {
+        self.digest == digest && self.outcome.as_ref().is_some_and(Outcome::reopens)
+    }
+
     /// The number of backups that is more than half of them.
     pub fn majority(&self) -> usize {
         self.backups.len() / 2 + 1
--- a/crates/takeover/src/takeover.rs
+++ b/crates/takeover/src/takeover.rs
@@ -155,12 +155,7 @@
                 self.on_owned(now, from, request, term, &by, differs)
             }
             Message::Full { request } => self.on_full(now, from, request),
-            Message::RenewLease { stamp } => {
-                if self.replicas.values().any(|replica| replica.owner == *from) {
-                    let epoch = self.grant_lease(now, from);
-                    self.send(from, Message::LeaseRenewed { stamp, epoch });
-                }
-            }
+            Message::RenewLease { stamp } => self.on_renew_lease(now, from, stamp),
             Message::LeaseRenewed { stamp, epoch } => self.extend_lease(now, from, stamp, epoch),
             Message::RequestVote { request, term, stamp } => {
                 self.on_request_vote(now, from, request, term, stamp)
@@ -171,14 +166,8 @@
             Message::AwaitOutcome { request, digest } => self.on_await_outcome(from, request, digest),
             Message::Finished { request, term, outcome } => self.on_finished(now, request, term, outcome),
             Message::Unknown { request } => self.on_unknown(from, request),
-            Message::Release { request, term } => {
-                self.replicas.retain(|known, replica| {
-                    *known != request
-                        || replica.owner != *from
-                        || replica.term != term
-                        || !replica.record.attempts.is_empty()
-                });
-            }
+            Message::Release { request, term } => self.on_release(from, request, term),
+            // Only an owner sends its record.
             Message::Store { .. } => {}
         }
     }
@@ -187,37 +176,23 @@
     pub fn wake(&mut self, now: Ns) {
         self.renew_leases(now);
         self.replica_bytes = self.replicas.values().map(|replica| replica.record.weight()).sum();
-        let due = |at: Ns| at <= now;
-        let owned: Vec<RequestId> =
-            self.owned.iter().filter(|(_, owned)| due(owned.retry_at)).map(|(request, _)| *request).collect();
-        for request in owned {
-            self.retry(now, request);
-        }
-        let waiting: Vec<RequestId> =
-            self.waiting.iter().filter(|(_, w)| due(w.retry_at)).map(|(request, _)| *request).collect();
-        for request in waiting {
-            self.ask_again(now, request);
-        }
-        self.waiting.retain(|_, waiting| now < waiting.forget);
-        let over: Vec<RequestId> =
-            self.replicas.iter().filter(|(_, replica)| now >= replica.forget).map(|(m, _)| *m).collect();
-        over.into_iter().for_each(|request| self.drop_replica(request));
-        let replica: Vec<RequestId> = self
-            .replicas
-            .iter()
-            .filter(|(_, replica)| due(self.election_due(replica)))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in replica {
-            self.request_votes(now, request);
-        }
-        let (replica, owned) = (&self.replicas, &self.owned);
-        self.granted
-            .retain(|owner, until| now < *until || replica.values().any(|replica| replica.owner == *owner));
+        self.retry_owned(now);
+        self.retry_waiting(now);
+        self.drop_expired(now);
+        self.hold_elections(now);
+        self.prune_leases(now);
+    }
+
+    /// Forgets leases, granted or held, that no record or request needs any more.
+    fn prune_leases(&mut self, now: Ns) {
+        let (replicas, owned) = (&self.replicas, &self.owned);
+        let is_owner = |owner: &Life| replicas.values().any(|replica| replica.owner == *owner);
+        self.granted.retain(|owner, until| now < *until || is_owner(owner));
         self.epochs.retain(|owner, _| self.granted.contains_key(owner));
-        let guards =
-            |name: &String| owned.values().any(|h| h.record.backups.iter().any(|life| life.name == *name));
-        self.leases.retain(|name, _| guards(name));
+        let backs_up = |name: &String, owned: &OwnedRequest| {
+            owned.record.backups.iter().any(|backup| backup.name == *name)
+        };
+        self.leases.retain(|name, _| owned.values().any(|owned| backs_up(name, owned)));
     }
 
     fn send(&mut self, to: &Life, message: Message) {
--- a/crates/takeover/src/takeover/backup.rs
+++ b/crates/takeover/src/takeover/backup.rs
@@ -34,83 +34,114 @@
         *self.epochs.entry(owner.clone()).or_insert(self.withdrawals)
     }
 
-    /// Stores an owner's newest record.
+    /// Stores an owner's newest record, unless something that is known here stands against it.
     pub(super) fn on_store(&mut self, now: Ns, from: &Life, mut record: Record, stamp: Ns) {
         let (request, term, version) = (record.request, record.term, record.version);
         if let Some(Outcome::Served(answer)) = record.outcome.as_mut().filter(|_| self.is_full()) {
             answer.clear();
         }
-        if let Some(owned) = self.owned.get(&request) {
-            let (by, own) = (owned.record.owner.clone(), owned.record.term);
-            let (differs, outcome) = (owned.record.digest != record.digest, owned.record.outcome.clone());
-            if term <= own {
-                return match outcome.filter(|_| !differs) {
-                    Some(outcome) => self.send(from, Message::Finished { request, term: own, outcome }),
-                    None => self.send(from, Message::Owned { request, term: own, by, differs }),
-                };
-            }
-            // A later term was agreed on without this sidecar or follows its rejection: its own term is over.
-            match outcome {
-                Some(_) => drop(self.retire(now, request)),
-                None => self.lose(now, request),
-            }
-        }
-        let forget = now.saturating_add(record.remaining).saturating_add(self.rules.retention);
-        let full = self.is_full();
-        match self.replicas.get_mut(&request) {
-            Some(Replica { record: Record { outcome: Some(outcome), digest, .. }, term: own, .. })
-                if record.outcome.is_none()
-                    && record.digest == *digest
-                    && !(outcome.reopens() && !record.confirmed && term > *own) =>
-            {
-                // A retry reached a backup that knows the outcome, or a takeover crossed the outcome.
-                let (outcome, term) = (outcome.clone(), *own);
-                return self.send(from, Message::Finished { request, term, outcome });
-            }
-            Some(replica) if term > replica.term || (term == replica.term && replica.owner == *from) => {
-                let old = std::mem::replace(&mut replica.owner, from.clone());
-                replica.term = term;
-                if !replica.record.confirmed {
-                    replica.try_at = now + self.rules.lease;
-                }
-                let newer = (term, version) > (replica.record.term, replica.record.version);
-                if newer {
-                    self.replica_bytes += record.weight();
-                    (replica.record, replica.as_of, replica.forget) = (record, now, forget);
-                }
-                if old != *from {
-                    self.withdraw_from(&old);
-                }
-            }
-            Some(replica) => {
-                let (own, by) = (replica.term, replica.owner.clone());
-                let (differs, outcome) =
-                    (replica.record.digest != record.digest, replica.record.outcome.clone());
-                return match outcome.filter(|_| !differs) {
-                    Some(outcome) => self.send(from, Message::Finished { request, term: own, outcome }),
-                    None => self.send(from, Message::Owned { request, term: own, by, differs }),
-                };
-            }
-            None if full => {
-                self.rejected_records += 1;
-                return self.send(from, Message::Full { request });
-            }
-            None => {
-                self.insert_replica(now, record, term, from.clone());
-            }
+        if !self.yield_to_record(now, from, &record) || !self.accept_record(now, from, record) {
+            return;
         }
         let epoch = self.grant_lease(now, from);
         self.send(from, Message::Stored { request, term, version, stamp, epoch });
-        if let Some(replica) =
-            self.replicas.get_mut(&request).filter(|replica| replica.record.outcome.is_some())
-        {
-            let (waiters, outcome) = (std::mem::take(&mut replica.waiters), replica.record.outcome.clone());
-            for waiter in waiters {
-                let outcome = outcome.clone().unwrap_or(Outcome::Failed { retryable: false });
-                self.send(&waiter, Message::Finished { request, term, outcome });
+        self.report_outcome(request, term);
+    }
+
+    /// Gives up a request that is owned here to a record of a later term. Refuses any other record and returns false.
+    fn yield_to_record(&mut self, now: Ns, from: &Life, record: &Record) -> bool {
+        let Some(owned) = self.owned.get(&record.request) else { return true };
+        if record.term <= owned.record.term {
+            let refusal = refusal(&owned.record, owned.record.term, &owned.record.owner, record.digest);
+            self.send(from, refusal);
+            return false;
+        }
+        // A later term was agreed on without this sidecar or follows its rejection: its own term is over.
+        match owned.record.outcome {
+            Some(_) => drop(self.retire(now, record.request)),
+            None => self.lose(now, record.request),
+        }
+        true
+    }
+
+    /// Keeps a record. Refuses one of an earlier term or of a finished request, and one without room for it, and
+    /// returns false.
+    fn accept_record(&mut self, now: Ns, from: &Life, record: Record) -> bool {
+        let request = record.request;
+        let Some(replica) = self.replicas.get(&request) else {
+            if self.is_full() {
+                self.rejected_records += 1;
+                self.send(from, Message::Full { request });
+                return false;
             }
-            self.finish_waiting(request, outcome);
+            let term = record.term;
+            self.insert_replica(now, record, term, from.clone());
+            return true;
+        };
+        if replica.is_finished_for(&record) || !replica.follows(from, record.term) {
+            let refusal = refusal(&replica.record, replica.term, &replica.owner, record.digest);
+            self.send(from, refusal);
+            return false;
         }
+        self.update_replica(now, from, record);
+        true
+    }
+
+    /// Follows an owner in its term, and replaces the record if the owner's is newer.
+    fn update_replica(&mut self, now: Ns, from: &Life, record: Record) {
+        let forget = now.saturating_add(record.remaining).saturating_add(self.rules.retention);
+        let Some(replica) = self.replicas.get_mut(&record.request) else { return };
+        let previous = std::mem::replace(&mut replica.owner, from.clone());
+        replica.term = record.term;
+        if !replica.record.confirmed {
+            replica.try_at = now + self.rules.lease;
+        }
+        if (record.term, record.version) > (replica.record.term, replica.record.version) {
+            self.replica_bytes += record.weight();
+            (replica.record, replica.as_of, replica.forget) = (record, now, forget);
+        }
+        if previous != *from {
+            self.withdraw_from(&previous);
+        }
+    }
+
+    /// Tells those that wait for the outcome of a record, if it has one.
+    fn report_outcome(&mut self, request: RequestId, term: u32) {
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        let Some(outcome) = replica.record.outcome.clone() else { return };
+        for waiter in std::mem::take(&mut replica.waiters) {
+            self.send(&waiter, Message::Finished { request, term, outcome: outcome.clone() });
+        }
+        self.finish_waiting(request, outcome);
+    }
+
+    /// Renews the lease of an owner for which records are kept.
+    pub(super) fn on_renew_lease(&mut self, now: Ns, from: &Life, stamp: Ns) {
+        if self.replicas.values().any(|replica| replica.owner == *from) {
+            let epoch = self.grant_lease(now, from);
+            self.send(from, Message::LeaseRenewed { stamp, epoch });
+        }
+    }
+
+    /// Drops the record of a claim that was given up before any attempt.
+    pub(super) fn on_release(&mut self, from: &Life, request: RequestId, term: u32) {
+        let is_released = |replica: &Replica| {
+            replica.owner == *from && replica.term == term && replica.record.attempts.is_empty()
+        };
+        if self.replicas.get(&request).is_some_and(is_released) {
+            self.replicas.remove(&request);
+        }
+    }
+
+    /// Drops the records whose retention is over.
+    pub(super) fn drop_expired(&mut self, now: Ns) {
+        let expired: Vec<RequestId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| now >= replica.forget)
+            .map(|(request, _)| *request)
+            .collect();
+        expired.into_iter().for_each(|request| self.drop_replica(request));
     }
 
     fn is_full(&self) -> bool {
@@ -143,3 +174,28 @@
         self.granted.entry(owner.clone()).or_default();
     }
 }
+
+impl Replica {
+    /// Whether the outcome known here ends the request that this record still shows as open: a retry that reached a
+    /// backup, or a takeover that crossed the outcome. A new claim in a later term may follow an allowed retry.
+    fn is_finished_for(&self, record: &Record) -> bool {
+        let is_retry = self.record.reopens_for(record.digest) && !record.confirmed && record.term > self.term;
+        let same_request = self.record.digest == record.digest;
+        self.record.outcome.is_some() && record.outcome.is_none() && same_request && !is_retry
+    }
+
+    /// Whether an owner in this term is the one to follow.
+    fn follows(&self, owner: &Life, term: u32) -> bool {
+        term > self.term || (term == self.term && self.owner == *owner)
+    }
+}
+
+/// The refusal of another owner's record: the outcome, if it is known and the request is the same, else the owner.
+pub(super) fn refusal(record: &Record, term: u32, owner: &Life, digest: u64) -> Message {
+    let request = record.request;
+    let differs = record.digest != digest;
+    match record.outcome.clone().filter(|_| !differs) {
+        Some(outcome) => Message::Finished { request, term, outcome },
+        None => Message::Owned { request, term, by: owner.clone(), differs },
+    }
+}
--- a/crates/takeover/src/takeover/claim.rs
+++ b/crates/takeover/src/takeover/claim.rs
@@ -1,7 +1,6 @@
 //! Claims of requests that arrived here. A claim ends in one of three ways: this sidecar owns the request, it joins
 //! another owner's, or the request is served without backups.
 
-use super::backup::Replica;
 use super::owner::OwnedRequest;
 use super::{Effect, Takeover};
 use crate::record::{Message, Record, RequestId};
@@ -26,40 +25,29 @@
         backups: Vec<Life>,
     ) {
         if let Some(owned) = self.owned.get(&request) {
-            let (differs, outcome) = (owned.record.digest != digest, owned.record.outcome.clone());
-            match outcome {
-                Some(outcome) if outcome.reopens() && !differs => {
-                    self.retire(now, request);
-                }
-                outcome => {
-                    return self.effects.push_back(match outcome {
-                        _ if differs => Effect::KeyReused(request),
-                        Some(outcome) => Effect::Finished(request, outcome),
-                        None => Effect::Joined(request),
-                    })
-                }
+            if !owned.record.reopens_for(digest) {
+                let effect = claim_effect(&owned.record, digest);
+                return self.effects.push_back(effect);
             }
+            self.retire(now, request);
         }
-        let reopens = |replica: &&Replica| {
-            replica.record.digest == digest
-                && replica.record.outcome.as_ref().is_some_and(|outcome| outcome.reopens())
-        };
-        // A retry that the client was allowed starts anew, in a later term than any record of the first try.
-        let term = self.replicas.get(&request).filter(reopens).map(|replica| replica.term.saturating_add(1));
-        if let Some(replica) = self.replicas.get(&request).filter(|_| term.is_none()) {
-            if replica.record.digest != digest {
-                return self.effects.push_back(Effect::KeyReused(request));
-            }
-            if let Some(outcome) = replica.record.outcome.clone() {
-                return self.effects.push_back(Effect::Finished(request, outcome));
+        let term = match self.replicas.get(&request) {
+            None => 0,
+            // A retry that the client was allowed starts anew, in a later term than any record of the first try.
+            Some(replica) if replica.record.reopens_for(digest) => replica.term.saturating_add(1),
+            Some(replica) => {
+                let effect = claim_effect(&replica.record, digest);
+                let backups = replica.record.backups.clone();
+                return match effect {
+                    Effect::Joined(_) => self.join(now, request, digest, remaining, backups),
+                    effect => self.effects.push_back(effect),
+                };
             }
-            let backups = replica.record.backups.clone();
-            return self.join(now, request, digest, remaining, backups);
-        }
+        };
         if backups.is_empty() || self.owned.len() >= self.rules.max_owned {
             return self.claim_failed(request, exactly_once);
         }
-        let record = self.new_record(request, term.unwrap_or(0), digest, payload, remaining, backups);
+        let record = self.new_record(request, term, digest, payload, remaining, backups);
         let claim_until = Some(now + self.rules.lease.min(remaining / 2));
         self.own(now, record, claim_until, now);
         if let Some(owned) = self.owned.get_mut(&request) {
@@ -186,24 +174,25 @@
         }
         owned.acks.remove(&from.name);
         owned.refused.insert(from.name.clone());
-        if owned.claim_until.is_none() {
-            // A single candidate may have failed to win its election; a majority of reports means that it won.
-            if owned.refused.len() >= owned.record.majority() {
-                self.lose(now, request);
-            }
-            return;
-        }
-        if differs {
-            let (term, backups) = (owned.record.term, owned.record.backups.clone());
-            self.owned.remove(&request);
-            backups.iter().for_each(|backup| self.send(backup, Message::Release { request, term }));
-            return self.effects.push_back(Effect::KeyReused(request));
-        }
-        if owned.exactly_once || owned.refused.len() >= owned.record.majority() {
-            self.give_up(now, request);
+        // A single candidate may have failed to win its election; a majority of reports means that it won.
+        let outvoted = owned.refused.len() >= owned.record.majority();
+        let yields = owned.exactly_once || outvoted;
+        match owned.claim_until.is_some() {
+            true if differs => self.reject_claim(request),
+            true if yields => self.give_up(now, request),
+            false if outvoted => self.lose(now, request),
+            _ => {}
         }
     }
 
+    /// Ends a claim whose idempotency key belongs to a different request.
+    fn reject_claim(&mut self, request: RequestId) {
+        let Some(owned) = self.owned.remove(&request) else { return };
+        let Record { term, backups, .. } = owned.record;
+        backups.iter().for_each(|backup| self.send(backup, Message::Release { request, term }));
+        self.effects.push_back(Effect::KeyReused(request));
+    }
+
     /// A backup has no room for the record of a claim.
     pub(super) fn on_full(&mut self, now: Ns, from: &Life, request: RequestId) {
         let Some(owned) = self.owned.get_mut(&request).filter(|owned| owned.claim_until.is_some()) else {
@@ -214,3 +203,14 @@
         self.advance(now, request);
     }
 }
+
+/// What a claim is told of a request that is known here already.
+fn claim_effect(record: &Record, digest: u64) -> Effect {
+    if record.digest != digest {
+        return Effect::KeyReused(record.request);
+    }
+    match record.outcome.clone() {
+        Some(outcome) => Effect::Finished(record.request, outcome),
+        None => Effect::Joined(record.request),
+    }
+}
--- a/crates/takeover/src/takeover/election.rs
+++ b/crates/takeover/src/takeover/election.rs
@@ -1,6 +1,6 @@
 //! Elections of a new owner once a granted lease has expired: candidacy, votes and their count.
 
-use super::backup::Replica;
+use super::backup::{refusal, Replica};
 use super::{Effect, Takeover};
 use crate::record::{AttemptState, Message, Record, RequestId};
 use crate::Ns;
@@ -22,8 +22,19 @@
         }
     }
 
+    /// Stands as a candidate for each request whose owner's lease has expired.
+    pub(super) fn hold_elections(&mut self, now: Ns) {
+        let due: Vec<RequestId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| self.election_due(replica) <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        due.into_iter().for_each(|request| self.request_votes(now, request));
+    }
+
     /// Asks the other backups for their votes, after one random delay.
-    pub(super) fn request_votes(&mut self, now: Ns, request: RequestId) {
+    fn request_votes(&mut self, now: Ns, request: RequestId) {
         let pause = self.random.rand_range(self.rules.lease / 4..self.rules.lease + 1);
         if self.replicas.get(&request).is_some_and(|replica| !replica.record.confirmed) {
             // No attempt of it had to be known here, and another claim may follow.
@@ -63,35 +74,44 @@
         if !known.is_some_and(backs_up) {
             return;
         }
-        if let Some(owned) = self.owned.get(&request) {
-            let (own, by) = (owned.record.term, owned.record.owner.clone());
-            if term <= own || owned.record.outcome.is_some() {
-                let message = match owned.record.outcome.clone() {
-                    Some(outcome) => Message::Finished { request, term: own, outcome },
-                    None => Message::Owned { request, term: own, by, differs: false },
-                };
-                return self.send(from, message);
-            }
-            if self.may_send(now, request) {
-                return;
-            }
-            // This sidecar owned it once and can no longer act.
-            self.retire(now, request);
-            self.effects.push_back(Effect::Lost(request));
+        if self.yield_to_candidate(now, from, request, term) {
+            self.vote_for(now, from, request, term, stamp);
+        }
+    }
+
+    /// Gives up a request that is owned here, if its lease has expired and the candidate's term is later.
+    fn yield_to_candidate(&mut self, now: Ns, from: &Life, request: RequestId, term: u32) -> bool {
+        let Some(owned) = self.owned.get(&request) else { return true };
+        let record = &owned.record;
+        if term <= record.term || record.outcome.is_some() {
+            let refusal = refusal(record, record.term, &record.owner, record.digest);
+            self.send(from, refusal);
+            return false;
+        }
+        if self.may_send(now, request) {
+            return false;
         }
+        // This sidecar owned it once and can no longer act.
+        self.retire(now, request);
+        self.effects.push_back(Effect::Lost(request));
+        true
+    }
+
+    /// Votes for a candidate of a later term, unless the owner's lease still stands.
+    fn vote_for(&mut self, now: Ns, from: &Life, request: RequestId, term: u32, stamp: Ns) {
         let Some(replica) = self.replicas.get_mut(&request) else { return };
         if let Some(outcome) = replica.record.outcome.clone() {
             let term = replica.term;
             return self.send(from, Message::Finished { request, term, outcome });
         }
-        let promised = self.granted.get(&replica.owner).is_some_and(|until| now < *until);
-        if term <= replica.term || (promised && replica.owner != *from) {
+        let is_granted = self.granted.get(&replica.owner).is_some_and(|until| now < *until);
+        if term <= replica.term || (is_granted && replica.owner != *from) {
             return;
         }
-        let old = replica.owner.clone();
-        (replica.term, replica.owner, replica.votes) = (term, from.clone(), None);
+        let previous = std::mem::replace(&mut replica.owner, from.clone());
+        (replica.term, replica.votes) = (term, None);
         let record = replica.record.later(now - replica.as_of);
-        self.withdraw_from(&old);
+        self.withdraw_from(&previous);
         let epoch = self.grant_lease(now, from);
         self.send(from, Message::VoteGranted { record, term, stamp, epoch });
     }
--- a/crates/takeover/src/takeover/owner.rs
+++ b/crates/takeover/src/takeover/owner.rs
@@ -1,6 +1,5 @@
 //! The owner's side: requests in flight here, the leases that allow acting on them, and their replication.
 
-use super::waiter::Waiting;
 use super::{Effect, Takeover};
 use crate::record::{Attempt, AttemptState, Message, Outcome, Record, RequestId};
 use crate::Ns;
@@ -182,8 +181,19 @@
         }
     }
 
+    /// Retries each request that is due.
+    pub(super) fn retry_owned(&mut self, now: Ns) {
+        let due: Vec<RequestId> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| owned.retry_at <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        due.into_iter().for_each(|request| self.retry(now, request));
+    }
+
     /// Sends an unacknowledged record again, or ends a claim that took too long.
-    pub(super) fn retry(&mut self, now: Ns, request: RequestId) {
+    fn retry(&mut self, now: Ns, request: RequestId) {
         let Some(owned) = self.owned.get_mut(&request) else { return };
         owned.retries += 1;
         let over =
@@ -265,17 +275,7 @@
         let Some(record) = self.retire(now, request) else { return };
         self.effects.push_back(Effect::Lost(request));
         let Record { digest, backups, remaining, .. } = record;
-        let (unknown_at, last_known, retry_at) = (BTreeSet::new(), now, now);
-        let waiting = Waiting {
-            digest,
-            backups,
-            unknown_at,
-            last_known,
-            retry_at,
-            forget: now.saturating_add(remaining),
-        };
-        self.waiting.insert(request, waiting);
-        self.ask_again(now, request);
+        self.await_outcome(now, request, digest, remaining, backups);
     }
 }
 
--- a/crates/takeover/src/takeover/waiter.rs
+++ b/crates/takeover/src/takeover/waiter.rs
@@ -22,7 +22,7 @@
 }
 
 impl Takeover {
-    /// Waits for the outcome of a request that another sidecar owns.
+    /// Joins a request that another sidecar owns.
     pub(super) fn join(
         &mut self,
         now: Ns,
@@ -31,22 +31,45 @@
         remaining: Ns,
         backups: Vec<Life>,
     ) {
-        let (unknown_at, last_known, retry_at) = (BTreeSet::new(), now, now);
+        self.effects.push_back(Effect::Joined(request));
+        self.await_outcome(now, request, digest, remaining, backups);
+    }
+
+    /// Waits for the outcome until the client's deadline.
+    pub(super) fn await_outcome(
+        &mut self,
+        now: Ns,
+        request: RequestId,
+        digest: u64,
+        remaining: Ns,
+        backups: Vec<Life>,
+    ) {
         let waiting = Waiting {
             digest,
             backups,
-            unknown_at,
-            last_known,
-            retry_at,
+            unknown_at: BTreeSet::new(),
+            last_known: now,
+            retry_at: now,
             forget: now.saturating_add(remaining),
         };
         self.waiting.insert(request, waiting);
-        self.effects.push_back(Effect::Joined(request));
         self.ask_again(now, request);
     }
 
+    /// Asks again for each outcome that is due, and forgets the requests whose clients wait no longer.
+    pub(super) fn retry_waiting(&mut self, now: Ns) {
+        let due: Vec<RequestId> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.retry_at <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        due.into_iter().for_each(|request| self.ask_again(now, request));
+        self.waiting.retain(|_, waiting| now < waiting.forget);
+    }
+
     /// Asks the backups for the outcome, or gives up when none of them has known the request for a lease.
-    pub(super) fn ask_again(&mut self, now: Ns, request: RequestId) {
+    fn ask_again(&mut self, now: Ns, request: RequestId) {
         let retry_at = now + self.rules.lease / 3;
         let Some(waiting) = self.waiting.get_mut(&request) else { return };
         if now > waiting.last_known + self.rules.lease {
@@ -118,13 +141,12 @@
             }
             return self.effects.push_back(Effect::Finished(request, outcome));
         }
-        self.finish_waiting(request, Some(outcome));
+        self.finish_waiting(request, outcome);
     }
 
     /// Passes the outcome to clients that wait for it here.
-    pub(super) fn finish_waiting(&mut self, request: RequestId, outcome: Option<Outcome>) {
-        if let Some(outcome) = outcome.filter(|_| self.waiting.contains_key(&request)) {
-            self.waiting.remove(&request);
+    pub(super) fn finish_waiting(&mut self, request: RequestId, outcome: Outcome) {
+        if self.waiting.remove(&request).is_some() {
             self.effects.push_back(Effect::Finished(request, outcome));
         }
     }
