--- /dev/null
+++ b/crates/takeover/src/takeover/election.rs
@@ -0,0 +1,171 @@
+//! Elections of a new owner once a granted lease has expired: candidacy, votes and their count.
+
+use super::backup::{refusal, Replica};
+use super::{Effect, Takeover};
+use crate::record::{AttemptState, Message, Record, RequestId};
+use crate::Ns;
+use havenplank_fellows::wire::Life;
+use std::collections::BTreeMap;
+
+impl Takeover {
+    /// When this backup may next stand as a candidate for a request.
+    pub(super) fn election_due(&self, replica: &Replica) -> Ns {
+        if replica.record.outcome.is_some() || !replica.record.backups.contains(&self.me) {
+            return Ns::MAX;
+        }
+        // An unconfirmed claim may have been given up by an owner that lives and renews its lease for other requests.
+        let promised = self.granted.get(&replica.owner).copied().unwrap_or(0);
+        if replica.record.confirmed {
+            replica.try_at.max(promised)
+        } else {
+            replica.try_at
+        }
+    }
+
+    /// Stands as a candidate for each request whose owner's lease has expired.
+    pub(super) fn hold_elections(&mut self, now: Ns) {
+        let due: Vec<RequestId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| self.election_due(replica) <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        due.into_iter().for_each(|request| self.request_votes(now, request));
+    }
+
+    /// Asks the other backups for their votes, after one random delay.
+    fn request_votes(&mut self, now: Ns, request: RequestId) {
+        let pause = self.random.rand_range(self.rules.lease / 4..self.rules.lease + 1);
+        if self.replicas.get(&request).is_some_and(|replica| !replica.record.confirmed) {
+            // No attempt of it had to be known here, and another claim may follow.
+            return self.drop_replica(request);
+        }
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        replica.try_at = now + pause;
+        // The first round only draws a random delay: all leases expire at once, and two simultaneous candidates both lose.
+        if replica.votes.is_none() {
+            replica.votes = Some((replica.term, BTreeMap::new()));
+            let jitter = self.random.rand_range(0..self.rules.lease / 4 + 1);
+            if let Some(replica) = self.replicas.get_mut(&request) {
+                replica.try_at = now + jitter;
+            }
+            return;
+        }
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        let (term, old) = (replica.term.saturating_add(1), replica.owner.clone());
+        (replica.term, replica.owner) = (term, self.me.clone());
+        let record = replica.record.later(now - replica.as_of);
+        replica.votes = Some((term, BTreeMap::from([(self.me.name.clone(), record.clone())])));
+        let others: Vec<Life> = record.backups.iter().filter(|life| **life != self.me).cloned().collect();
+        self.withdraw_from(&old);
+        for other in others {
+            self.send(&other, Message::RequestVote { request, term, stamp: now });
+        }
+        self.count_votes(now, request);
+    }
+
+    /// Another backup asks for a vote.
+    pub(super) fn on_request_vote(&mut self, now: Ns, from: &Life, request: RequestId, term: u32, stamp: Ns) {
+        let backs_up = |record: &Record| record.backups.contains(from) && record.backups.contains(&self.me);
+        let known = self.owned.get(&request).map(|owned| &owned.record);
+        let known = known.or(self.replicas.get(&request).map(|replica| &replica.record));
+        // An unknown request may have been known and forgotten. If such backups voted, a majority could form that does
+        // not know the last attempt.
+        if !known.is_some_and(backs_up) {
+            return;
+        }
+        if self.yield_to_candidate(now, from, request, term) {
+            self.vote_for(now, from, request, term, stamp);
+        }
+    }
+
+    /// Gives up a request that is owned here, if its lease has expired and the candidate's term is later.
+    fn yield_to_candidate(&mut self, now: Ns, from: &Life, request: RequestId, term: u32) -> bool {
+        let Some(owned) = self.owned.get(&request) else { return true };
+        let record = &owned.record;
+        if term <= record.term || record.outcome.is_some() {
+            let refusal = refusal(record, record.term, &record.owner, record.digest);
+            self.send(from, refusal);
+            return false;
+        }
+        if self.may_send(now, request) {
+            return false;
+        }
+        // This sidecar owned it once and can no longer act.
+        self.retire(now, request);
+        self.effects.push_back(Effect::Lost(request));
+        true
+    }
+
+    /// Votes for a candidate of a later term, unless the owner's lease still stands.
+    fn vote_for(&mut self, now: Ns, from: &Life, request: RequestId, term: u32, stamp: Ns) {
+        let Some(replica) = self.replicas.get_mut(&request) else { return };
+        if let Some(outcome) = replica.record.outcome.clone() {
+            let term = replica.term;
+            return self.send(from, Message::Finished { request, term, outcome });
+        }
+        let is_granted = self.granted.get(&replica.owner).is_some_and(|until| now < *until);
+        if term <= replica.term || (is_granted && replica.owner != *from) {
+            return;
+        }
+        let previous = std::mem::replace(&mut replica.owner, from.clone());
+        (replica.term, replica.votes) = (term, None);
+        let record = replica.record.later(now - replica.as_of);
+        self.withdraw_from(&previous);
+        let epoch = self.grant_lease(now, from);
+        self.send(from, Message::VoteGranted { record, term, stamp, epoch });
+    }
+
+    /// Another backup votes for this candidate.
+    pub(super) fn on_vote_granted(
+        &mut self,
+        now: Ns,
+        from: &Life,
+        record: Record,
+        term: u32,
+        (stamp, epoch): (Ns, u32),
+    ) {
+        let request = record.request;
+        let Some(replica) = self
+            .replicas
+            .get_mut(&request)
+            .filter(|replica| replica.term == term && replica.owner == self.me)
+        else {
+            return;
+        };
+        if !replica.record.backups.contains(from) {
+            return;
+        }
+        if let Some((_, votes)) = replica.votes.as_mut().filter(|(own, _)| *own == term) {
+            votes.insert(from.name.clone(), record);
+        }
+        self.extend_lease(now, from, stamp, epoch);
+        self.count_votes(now, request);
+    }
+
+    /// Takes the request over once a majority has voted for this candidate.
+    fn count_votes(&mut self, now: Ns, request: RequestId) {
+        let Some(replica) = self.replicas.get(&request) else { return };
+        let Some((term, votes)) = replica.votes.as_ref() else { return };
+        if votes.len() < replica.record.majority() {
+            return;
+        }
+        let newest = votes.values().max_by_key(|record| (record.term, record.version));
+        let Some(mut record) = newest.cloned() else { return };
+        let term = *term;
+        self.replicas.remove(&request);
+        (record.term, record.version, record.owner) =
+            (term, record.version.saturating_add(1), self.me.clone());
+        // An attempt that was in flight when the owner was lost may have run.
+        for attempt in &mut record.attempts {
+            if attempt.state == AttemptState::InFlight {
+                attempt.state = AttemptState::MayHaveRun;
+            }
+        }
+        self.taken_over += 1;
+        self.waiting.remove(&request);
+        self.effects.push_back(Effect::TakenOver(record.clone()));
+        // Sidecars that wait for the outcome here ask again by themselves.
+        self.own(now, record, None, now);
+    }
+}
--- /dev/null
+++ b/crates/takeover/src/takeover/waiter.rs
@@ -0,0 +1,163 @@
+//! Clients that retried: waiting for the outcome of a request that another sidecar owns, and telling those that wait.
+
+use super::{Effect, Takeover};
+use crate::record::{Message, Outcome, RequestId};
+use crate::Ns;
+use havenplank_fellows::wire::Life;
+use std::collections::BTreeSet;
+
+/// Sidecars that one backup tells of an outcome, at most; a further one has to ask again.
+const MAX_WAITERS: usize = 8;
+
+/// A request whose outcome is awaited here.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Waiting {
+    pub(super) digest: u64,
+    pub(super) backups: Vec<Life>,
+    pub(super) unknown_at: BTreeSet<String>,
+    /// When a backup last reported it as in flight.
+    pub(super) last_known: Ns,
+    pub(super) retry_at: Ns,
+    pub(super) forget: Ns,
+}
+
+impl Takeover {
+    /// Joins a request that another sidecar owns.
+    pub(super) fn join(
+        &mut self,
+        now: Ns,
+        request: RequestId,
+        digest: u64,
+        remaining: Ns,
+        backups: Vec<Life>,
+    ) {
+        self.effects.push_back(Effect::Joined(request));
+        self.await_outcome(now, request, digest, remaining, backups);
+    }
+
+    /// Waits for the outcome until the client's deadline.
+    pub(super) fn await_outcome(
+        &mut self,
+        now: Ns,
+        request: RequestId,
+        digest: u64,
+        remaining: Ns,
+        backups: Vec<Life>,
+    ) {
+        let waiting = Waiting {
+            digest,
+            backups,
+            unknown_at: BTreeSet::new(),
+            last_known: now,
+            retry_at: now,
+            forget: now.saturating_add(remaining),
+        };
+        self.waiting.insert(request, waiting);
+        self.ask_again(now, request);
+    }
+
+    /// Asks again for each outcome that is due, and forgets the requests whose clients wait no longer.
+    pub(super) fn retry_waiting(&mut self, now: Ns) {
+        let due: Vec<RequestId> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.retry_at <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        due.into_iter().for_each(|request| self.ask_again(now, request));
+        self.waiting.retain(|_, waiting| now < waiting.forget);
+    }
+
+    /// Asks the backups for the outcome, or gives up when none of them has known the request for a lease.
+    fn ask_again(&mut self, now: Ns, request: RequestId) {
+        let retry_at = now + self.rules.lease / 3;
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if now > waiting.last_known + self.rules.lease {
+            // Some backups may be lost and never answer.
+            self.waiting.remove(&request);
+            return self.effects.push_back(Effect::Unknown(request));
+        }
+        waiting.retry_at = retry_at;
+        let digest = waiting.digest;
+        let backups: Vec<Life> = waiting.backups.iter().filter(|life| **life != self.me).cloned().collect();
+        for backup in backups {
+            self.send(&backup, Message::AwaitOutcome { request, digest });
+        }
+    }
+
+    /// A sidecar waits for the outcome of a request that this one may know.
+    pub(super) fn on_await_outcome(&mut self, from: &Life, request: RequestId, digest: u64) {
+        if let Some(owned) = self.owned.get(&request) {
+            let term = owned.record.term;
+            if let Some(outcome) = owned.record.outcome.clone().filter(|_| owned.record.digest == digest) {
+                return self.send(from, Message::Finished { request, term, outcome });
+            }
+            let by = owned.record.owner.clone();
+            return self.send(from, Message::Owned { request, term, by, differs: false });
+        }
+        let Some(replica) = self.replicas.get_mut(&request) else {
+            return self.send(from, Message::Unknown { request });
+        };
+        let term = replica.term;
+        if let Some(outcome) = replica.record.outcome.clone().filter(|_| replica.record.digest == digest) {
+            return self.send(from, Message::Finished { request, term, outcome });
+        }
+        if !replica.waiters.contains(from) && replica.waiters.len() < MAX_WAITERS {
+            replica.waiters.push(from.clone());
+        }
+        let by = replica.owner.clone();
+        self.send(from, Message::Owned { request, term, by, differs: false });
+    }
+
+    /// A backup reports the final outcome.
+    pub(super) fn on_finished(&mut self, now: Ns, request: RequestId, term: u32, outcome: Outcome) {
+        let reopens = outcome.reopens();
+        if let Some(replica) = self.replicas.get_mut(&request) {
+            // A rejection does not end a later term, whose request may be in flight. Our own candidacy is not, yet.
+            let ours = replica.owner == self.me && replica.votes.is_some() && term >= replica.record.term;
+            if !reopens || term == replica.term || ours {
+                replica.record.outcome.get_or_insert(outcome.clone());
+                replica.votes = None;
+            }
+        }
+        // Finished already: a claim comes too late, and an owner only tells its backups.
+        let open = self.owned.get_mut(&request).filter(|owned| owned.record.outcome.is_none());
+        if let Some(owned) = open {
+            let claiming = owned.claim_until.is_some();
+            if reopens && term < owned.record.term {
+                return;
+            }
+            if reopens && claiming {
+                // The client's retry: in a later term than the rejected one.
+                owned.record.term = term.saturating_add(1);
+                owned.acks.clear();
+                owned.refused.clear();
+                return self.replicate(now, request);
+            }
+            if claiming {
+                self.owned.remove(&request);
+            } else {
+                self.finish(now, request, outcome.clone());
+            }
+            return self.effects.push_back(Effect::Finished(request, outcome));
+        }
+        self.finish_waiting(request, outcome);
+    }
+
+    /// Passes the outcome to clients that wait for it here.
+    pub(super) fn finish_waiting(&mut self, request: RequestId, outcome: Outcome) {
+        if self.waiting.remove(&request).is_some() {
+            self.effects.push_back(Effect::Finished(request, outcome));
+        }
+    }
+
+    /// A backup does not know the request that is waited for.
+    pub(super) fn on_unknown(&mut self, from: &Life, request: RequestId) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        waiting.unknown_at.insert(from.name.clone());
+        if waiting.backups.iter().all(|life| *life == self.me || waiting.unknown_at.contains(&life.name)) {
+            self.waiting.remove(&request);
+            self.effects.push_back(Effect::Unknown(request));
+        }
+    }
+}
