--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,4 +3,8 @@
 //! Each module measures one part of the program and returns a [`report::Section`]; the program prints them or writes
 //! them as JSON. What is counted (messages, bytes, steps) is the same on every machine; what is timed is not.
 
+pub mod discovery;
+pub mod error;
 pub mod report;
+pub mod samples;
+pub mod tables;
