--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -4,7 +4,11 @@
 //! them as JSON. What is counted (messages, bytes, steps) is the same on every machine; what is timed is not.
 
 pub mod configuration;
+pub mod discovery;
+pub mod error;
 pub mod hollow;
 pub mod membership;
 pub mod membership_sockets;
 pub mod report;
+pub mod samples;
+pub mod tables;
