--- a/src/state.rs
+++ b/src/state.rs
@@ -173,9 +173,6 @@
 }
 
 impl Table {
-    /// Entries of a list up to which it changes sides in place.
-    const FEW_CHANGES: usize = 64;
-
     pub fn visits(&self) -> Visits {
         self.visits.get()
     }
@@ -186,22 +183,20 @@
         self.visits.set(visits);
     }
 
-    /// Takes a list in; a pod that started anew or runs another build is a new one under an old index. A few
-    /// changes cost what the sides of the changed pods hold, and leave the table as the whole list would.
+    /// Takes a list in; a pod that started anew or runs another build is a new one under an old index. Changes
+    /// cost what the sides of the changed pods hold, and leave the table as the whole list would.
     pub fn apply(&mut self, whole: bool, entries: &[PodEntry], window: impl Fn() -> Window) {
-        if whole || entries.len() > Table::FEW_CHANGES {
-            self.replace(whole, entries, &window);
+        if whole {
+            self.replace(entries, &window);
         } else {
             self.update(entries, &window);
         }
         self.count = self.sides.iter().map(|side| side.pods.len()).sum();
     }
 
-    /// Takes many entries in and makes all sides anew.
-    fn replace(&mut self, whole: bool, entries: &[PodEntry], window: &impl Fn() -> Window) {
-        if whole {
-            self.slots.iter_mut().flatten().for_each(|pod| pod.entry.state = PodState::Gone);
-        }
+    /// Takes a whole list in and makes all sides anew.
+    fn replace(&mut self, entries: &[PodEntry], window: &impl Fn() -> Window) {
+        self.slots.iter_mut().flatten().for_each(|pod| pod.entry.state = PodState::Gone);
         entries.iter().for_each(|entry| self.put(entry, window));
         let gone = |pod: &&Pod| pod.entry.state == PodState::Gone;
         self.gone = self.slots.iter().flatten().filter(gone).map(|pod| pod.entry.pod).collect();
@@ -221,7 +216,7 @@
         }
     }
 
-    /// Takes a few entries in and changes their sides only.
+    /// Takes changed entries in and changes their sides only.
     fn update(&mut self, entries: &[PodEntry], window: &impl Fn() -> Window) {
         let mut changed = Vec::new();
         for entry in entries {
