A distributor whose peers are ahead of its store says so and publishes nothing

Cause: one that had lost its store numbered anew below its peers, and their polls counted it as followed by all.

--- a/crates/cli/tests/configuration.rs
+++ b/crates/cli/tests/configuration.rs
@@ -355,7 +355,7 @@
         fleet.everybody_at("2.1").await;
         second.signal(Signal::TERM).expect("stopped");
         assert_eq!(second.exit_code().await.expect("over"), Some(0));
-        let third = fleet.distributor(SECOND, &["--replace-writer"]).await;
+        let mut third = fleet.distributor(SECOND, &["--replace-writer"]).await;
         fleet.everybody_at("3.2").await;
         assert_eq!(fleet.routed(0).await, (200, 400));
         first.until("superseded", 1).await.expect("it is replaced");
@@ -365,5 +365,15 @@
         third.signal(Signal::HUP).expect("told");
         fleet.everybody_at("3.3").await;
         assert_eq!(fleet.routed(0).await, (400, 200));
+        // One that has lost its store numbers anew: nobody follows it, and it says what to do.
+        third.signal(Signal::TERM).expect("stopped");
+        assert_eq!(third.exit_code().await.expect("over"), Some(0));
+        std::fs::remove_dir_all(fleet.folder.join(format!("store-{SECOND}"))).expect("lost");
+        fleet.write(&script(true, "5"));
+        let mut lost = fleet.distributor(SECOND, &["--epoch", "3"]).await;
+        lost.until("start this one with --replace-writer", 1).await.expect("it hears of the newer one");
+        lost.signal(Signal::HUP).expect("told");
+        lost.until("nothing published", 1).await.expect("refused");
+        fleet.everybody_at("3.3").await;
     });
 }
--- a/crates/sidecar/src/distributor.rs
+++ b/crates/sidecar/src/distributor.rs
@@ -90,6 +90,11 @@
     NobodyHeard,
     #[error("{0}")]
     Publish(#[from] PublishError),
+    #[error(
+        "peers hold version {theirs}, the store of this distributor ends at {ours}: it is not the store of their writer; \
+         start this one with --replace-writer"
+    )]
+    NewerElsewhere { ours: Version, theirs: Version },
     #[error("SIGHUP: {0}")]
     Signal(io::Error),
 }
@@ -120,6 +125,8 @@
     epoch: u64,
     spreading: Rc<Spreading<Newest>>,
     last_round: Option<RoundGlance>,
+    /// The newest version of peers that is ahead of the store, once that was logged.
+    ahead: Option<Version>,
 }
 
 /// Runs a distributor on the present thread until `stop` is done. The script is compiled at the start and again at each
@@ -159,7 +166,7 @@
     let spreading = Spreading::start(&fellowship, spreader, Newest::default(), period);
     fellowship.run(membership.keys.clone());
     let replaces = settings.epoch == EpochChoice::ReplaceWriter;
-    let mut distributor = Distributor { settings, store, epoch, spreading, last_round: None };
+    let mut distributor = Distributor { settings, store, epoch, spreading, last_round: None, ahead: None };
     spawn_local(serve_operators(
         admin_listener,
         distributor.settings.name.clone(),
@@ -225,6 +232,10 @@
         if let Some(by) = self.spreading.glance().writer.and_then(|writer| writer.superseded) {
             return Err(PublishError::Superseded { by }.into());
         }
+        let (ours, theirs) = (self.store.snapshot().version(), self.spreading.glance().newest_heard);
+        if theirs > ours {
+            return Err(DistributorError::NewerElsewhere { ours, theirs });
+        }
         let have = self.store.snapshot().clone();
         if have.digest() == compiled.digest() && have.version().epoch == self.epoch {
             tracing::info!(version = %have.version(), "the script has not changed");
@@ -274,8 +285,13 @@
         }
     }
 
-    /// Logs a finished poll that tells something new.
+    /// Logs a finished poll that tells something new, and peers that are ahead.
     fn report(&mut self) {
+        let (ours, theirs) = (self.store.snapshot().version(), self.spreading.glance().newest_heard);
+        if theirs > ours && self.ahead.replace(theirs) != Some(theirs) {
+            let error = DistributorError::NewerElsewhere { ours, theirs };
+            tracing::error!(%error, "not the newest");
+        }
         let Some(round) = self.spreading.glance().writer.and_then(|writer| writer.round) else { return };
         let told = self
             .last_round
