--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! usage or settings.
 
 mod bench;
+mod bench_capacity;
 mod bench_takeover;
 mod bench_trace;
 mod day;
@@ -89,9 +90,17 @@
     },
     /// Measure on loopback: proxy (added latency, CPU and memory a hit), trace (what recording costs), memory
     /// alone, flood (past the maximum), takeover (what guarding costs, how soon another goes on), growth (what
-    /// sidecars say to each other, 3 to 64 of them); trace-file: a long recording and its tools, in virtual time.
+    /// sidecars say to each other, 3 to 64 of them); trace-file: a long recording and its tools, in virtual time;
+    /// capacity: scale tests of what each part costs at several sizes, and how that grows.
     Bench {
-        what: String,
+        #[arg(value_name = "BENCH")]
+        bench: String,
+        /// Scale tests to run, of `capacity`; may be repeated, all of them where it is left out.
+        #[arg(long, value_enum, value_name = "PART")]
+        what: Vec<bench_capacity::Part>,
+        /// Smaller sizes of `capacity`, in a minute or two.
+        #[arg(long)]
+        quick: bool,
         /// Length of each measured turn.
         #[arg(long, default_value_t = 4)]
         seconds: u64,
@@ -194,17 +203,20 @@
             let Some(site) = settings_of(&settings, &given)? else { return Ok(USAGE) };
             day::play(script, site, settings, seed, json.as_deref(), ledger.as_deref(), trace.as_deref())
         }
-        Command::Bench { what, hits, json, .. } if what == "trace-file" => {
+        Command::Bench { bench, what, quick, json, .. } if bench == "capacity" => {
+            bench_capacity::bench(&what, quick, json.as_deref())
+        }
+        Command::Bench { bench, hits, json, .. } if bench == "trace-file" => {
             bench_trace::bench(hits, json.as_deref())
         }
-        Command::Bench { what, seconds, kills, json, .. } if what == "takeover" => {
+        Command::Bench { bench, seconds, kills, json, .. } if bench == "takeover" => {
             bench_takeover::bench(seconds, kills, json.as_deref())
         }
-        Command::Bench { what, seconds, json, .. } if what == "growth" => {
+        Command::Bench { bench, seconds, json, .. } if bench == "growth" => {
             bench_takeover::growth(seconds, json.as_deref())
         }
-        Command::Bench { what, seconds, rounds, json, .. } => {
-            bench::bench(&what, seconds, rounds, json.as_deref())
+        Command::Bench { bench, seconds, rounds, json, .. } => {
+            bench::bench(&bench, seconds, rounds, json.as_deref())
         }
         Command::BenchPart { kind, pods } => bench::part(&kind, pods),
         Command::Rules { ledger, json } => day::rules(&ledger, json.as_deref()),
