--- a/crates/configuration/src/record.rs
+++ b/crates/configuration/src/record.rs
@@ -339,7 +339,9 @@
     let shares = [("benefit", rules.benefit, MAX_BENEFIT), ("late_benefit", rules.late_benefit, 1.0)];
     for (field, share, most) in shares {
         let expected = || format!("a number from 0 to {most}");
-        ensure((0.0..=most).contains(&share), key, field, || share.to_string(), expected)?;
+        // -0.0 equals 0.0 and has another digest: a delta between the two would hold no change and never apply.
+        let valid = (0.0..=most).contains(&share) && share.is_sign_positive();
+        ensure(valid, key, field, || share.to_string(), expected)?;
     }
     let fits = rules.backup != BackupMode::Behind || rules.kind == RequestKind::Idempotent;
     let expected = || "BeforeAttempt, as a repeat could do harm".to_string();
--- a/crates/configuration/tests/data.rs
+++ b/crates/configuration/tests/data.rs
@@ -238,6 +238,7 @@
         ("paths", route("r", "", 1.0)),
         ("benefit", route("r", "/r", f64::NAN)),
         ("benefit", route("r", "/r", -1.0)),
+        ("benefit", route("r", "/r", -0.0)),
         ("service", unserved),
     ];
     for (field, record) in wrong {
