Views that differ are asked again out of turn; only a second difference is a dispute

Cause: a pair exchanges a regular view once in n periods. One that differed while news was under way counted as a dispute 10 s later, until that pair's next view. Change: a peer whose view differs is told ours again after `settles`; one that was last told something else than what both see now is told at once. One such view a period at most, 64 wait, the oldest dropped. A difference is a dispute once a second view, `settles` or more after the first, differs still; it ends if our own news brings us to what the peer said. Views on the wire are the same.

--- /dev/null
+++ b/crates/fellows/src/follow_ups.rs
@@ -0,0 +1,40 @@
+//! Which peers get a view out of turn, and when. Bounded in number; the oldest is dropped for a new one.
+
+use crate::wire::Life;
+use crate::Ns;
+use std::collections::VecDeque;
+
+/// Follow-ups that wait, at most. Two are planned a period at the busiest (one for each view heard, in and out of
+/// turn) and one is sent, so one that is dropped has waited for 32 periods or more.
+const MOST_WAITING: usize = 64;
+
+struct FollowUp {
+    to: Life,
+    due: Ns,
+}
+
+#[derive(Default)]
+pub(crate) struct FollowUps {
+    /// In the order in which they were planned; one for each peer.
+    waiting: VecDeque<FollowUp>,
+}
+
+impl FollowUps {
+    /// Plans a view for this peer; the earlier time holds where one is planned already.
+    pub fn plan(&mut self, to: &Life, due: Ns) {
+        if let Some(known) = self.waiting.iter_mut().find(|known| known.to == *to) {
+            known.due = known.due.min(due);
+            return;
+        }
+        if self.waiting.len() >= MOST_WAITING {
+            self.waiting.pop_front();
+        }
+        self.waiting.push_back(FollowUp { to: to.clone(), due });
+    }
+
+    /// The peer whose view is due and was planned first.
+    pub fn take_due(&mut self, now: Ns) -> Option<Life> {
+        let at = self.waiting.iter().position(|known| known.due <= now)?;
+        self.waiting.remove(at).map(|known| known.to)
+    }
+}
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -6,6 +6,7 @@
 //! and back. [`node`] is both together, as the simulated network of the tests drives it; [`shell`] gives it one UDP
 //! socket. Other packages send their own kinds of message through the same socket, key and codec.
 
+mod follow_ups;
 mod gossip;
 pub mod node;
 pub mod peers;
--- a/crates/fellows/src/roster.rs
+++ b/crates/fellows/src/roster.rs
@@ -25,6 +25,28 @@
     }
 }
 
+/// A peer's view that was not ours when it was heard.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Difference {
+    /// When the first view that differed was heard.
+    pub since: Ns,
+    /// Whether a later view, heard `Rules::settles` or more after the first, differed still.
+    pub confirmed: bool,
+}
+
+/// What a view says of the sender's tables, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Digests {
+    pub roster: u64,
+    pub living: u64,
+}
+
+impl From<&View> for Digests {
+    fn from(view: &View) -> Digests {
+        Digests { roster: view.roster, living: view.living }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub row: Row,
@@ -34,17 +56,28 @@
     pub flaps: u32,
     /// Whether it says that it does not reach us, and when.
     pub misses_us: Option<Ns>,
-    /// Since when its view differs, and what it was when we last heard it: digests and `NAMED` names.
-    pub differs: Option<Ns>,
+    /// Whether its view differs, and what it was when we last heard it: digests and `NAMED` names.
+    pub differs: Option<Difference>,
     pub said: Option<(Ns, View)>,
+    /// What we told it last.
+    pub told: Option<Digests>,
     /// Who would have it go, and when they last said so; a word leaves after `Rules::word`, and all once it lives.
     pub out: BTreeMap<String, Ns>,
 }
 
 impl Member {
     pub fn new(now: Ns, row: Row) -> Member {
-        let (misses_us, differs, said, out) = (None, None, None, BTreeMap::new());
-        Member { row, lives: false, since: now, flaps: 0, misses_us, differs, said, out }
+        Member {
+            row,
+            lives: false,
+            since: now,
+            flaps: 0,
+            misses_us: None,
+            differs: None,
+            said: None,
+            told: None,
+            out: BTreeMap::new(),
+        }
     }
 
     /// Whether time alone may change what it counts for, or it is not as it should be.
@@ -146,6 +179,11 @@
         self.rows_visited.get()
     }
 
+    /// Both digests, as a view says them.
+    pub fn digests(&self, me: &Row) -> Digests {
+        Digests { roster: self.digest_roster(me), living: self.digest_living(me) }
+    }
+
     /// Of all who belong, and of us.
     pub fn digest_roster(&self, me: &Row) -> u64 {
         kept(&self.roster_digest, || {
--- a/crates/fellows/src/standing.rs
+++ b/crates/fellows/src/standing.rs
@@ -9,7 +9,7 @@
 //! what it may do. Standing falls at once and rises only after a while.
 
 pub use crate::roster::Row;
-use crate::roster::{Member, Roster};
+use crate::roster::{Difference, Digests, Member, Roster};
 use crate::wire::{Life, NAME};
 use crate::Ns;
 use serde::{Deserialize, Serialize};
@@ -24,7 +24,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Rules {
-    /// How long views may differ before that is a dispute: news takes its time.
+    /// How long views may differ before that is a dispute: news takes its time. Only a second view that differs, heard
+    /// this long after the first or later, shows that they still do.
     pub settles: Ns,
     /// How long a better standing must hold before it is believed, and one that came back stay before it counts.
     pub calms: Ns,
@@ -147,7 +148,7 @@
         let ours: BTreeSet<&str> = missing.map(|member| member.row.who.name.as_str()).collect();
         let roster = self.roster.digest_roster(&self.me);
         let of = |member: &Member| {
-            let (since, (_, view)) = (member.differs?, member.said.as_ref()?);
+            let (since, (_, view)) = (member.differs?.since, member.said.as_ref()?);
             let theirs: BTreeSet<&str> = view.missing.iter().map(String::as_str).collect();
             let only = |one: &BTreeSet<&str>, other: &BTreeSet<&str>| {
                 one.difference(other).take(NAMED).map(|name| name.to_string()).collect()
@@ -159,10 +160,33 @@
         self.members().filter(|member| self.disputes_with(now, member)).filter_map(of).collect()
     }
 
-    /// Whether one that is reached has seen it otherwise for long enough.
+    /// Whether one that is reached has seen it otherwise for long enough, and said so again.
     fn disputes_with(&self, now: Ns, member: &Member) -> bool {
-        let differs = member.differs.is_some_and(|since| now.saturating_sub(since) >= self.rules.settles);
-        differs && member.said.is_some() && self.reaches(now, member)
+        member.differs.is_some_and(|difference| difference.confirmed) && self.reaches(now, member)
+    }
+
+    /// Whether its last view differed when it was heard, and is what we see by now.
+    fn has_settled(&self, member: &Member) -> bool {
+        let said = member.said.as_ref().map(|(_, view)| Digests::from(view));
+        member.differs.is_some() && said == Some(self.roster.digests(&self.me))
+    }
+
+    /// Differences that our own news has ended since.
+    fn drop_settled(&mut self) {
+        let settled = self.roster.notable().filter(|member| self.has_settled(member));
+        let settled: Vec<String> = settled.map(|member| member.row.who.name.clone()).collect();
+        for name in settled {
+            self.roster.update(&name, |member| member.differs = None);
+        }
+    }
+
+    /// The difference with this peer, now that it said another view that differs.
+    fn difference(&self, now: Ns, member: &Member) -> Difference {
+        let earlier = member.differs.filter(|_| !self.has_settled(member));
+        let since = earlier.map_or(now, |difference| difference.since);
+        let confirmed = earlier.is_some_and(|difference| difference.confirmed)
+            || now.saturating_sub(since) >= self.rules.settles;
+        Difference { since, confirmed }
     }
 
     /// Those who belong and of whom there is something to see; of the others, all is as it should be.
@@ -308,11 +332,14 @@
 
     /// What a fellow says of its view.
     /// Of a view longer than any that we say only as much is read and kept, whatever its sender had the key for.
-    pub fn heard(&mut self, now: Ns, from: &Life, mut view: View) {
+    ///
+    /// Returns when that peer is to be told our view out of turn, if it is: after [`Rules::settles`] where the views
+    /// differ, so that both learn whether they still do; at once where they agree and what we told it last does not, so
+    /// that it learns that they do.
+    pub fn heard(&mut self, now: Ns, from: &Life, mut view: View) -> Option<Ns> {
         view.rows.drain(..).take(ROWS).for_each(|row| self.learn(now, row));
         view.missing.truncate(NAMED);
         view.missing.retain(|name| name.len() <= NAME);
-        let (roster, living) = (self.roster.digest_roster(&self.me), self.roster.digest_living(&self.me));
         for (name, life, entry) in std::mem::take(&mut view.out).into_iter().take(NAMED) {
             let meant = |member: &Member| (member.row.who.life, member.row.entry) == (life, entry);
             if self.roster.get(&name).is_some_and(|member| !member.lives && meant(member)) {
@@ -321,16 +348,22 @@
                 });
             }
         }
-        if self.roster.get(&from.name).is_none_or(|member| member.row.who != *from) {
-            return;
-        }
+        let member = self.roster.get(&from.name).filter(|member| member.row.who == *from)?;
         let misses_us = view.missing.contains(&self.me.who.name);
-        let differs = view.roster != roster || view.living != living;
+        let ours = self.roster.digests(&self.me);
+        let differs = Digests::from(&view) != ours;
+        let difference = differs.then(|| self.difference(now, member));
+        let outdated = member.told.is_some_and(|told| told != ours);
         self.roster.update(&from.name, |member| {
             member.misses_us = misses_us.then_some(now);
-            member.differs = differs.then(|| member.differs.unwrap_or(now));
+            member.differs = difference;
             member.said = Some((now, view));
         });
+        if differs {
+            Some(now + self.rules.settles)
+        } else {
+            outdated.then_some(now)
+        }
     }
 
     /// What to say to this fellow now.
@@ -339,7 +372,8 @@
         let missing: Vec<String> = missing.map(|member| member.row.who.name.clone()).collect();
         let out = self.members().filter(|member| self.long_missed(now, member));
         let out = out.take(NAMED).map(|m| (m.row.who.name.clone(), m.row.who.life, m.row.entry)).collect();
-        let (roster, living) = (self.roster.digest_roster(&self.me), self.roster.digest_living(&self.me));
+        let digests = self.roster.digests(&self.me);
+        let Digests { roster, living } = digests;
         let said = self.roster.get(&to.name).and_then(|member| member.said.as_ref());
         let alike = said.is_some_and(|(_, view)| view.roster == roster);
         let many = if alike { 1 } else { ROWS };
@@ -350,6 +384,7 @@
             let through = rows.len() < ROWS;
             self.told = if through { String::new() } else { rows[ROWS - 1].who.name.clone() };
         }
+        self.roster.update(&to.name, |member| member.told = Some(digests));
         let missed = missing.len() as u32;
         View { roster, living, missing: missing.into_iter().take(NAMED).collect(), missed, out, rows }
     }
@@ -362,6 +397,7 @@
     pub fn look(&mut self, now: Ns) -> Option<(Standing, Standing)> {
         self.vote_out(now);
         self.expire(now);
+        self.drop_settled();
         let seen = self.seen(now);
         let was = self.standing;
         if seen >= was {
--- a/crates/fellows/src/views.rs
+++ b/crates/fellows/src/views.rs
@@ -1,6 +1,7 @@
 //! Keeps a sidecar's quorum state up to date: takes membership's news and peers' views in, and tells one peer its own
-//! view each period. No I/O; the sidecar's shell and the simulated network drive the same code.
+//! view each period, and one more out of turn where a follow-up is due. No I/O; the sidecar's shell and the simulated network drive the same code.
 
+use crate::follow_ups::FollowUps;
 use crate::node::Node;
 use crate::peers::Changes;
 use crate::standing::{Place, Rules, Standing, View};
@@ -27,12 +28,13 @@
     /// Whom our view was told last: it goes round by name, beginning behind our own, so that sidecars that started
     /// together do not all tell the same one.
     told: String,
+    follow_ups: FollowUps,
 }
 
 impl Views {
     pub fn new(now: Ns, me: Life, rules: Rules) -> Views {
         let told = me.name.clone();
-        Views { place: Place::new(now, me, rules), periods: 0, told }
+        Views { place: Place::new(now, me, rules), periods: 0, told, follow_ups: FollowUps::default() }
     }
 
     pub fn place(&self) -> &Place {
@@ -54,23 +56,33 @@
     /// A body that is no view; it changes nothing.
     pub fn receive(&mut self, now: Ns, from: &Life, body: &[u8]) -> Result<(), postcard::Error> {
         let view: View = postcard::from_bytes(body)?;
-        self.place.heard(now, from, view);
+        if let Some(due) = self.place.heard(now, from, view) {
+            self.follow_ups.plan(from, due);
+        }
         Ok(())
     }
 
-    /// Once a period: learns who lives, judges the quorum state anew and tells one peer our view.
+    /// Once a period: learns who lives, judges the quorum state anew and tells one peer our view, and one more
+    /// whose follow-up is due.
     pub fn tick(&mut self, now: Ns, node: &mut Node) -> Option<Change> {
         self.learn_who_lives(now, node);
         let change = self.place.look(now).map(|(was, is)| Change { was, is });
         if let Some(to) = node.fellows().living_after(&self.told).map(|news| news.who.clone()) {
-            if let Ok(body) = postcard::to_stdvec(&self.place.view(now, &to)) {
-                node.send(&to, VIEWS, body);
-            }
+            self.tell(now, node, &to);
             self.told = to.name;
         }
+        if let Some(to) = self.follow_ups.take_due(now).filter(|to| node.fellows().lives(to)) {
+            self.tell(now, node, &to);
+        }
         change
     }
 
+    fn tell(&mut self, now: Ns, node: &mut Node, to: &Life) {
+        if let Ok(body) = postcard::to_stdvec(&self.place.view(now, to)) {
+            node.send(to, VIEWS, body);
+        }
+    }
+
     fn learn_who_lives(&mut self, now: Ns, node: &mut Node) {
         let changes = node.take_changes();
         self.periods += 1;
