Bench a sidecar beside a bare proxy with small and large tables

Cause: nothing measured what routes, tenants and listed pods cost the running proxy; the bench knew one path, no tenant and four pods.

Change: `bench proxy-capacity` (and `proxy-capacity-quick`) loads a bare proxy and a sidecar in turns at 137 and 700 requests/s with (10 routes, 100 tenants, 16 pods) and (4,500, 150,000, 5,000), and gives latency, CPU time, memory and descriptors as report sections. Each listed pod has a loopback address and listener of its own.

Not run: the new test of the pods' listeners.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! usage or settings.
 
 mod bench;
+mod bench_proxy_capacity;
 mod bench_takeover;
 mod bench_trace;
 mod day;
