--- a/crates/cli/src/bench_capacity.rs
+++ b/crates/cli/src/bench_capacity.rs
@@ -1,6 +1,6 @@
 //! `havenplank bench capacity`: the scale tests, printed as tables or written as JSON.
 
-use crate::{write_json, USAGE};
+use crate::{bench_proxy_capacity, write_json, USAGE};
 use anyhow::Context;
 use clap::ValueEnum;
 use havenplank_capacity::report::Section;
@@ -25,6 +25,8 @@
     Sockets,
     /// One sidecar with up to 21,000 pods, 4,500 routes and 150,000 tenants.
     Tables,
+    /// The real proxy beside a bare one, with small tables and large ones.
+    Proxy,
     /// What service discovery and the control plane send for 1,600 sidecars.
     Discovery,
     /// A change of configuration on its way to 1,600 sidecars.
@@ -88,6 +90,7 @@
             let options = if quick { tables::Options::quick() } else { tables::Options::full() };
             tables::tables(&options)?
         }
+        Part::Proxy => bench_proxy_capacity::measure(quick)?,
         Part::Discovery => {
             let options = if quick { discovery::Options::quick() } else { discovery::Options::full() };
             discovery::discovery(&options)?
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod bench;
 mod bench_capacity;
+mod bench_proxy_capacity;
 mod bench_takeover;
 mod bench_trace;
 mod day;
