--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,8 @@
 MEMORY_MB, SOCKETS = 48, 672  # what the operators' bench gave the sidecars on a day of the site
 CLIENTS = 200  # under a third of the descriptors, the usual clients counted
 BODY = 64 << 10  # "No body exceeds 64 KiB"
-SEGMENT, SEGMENT_PAUSE_S = 1460, 0.01  # what a segment carries on an Ethernet link; a body takes 0.45 s to come
+SEGMENT = 1460  # what a segment carries on an Ethernet link
+ROUND_PAUSE_S = CLIENTS * (SEGMENT + 78) * 8 / 1e9  # that link has 1 Gbit/s, and all clients send at full speed
 LEFT_MS = 3000
 USUAL_CLIENTS = 8
 RUN_S = 10.0
@@ -55,7 +56,7 @@
                 ended[type(error).__name__ + " while it wrote"] += 1
                 del connections[number]
         position += SEGMENT
-        time.sleep(SEGMENT_PAUSE_S if len(numbers) > 1 else 0)
+        time.sleep(ROUND_PAUSE_S * len(numbers) / CLIENTS)
     record.write("clients", "wrote their requests", count=len(connections), bytes_each=position)
     for connection in connections.values():
         ended[read_status(connection)] += 1
