--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -1,19 +1,19 @@
 //! The HTTP interface for operators: reports the sidecar's state, and accepts reports of wrong responses.
 
 use crate::body::Body;
+use crate::request_body::{read_body, BodyError, BodyLimits};
 use crate::responses::text_response;
 use crate::shell::Shell;
 use crate::state_report::state_report;
 use havenplank::interface::Nanos;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::Value;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::timeout;
+use std::time::{Duration, Instant};
 
 /// The largest body of a report, in bytes.
 const MAX_BODY_BYTES: usize = 4096;
@@ -62,13 +62,19 @@
 }
 
 async fn report_fault(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<(), ReportError> {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-    let body = timeout(BODY_TIMEOUT, body)
-        .await
-        .map_err(|_| ReportError("the body took too long\n"))?
-        .map_err(|_| ReportError("expected 4096 bytes at most\n"))?;
-    let report: Value = serde_json::from_slice(&body.to_bytes())
-        .map_err(|_| ReportError("expected a JSON object\n"))?;
+    let read_by = Instant::now() + BODY_TIMEOUT;
+    let limits = BodyLimits {
+        max_bytes: MAX_BODY_BYTES,
+        read_by,
+        reserve_by: read_by,
+    };
+    let body = read_body(request.into_body(), &limits, &shell.request_memory).await;
+    let body = body.map_err(|error| match error {
+        BodyError::TooSlow | BodyError::NoMemory(_) => ReportError("the body took too long\n"),
+        BodyError::TooLarge | BodyError::Incomplete => ReportError("expected 4096 bytes at most\n"),
+    })?;
+    let report: Value =
+        serde_json::from_slice(&body).map_err(|_| ReportError("expected a JSON object\n"))?;
     let pod = report["pod"]
         .as_str()
         .ok_or(ReportError("pod: expected a text\n"))?;
