A request on a kept connection begins with its own first byte

Requests after one with a body had less time than they stated.

Cause: ClientStream noted a body's bytes, read after its head, as the first byte of the next request; nothing cleared that. The idle connection counted as reading, so it was not closed at a stop, and the next request's time ran from the body before it.

Evidence: the new count clients_reading_further was 2 for three silent clients, those whose last request had a body; both stayed open after SIGTERM.

Change: TrackedRequestBody tells the stream when a body is complete. Related path: serve closed such a connection at a stop without reading the request in its socket; the same code mends it.

--- a/crates/platform/src/client_session.rs
+++ b/crates/platform/src/client_session.rs
@@ -5,7 +5,7 @@
 use crate::limits::{MAX_HEADERS, MAX_HEAD_BYTES, UNREAD_GRACE};
 use crate::request_handler::{handle, HandledRequest};
 use crate::shell::{Body, Shell};
-use havenplank_sidecar::client_stream::TrackedBody;
+use havenplank_sidecar::tracked_body::{TrackedRequestBody, TrackedResponseBody};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -54,11 +54,11 @@
 async fn respond(
     shell: Rc<Shell>,
     client: Rc<ClientConnection>,
-    request: Request<Incoming>,
-) -> Result<Response<TrackedBody<Body>>, Infallible> {
+    request: Request<TrackedRequestBody>,
+) -> Result<Response<TrackedResponseBody<Body>>, Infallible> {
     let HandledRequest { response, deadline } = handle(shell, client.clone(), request).await;
     client.hand_over_response(deadline);
-    Ok(response.map(|body| client.stream.track_body(body)))
+    Ok(response.map(|body| client.stream.track_response_body(body)))
 }
 
 async fn serve_http(
@@ -66,8 +66,9 @@
     client: &Rc<ClientConnection>,
     stop: watch::Receiver<StopTime>,
 ) -> EndedBy {
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         client.begin_response();
+        let request = request.map(|body| client.stream.track_request_body(body));
         respond(shell.clone(), client.clone(), request)
     });
     let connection = http1::Builder::new()
--- a/crates/platform/src/client_table.rs
+++ b/crates/platform/src/client_table.rs
@@ -11,13 +11,29 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Numbers of connections on which no complete request has been read yet.
+/// Numbers of connections by what they are doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct SilentCounts {
-    /// All such connections.
-    pub(crate) all: usize,
-    /// Those that have received the first bytes of a request.
-    pub(crate) reading: usize,
+pub(crate) struct ActivityCounts {
+    /// Connections on which no complete request has been read yet.
+    pub(crate) silent: usize,
+    /// Those of them that have received the first bytes of a request.
+    pub(crate) silent_reading: usize,
+    /// Connections that have sent a request and have received the first bytes of a further one.
+    pub(crate) reading_further: usize,
+    /// Connections whose request has been read and whose response is not fully written yet.
+    pub(crate) responding: usize,
+}
+
+impl ActivityCounts {
+    fn count(&mut self, client: &ClientConnection) {
+        let state = client.state();
+        let is_reading = matches!(state.activity, Activity::Reading { .. });
+        let has_begun = client.stream.request_began().is_some();
+        self.responding += usize::from(matches!(state.activity, Activity::Responding { .. }));
+        self.reading_further += usize::from(state.has_requested && is_reading);
+        self.silent += usize::from(!state.has_requested);
+        self.silent_reading += usize::from(!state.has_requested && has_begun);
+    }
 }
 
 /// The open client connections and the ids of their requests in flight.
@@ -70,28 +86,15 @@
         states.collect()
     }
 
-    pub(crate) fn silent_counts(&self) -> SilentCounts {
-        let connections = self.connections.borrow();
-        let mut counts = SilentCounts::default();
-        for client in connections.values() {
-            if client.state().has_requested {
-                continue;
-            }
-            counts.all += 1;
-            counts.reading += usize::from(client.stream.request_began().is_some());
+    /// Counts the connections by what they are doing.
+    pub(crate) fn activity_counts(&self) -> ActivityCounts {
+        let mut counts = ActivityCounts::default();
+        for client in self.connections.borrow().values() {
+            counts.count(client);
         }
         counts
     }
 
-    /// Returns the number of connections whose request has been read and whose response is not fully written yet.
-    pub(crate) fn responding_count(&self) -> usize {
-        let connections = self.connections.borrow();
-        let responding = |client: &&Rc<ClientConnection>| {
-            matches!(client.state().activity, Activity::Responding { .. })
-        };
-        connections.values().filter(responding).count()
-    }
-
     /// Closes the longest idle connection if those that have sent a request reach their budget.
     pub(crate) fn close_surplus_idle(&self) {
         self.close_chosen(|states| idle_candidate(states, self.budget));
--- a/crates/platform/src/request_handler.rs
+++ b/crates/platform/src/request_handler.rs
@@ -10,7 +10,7 @@
 use havenplank::interface::{Nanos, RequestId};
 use havenplank_sidecar::engine::RequestAttributes;
 use havenplank_sidecar::responses::{failed, text_response, with_connection_close};
-use hyper::body::Incoming;
+use havenplank_sidecar::tracked_body::TrackedRequestBody;
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -49,7 +49,7 @@
 pub(crate) async fn handle(
     shell: Rc<Shell>,
     client: Rc<ClientConnection>,
-    request: Request<Incoming>,
+    request: Request<TrackedRequestBody>,
 ) -> HandledRequest {
     let began = client.stream.take_request_began();
     let began = began.unwrap_or_else(Instant::now);
--- a/crates/platform/src/request_reader.rs
+++ b/crates/platform/src/request_reader.rs
@@ -17,7 +17,8 @@
 use havenplank_sidecar::engine::RequestAttributes;
 use havenplank_sidecar::headers::{parse_cost_hint, strip_hop_by_hop};
 use havenplank_sidecar::request_body::{self, BodyError, BodyLimits};
-use hyper::body::{Body, Incoming};
+use havenplank_sidecar::tracked_body::TrackedRequestBody;
+use hyper::body::Body;
 use hyper::header::{
     HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, COOKIE, TRANSFER_ENCODING,
 };
@@ -46,7 +47,7 @@
 pub(crate) async fn read(
     shell: &Rc<Shell>,
     client: &Rc<ClientConnection>,
-    request: Request<Incoming>,
+    request: Request<TrackedRequestBody>,
     began: Instant,
 ) -> Result<ReadRequest, RequestError> {
     let (parts, body) = request.into_parts();
@@ -110,7 +111,7 @@
 }
 
 /// Checks the body as far as the head describes it.
-fn check_body(body: &Incoming, rules: &RouteClass) -> Result<(), RequestError> {
+fn check_body(body: &TrackedRequestBody, rules: &RouteClass) -> Result<(), RequestError> {
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(RequestError::BodyTooLarge);
     }
@@ -193,7 +194,7 @@
 
 async fn read_body(
     shell: &Shell,
-    body: Incoming,
+    body: TrackedRequestBody,
     client: &ClientConnection,
     began: Instant,
     remaining: Nanos,
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -168,7 +168,13 @@
         let stopped_at = Instant::now();
         shell.stopping.set(true);
         let _ = self.stop.send(Some(stopped_at));
-        tracing::info!(requests = shell.in_flight(), "stopping");
+        let activities = shell.clients.activity_counts();
+        tracing::info!(
+            requests = shell.in_flight(),
+            clients = shell.clients.open_count(),
+            clients_reading_further = activities.reading_further,
+            "stopping"
+        );
         sleep_until((stopped_at + STOP_ACCEPT_TIME).into()).await;
         let _ = self.close.send(());
         // The task ends once it has served the connections left in the kernel's accept queue.
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -30,16 +30,17 @@
 fn log_state(shell: &Shell, max_lateness: Duration) {
     let (clients, pods) = (&shell.clients, &shell.pods);
     let connections = pods.pool.counts();
-    let silent = clients.silent_counts();
+    let activities = clients.activity_counts();
     tracing::info!(
         requests = shell.engine().requests_held(),
-        requests_on_sockets = clients.responding_count(),
+        requests_on_sockets = activities.responding,
         attempts = shell.engine().attempts_in_flight(),
         attempts_on_sockets = pods.counters.in_flight.get(),
         attempts_sent = pods.counters.sent.get(),
         clients = clients.open_count(),
-        clients_silent = silent.all,
-        clients_reading = silent.reading,
+        clients_silent = activities.silent,
+        clients_reading = activities.silent_reading,
+        clients_reading_further = activities.reading_further,
         pod_connections = connections.open,
         pod_connections_idle = connections.idle,
         idle_timeout_ms = pods.pool.idle_timeout().as_millis() as u64,
--- a/crates/sidecar/src/admin.rs
+++ b/crates/sidecar/src/admin.rs
@@ -5,9 +5,9 @@
 use crate::responses::text_response;
 use crate::shell::Shell;
 use crate::state_report::state_report;
+use crate::tracked_body::TrackedRequestBody;
 use havenplank::interface::Nanos;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::Value;
@@ -33,7 +33,7 @@
 /// Returns no error.
 pub async fn serve(
     shell: Rc<Shell>,
-    request: Request<Incoming>,
+    request: Request<TrackedRequestBody>,
 ) -> Result<Response<Body>, Infallible> {
     let (method, path) = (request.method().clone(), request.uri().path().to_string());
     Ok(match (method, path.as_str()) {
@@ -61,7 +61,10 @@
     response
 }
 
-async fn report_fault(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<(), ReportError> {
+async fn report_fault(
+    shell: &Rc<Shell>,
+    request: Request<TrackedRequestBody>,
+) -> Result<(), ReportError> {
     let read_by = Instant::now() + BODY_TIMEOUT;
     let limits = BodyLimits {
         max_bytes: MAX_BODY_BYTES,
--- a/crates/sidecar/src/client_stream.rs
+++ b/crates/sidecar/src/client_stream.rs
@@ -1,8 +1,9 @@
 //! A client's TCP stream that records when a request began to arrive, when its response was written and when the client
 //! closed the connection, and that can be drained after the HTTP connection has ended.
 
+use crate::tracked_body::{TrackedRequestBody, TrackedResponseBody};
 use bytes::{Buf, BytesMut};
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::io;
@@ -28,7 +29,8 @@
 /// The state that all clones of a [`ClientStream`] share.
 struct StreamState {
     socket: TcpStream,
-    /// When the first byte of the next request arrived; `None` before that.
+    /// When the first byte arrived of the request that is read next, or of the body that is being read; `None` before
+    /// that, and once the body is complete.
     first_unread: Cell<Option<Instant>>,
     /// Bytes that were read before the HTTP connection asked for them; its next reads return them first.
     read_ahead: RefCell<BytesMut>,
@@ -62,7 +64,8 @@
         }))
     }
 
-    /// Returns when the first byte of the next request arrived; `None` if no byte of it has arrived.
+    /// Returns when the first byte of the next request arrived; `None` if no byte of it has arrived. Is not meaningful
+    /// while the body of a request is being read.
     pub fn request_began(&self) -> Option<Instant> {
         self.0.first_unread.get()
     }
@@ -83,12 +86,25 @@
         self.0.write_blocked.get()
     }
 
+    /// Wraps the body of the request whose head was just read, to record when it is complete.
+    pub fn track_request_body(&self, body: Incoming) -> TrackedRequestBody {
+        TrackedRequestBody::new(body, self.clone())
+    }
+
     /// Wraps a response body to record when the HTTP connection has consumed all of it.
-    pub fn track_body<B>(&self, body: B) -> TrackedBody<B> {
-        TrackedBody {
-            body,
-            stream: self.clone(),
-        }
+    pub fn track_response_body<B>(&self, body: B) -> TrackedResponseBody<B> {
+        TrackedResponseBody::new(body, self.clone())
+    }
+
+    /// Records that the body of a request is complete: the bytes that arrived since its head were its own, and the next
+    /// request has not begun.
+    pub(crate) fn record_request_complete(&self) {
+        self.0.first_unread.set(None);
+    }
+
+    /// Records that the HTTP connection has consumed a complete response body.
+    pub(crate) fn record_response_consumed(&self) {
+        self.0.response_consumed.set(true);
     }
 
     fn peek(&self) -> io::Result<usize> {
@@ -256,36 +272,3 @@
         Poll::Ready(socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write))
     }
 }
-
-/// The body of a response that is being sent. The HTTP connection drops it once it has consumed all of it, before it
-/// writes the last bytes.
-pub struct TrackedBody<B> {
-    body: B,
-    stream: ClientStream,
-}
-
-impl<B> Drop for TrackedBody<B> {
-    fn drop(&mut self) {
-        self.stream.0.response_consumed.set(true);
-    }
-}
-
-impl<B: Body + Unpin> Body for TrackedBody<B> {
-    type Data = B::Data;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::body::Body;
 use crate::client_stream::ClientStream;
 use crate::shell::Shell;
+use crate::tracked_body::TrackedRequestBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -100,17 +101,18 @@
     mut stopped: watch::Receiver<bool>,
     serve: F,
 ) where
-    F: Fn(Rc<Shell>, Request<Incoming>) -> Fut,
+    F: Fn(Rc<Shell>, Request<TrackedRequestBody>) -> Fut,
     Fut: Future<Output = Result<Response<Body>, Infallible>>,
 {
     let _ = stream.set_nodelay(true);
     let limits = &shell.site.listener;
     let stream = ClientStream::new(stream);
     let activity = Activity::new(stream.clone(), Duration::from_nanos(limits.head_timeout));
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         activity.record_request_read();
+        let request = request.map(|body| stream.track_request_body(body));
         let (served, stream) = (serve(shell.clone(), request), &stream);
-        async move { Ok::<_, Infallible>(served.await?.map(|body| stream.track_body(body))) }
+        async move { Ok::<_, Infallible>(served.await?.map(|body| stream.track_response_body(body))) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_head_bytes)
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -54,6 +54,7 @@
 mod state_report;
 mod takeover_policy;
 mod takeover_service;
+pub mod tracked_body;
 mod transport;
 mod upstream;
 
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -6,8 +6,8 @@
 use crate::request_reader;
 use crate::responses::{failed, rejected_with_retry_after, text_response, with_connection_close};
 use crate::shell::Shell;
+use crate::tracked_body::TrackedRequestBody;
 use havenplank::interface::{Nanos, RequestId};
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
 /// Returns no error.
 pub async fn serve(
     shell: Rc<Shell>,
-    request: Request<Incoming>,
+    request: Request<TrackedRequestBody>,
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Instant::now();
     let (attributes, request) = match request_reader::read(&shell, request).await {
--- a/crates/sidecar/src/request_reader.rs
+++ b/crates/sidecar/src/request_reader.rs
@@ -6,10 +6,10 @@
 use crate::request_body::{self, BodyError, BodyLimits};
 use crate::routes::{Route, RouteTable};
 use crate::shell::Shell;
+use crate::tracked_body::TrackedRequestBody;
 use bytes::Bytes;
 use havenplank::interface::{stable_hash, Idempotency, Nanos};
 use havenplank_settings::BackupMode;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONTENT_LENGTH, VIA};
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
@@ -45,7 +45,7 @@
 /// Fails if no route matches, if a header is malformed, or if the body is too long, too slow or incomplete.
 pub async fn read(
     shell: &Rc<Shell>,
-    request: Request<Incoming>,
+    request: Request<TrackedRequestBody>,
 ) -> Result<(RequestAttributes, PreparedRequest), RequestError> {
     let (parts, body) = request.into_parts();
     let routes = shell.routes();
@@ -150,7 +150,7 @@
     })
 }
 
-async fn read_body(shell: &Shell, body: Incoming) -> Result<Bytes, RequestError> {
+async fn read_body(shell: &Shell, body: TrackedRequestBody) -> Result<Bytes, RequestError> {
     let limits = &shell.site.listener;
     let read_by = Instant::now() + Duration::from_nanos(limits.body_timeout);
     let limits = BodyLimits {
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A sidecar on loopback sockets with scripted services, and pods whose sockets the test reads and writes directly.
+#![allow(dead_code, reason = "each test file uses only some of these items")]
 
 use havenplank::interface::PodState;
 use havenplank_line_protocol::codec::greeting;
