Read the endpoint list entry by entry, limited by the memory it holds

Cause: an update was read as one text of at most 1 MiB, white space counted. A list of 3,200 pods indented by 4 spaces is longer: each watch ended before its first message, and the next one got the same message.

Change: json_stream drops white space and passes the entries on one by one; UpdateDecoder decodes each and counts the memory of the decoded entries, an eighth of memory_mb at most (memory_budget, which takes the limits of request_memory and response_memory in). One message of a watch waits to be processed in place of sixteen, as each may be a whole list. The state line shows version and age of the list.

The new test in list_races.rs failed before.

--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -3,13 +3,16 @@
 //! [`watch_selection`] decides which watch is active, [`list_update`] decodes updates, `watch` is the connection of one
 //! watch.
 
+mod list_status;
 pub mod list_update;
 mod watch;
 pub mod watch_selection;
 
+use crate::counters::increment;
 use crate::reconnect::backoff;
 use crate::shell::Shell;
 use havenplank_line_protocol::backoff::Backoff;
+pub(crate) use list_status::ListStatus;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -18,29 +21,37 @@
 use watch::{Received, Watch, WatchError};
 use watch_selection::{CandidateAction, ListVersion, OpenCandidate, UpdateAction, WatchSelection};
 
+/// What following the list starts from.
+pub(crate) struct Start {
+    /// The version of the list that the sidecar has.
+    pub(crate) since: ListVersion,
+    /// Limit on the memory that the decoded entries of one update hold.
+    pub(crate) max_update_bytes: usize,
+    /// Seed of the backoff.
+    pub(crate) seed: u64,
+}
+
 /// A [`WatchSelection`] and the connections that it decides about.
 struct DiscoveryClient {
     shell: Rc<Shell>,
     selection: WatchSelection,
     active: Option<Watch>,
     candidate: Option<Watch>,
+    max_update_bytes: usize,
     backoff: Backoff,
 }
 
-/// Follows the list from version `since` on, until the sender of `address` is dropped.
-pub(crate) async fn follow(
-    shell: Rc<Shell>,
-    mut address: Receiver<SocketAddr>,
-    since: ListVersion,
-    seed: u64,
-) {
+/// Follows the list until the sender of `address` is dropped.
+pub(crate) async fn follow(shell: Rc<Shell>, mut address: Receiver<SocketAddr>, start: Start) {
     let current = *address.borrow_and_update();
+    shell.list_status.version.set(start.since);
     let mut client = DiscoveryClient {
         shell,
-        selection: WatchSelection::new(Instant::now(), current, since),
+        selection: WatchSelection::new(Instant::now(), current, start.since),
         active: None,
         candidate: None,
-        backoff: backoff(seed),
+        max_update_bytes: start.max_update_bytes,
+        backoff: backoff(start.seed),
     };
     loop {
         let deadline = client.selection.next_deadline();
@@ -119,10 +130,13 @@
     }
 
     fn open_candidate(&mut self, target: OpenCandidate) {
-        self.candidate = Some(Watch::open(target));
+        self.candidate = Some(Watch::open(target, self.max_update_bytes));
     }
 
     fn apply(&self, action: UpdateAction, received: Received) {
+        let status = &self.shell.list_status;
+        status.last_message.set(Instant::now());
+        status.version.set(self.selection.version());
         let Received::Update(update) = received else {
             return;
         };
@@ -140,6 +154,7 @@
     }
 
     fn log_end(&self, reason: &WatchError) {
+        increment(&self.shell.list_status.ended_watches);
         let version = self.selection.version();
         tracing::warn!(service = "endpoint list", %reason, version, "connection ended");
     }
--- a/crates/platform/src/discovery/watch.rs
+++ b/crates/platform/src/discovery/watch.rs
@@ -1,10 +1,11 @@
 //! One watch on the endpoint list: a streaming HTTP response that carries JSON objects.
 
-use super::list_update::{self, ListUpdate};
+use super::list_update::{self, ListUpdate, UpdateDecoder, UpdateError};
 use super::watch_selection::{OpenCandidate, WatchMessage};
-use crate::fields::{parse_object, FieldError};
 use crate::json_stream::{JsonStream, MalformedStream, StreamItem};
-use crate::limits::{MAX_LIST_UPDATE_BYTES, WATCH_QUEUE_CAPACITY, WATCH_READ_BUFFER_BYTES};
+use crate::limits::{
+    MAX_LIST_ENTRY_BYTES, MAX_LIST_ENVELOPE_BYTES, WATCH_QUEUE_CAPACITY, WATCH_READ_BUFFER_BYTES,
+};
 use crate::reconnect::AbortOnDrop;
 use crate::wall_clock::UnixTime;
 use bytes::Bytes;
@@ -34,7 +35,7 @@
     #[error(transparent)]
     Malformed(#[from] MalformedStream),
     #[error(transparent)]
-    Fields(#[from] FieldError),
+    Update(#[from] UpdateError),
     #[error("closed by the service")]
     Closed,
     #[error("no complete message within the silence limit")]
@@ -71,10 +72,11 @@
 }
 
 impl Watch {
-    pub(super) fn open(target: OpenCandidate) -> Watch {
+    /// Opens a watch. The decoded entries of one update may hold `max_update_bytes` of memory.
+    pub(super) fn open(target: OpenCandidate, max_update_bytes: usize) -> Watch {
         let (queue, received) = mpsc::channel(WATCH_QUEUE_CAPACITY);
         let task = spawn_local(async move {
-            let ended = run(target, &queue).await;
+            let ended = run(target, max_update_bytes, &queue).await;
             let reason = ended.err().unwrap_or(WatchError::Closed);
             // A failed send means that the watch was dropped; the reason is no longer needed.
             let _ = queue.send(Err(reason)).await;
@@ -95,7 +97,11 @@
     }
 }
 
-async fn run(target: OpenCandidate, queue: &MessageQueue) -> Result<(), WatchError> {
+async fn run(
+    target: OpenCandidate,
+    max_update_bytes: usize,
+    queue: &MessageQueue,
+) -> Result<(), WatchError> {
     let (mut sender, _connection) = connect(target.address).await?;
     let path = format!("/v1/servers?follow=1&since={}", target.since);
     let request = Request::get(path)
@@ -105,7 +111,7 @@
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
-    receive(response, queue).await
+    receive(response, max_update_bytes, queue).await
 }
 
 async fn connect(
@@ -124,30 +130,33 @@
 }
 
 /// Forwards the messages of a response until it ends or the receiver is dropped.
-async fn receive(response: Response<Incoming>, queue: &MessageQueue) -> Result<(), WatchError> {
+async fn receive(
+    response: Response<Incoming>,
+    max_update_bytes: usize,
+    queue: &MessageQueue,
+) -> Result<(), WatchError> {
     let mut body = response.into_body();
-    let mut stream = JsonStream::new(MAX_LIST_UPDATE_BYTES);
+    let mut stream = JsonStream::new(MAX_LIST_ENVELOPE_BYTES)
+        .with_elements(list_update::ENTRIES, MAX_LIST_ENTRY_BYTES);
+    let mut decoder = UpdateDecoder::new(max_update_bytes);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         stream.push(&data);
         while let Some(item) = stream.next_item()? {
-            if queue.send(Ok(decode(item)?)).await.is_err() {
+            let message = match item {
+                StreamItem::Element(entry) => {
+                    decoder.add_entry(&entry, UnixTime::now())?;
+                    continue;
+                }
+                StreamItem::Object(envelope) => Received::Update(decoder.finish(&envelope)?),
+                StreamItem::LineEnd => Received::KeepAlive,
+            };
+            if queue.send(Ok(message)).await.is_err() {
                 return Ok(());
             }
         }
     }
     Ok(())
 }
-
-fn decode(item: StreamItem) -> Result<Received, FieldError> {
-    match item {
-        StreamItem::LineEnd => Ok(Received::KeepAlive),
-        StreamItem::Object(text) => {
-            let object = parse_object("endpoint list", &text)?;
-            let update = list_update::decode(&object.fields(), UnixTime::now())?;
-            Ok(Received::Update(update))
-        }
-    }
-}
--- a/crates/platform/src/json_stream.rs
+++ b/crates/platform/src/json_stream.rs
@@ -1,16 +1,26 @@
-//! Splits a stream of JSON objects, with any white space in and between them, that arrives in arbitrary pieces.
+//! Splits a stream of JSON objects, with any white space in and between them, that arrives in arbitrary pieces. The
+//! objects in one array of each object, its elements, are passed on one by one, so that a long array is never held as
+//! text.
 //!
-//! Free of I/O. Each byte is scanned once, so a peer that sends single bytes costs no more than any other.
+//! Free of I/O. Each byte is scanned once, so a peer that sends single bytes costs no more than any other. White space
+//! outside of strings is dropped as it arrives: it neither counts towards a limit nor holds memory.
 
 use bytes::{Buf, BytesMut};
 
+/// What stands for an element in the object that it belongs to.
+const ELEMENT_PLACEHOLDER: &[u8] = b"{}";
+/// The depth within the array of elements: in the object and in the array.
+const ELEMENTS_DEPTH: usize = 2;
+
 /// An item of the stream.
 #[derive(Debug, PartialEq)]
 pub enum StreamItem {
     /// The end of a line outside of any object, which discovery sends as a keep-alive.
     LineEnd,
-    /// The bytes of one object, including its outer braces.
-    Object(BytesMut),
+    /// The text of one element of the object that is being received.
+    Element(Vec<u8>),
+    /// The text of one object. Each of its elements was an item before this one and is an empty object here.
+    Object(Vec<u8>),
 }
 
 /// Why a stream is malformed.
@@ -24,44 +34,118 @@
         /// The byte found.
         byte: u8,
     },
-    /// An object is longer than the limit.
-    #[error("object longer than {max_bytes} bytes")]
+    /// An object is longer than the limit, or one of its elements is.
+    #[error("object longer than {max_bytes} bytes without white space")]
     ObjectTooLong {
         /// The limit, in bytes.
         max_bytes: usize,
     },
 }
 
-/// Splits a stream into items. Holds at most one incomplete object and one received piece of the stream.
+/// The array whose objects are passed on one by one.
+struct ElementArray {
+    /// What precedes the array as the first field of its object, without white space.
+    first_field: Vec<u8>,
+    /// What precedes the array as a later field.
+    later_field: Vec<u8>,
+    max_element_bytes: usize,
+}
+
+impl ElementArray {
+    fn starts_after(&self, text: &[u8]) -> bool {
+        text == self.first_field || text.ends_with(&self.later_field)
+    }
+}
+
+/// The text of an object or an element without insignificant white space.
+#[derive(Default)]
+struct CompactText {
+    bytes: Vec<u8>,
+    /// Whether white space was dropped after the last byte.
+    after_space: bool,
+}
+
+impl CompactText {
+    fn push(&mut self, byte: u8) {
+        // Two numbers or literals must not become one.
+        let separates = |byte: u8| b"{}[],:\"".contains(&byte);
+        if self.after_space && !separates(byte) {
+            let last = self.bytes.last();
+            if last.is_some_and(|last| !separates(*last)) {
+                self.bytes.push(b' ');
+            }
+        }
+        self.after_space = false;
+        self.bytes.push(byte);
+    }
+
+    fn push_in_string(&mut self, byte: u8) {
+        self.after_space = false;
+        self.bytes.push(byte);
+    }
+
+    fn take(&mut self) -> Vec<u8> {
+        self.after_space = false;
+        std::mem::take(&mut self.bytes)
+    }
+}
+
+/// Splits a stream into items. Holds at most one incomplete object, one incomplete element and one received piece of the
+/// stream.
 pub struct JsonStream {
-    buffer: BytesMut,
+    /// Received bytes that were not scanned yet.
+    received: BytesMut,
+    object: CompactText,
+    element: CompactText,
     max_object_bytes: usize,
-    /// Number of leading bytes of `buffer` that were scanned.
-    scanned: usize,
-    /// Number of open braces and brackets at that point.
+    elements: Option<ElementArray>,
+    /// Number of open braces and brackets.
     depth: usize,
-    /// Whether that point is within a string.
+    /// Whether the last byte was within a string.
     in_string: bool,
-    /// Whether that point follows a backslash, so that the next byte is escaped.
+    /// Whether the last byte was a backslash in a string, so that the next byte is escaped.
     escaped: bool,
+    /// Whether the array of elements is open.
+    in_elements: bool,
+    /// Whether one of its elements is open.
+    in_element: bool,
 }
 
 impl JsonStream {
     /// Creates an empty stream that rejects objects of more than `max_object_bytes`.
     pub fn new(max_object_bytes: usize) -> JsonStream {
         JsonStream {
-            buffer: BytesMut::new(),
+            received: BytesMut::new(),
+            object: CompactText::default(),
+            element: CompactText::default(),
             max_object_bytes,
-            scanned: 0,
+            elements: None,
             depth: 0,
             in_string: false,
             escaped: false,
+            in_elements: false,
+            in_element: false,
+        }
+    }
+
+    /// Passes on the objects in the array `field` of each object one by one, and rejects those of more than
+    /// `max_element_bytes`.
+    #[must_use]
+    pub fn with_elements(self, field: &str, max_element_bytes: usize) -> JsonStream {
+        let elements = ElementArray {
+            first_field: format!("{{\"{field}\":").into_bytes(),
+            later_field: format!(",\"{field}\":").into_bytes(),
+            max_element_bytes,
+        };
+        JsonStream {
+            elements: Some(elements),
+            ..self
         }
     }
 
     /// Appends a piece of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.received.extend_from_slice(bytes);
     }
 
     /// Returns the next item; `None` if more of the stream must be pushed first.
@@ -70,53 +154,116 @@
     /// Fails on bytes that are not part of a stream of objects, and on an object that is too long. Nothing more can be
     /// read after an error.
     pub fn next_item(&mut self) -> Result<Option<StreamItem>, MalformedStream> {
-        while self.depth == 0 {
-            match self.buffer.first() {
-                None => return Ok(None),
-                Some(b'{') => {
-                    self.depth = 1;
-                    self.scanned = 1;
-                }
-                Some(b'\n') => {
-                    self.buffer.advance(1);
-                    return Ok(Some(StreamItem::LineEnd));
-                }
-                Some(b' ' | b'\t' | b'\r') => self.buffer.advance(1),
-                Some(byte) => return Err(MalformedStream::StrayByte { byte: *byte }),
+        let mut received = std::mem::take(&mut self.received);
+        let mut scanned = 0;
+        let mut item = Ok(None);
+        for byte in received.iter().copied() {
+            scanned += 1;
+            item = self.scan(byte);
+            if !matches!(item, Ok(None)) {
+                break;
             }
         }
-        self.scan_object()
+        received.advance(scanned);
+        self.received = received;
+        item
     }
 
-    /// Scans towards the end of the object at the start of `buffer`.
-    fn scan_object(&mut self) -> Result<Option<StreamItem>, MalformedStream> {
-        while let Some(byte) = self.buffer.get(self.scanned).copied() {
-            self.scanned += 1;
-            self.scan_byte(byte);
-            if self.scanned > self.max_object_bytes {
-                break;
-            }
-            if self.depth == 0 {
-                let object = self.buffer.split_to(self.scanned);
-                return Ok(Some(StreamItem::Object(object)));
-            }
+    /// Scans one byte, and returns the item that ends with it.
+    fn scan(&mut self, byte: u8) -> Result<Option<StreamItem>, MalformedStream> {
+        if self.depth == 0 {
+            return self.scan_between_objects(byte);
         }
-        if self.scanned > self.max_object_bytes {
-            return Err(MalformedStream::ObjectTooLong {
-                max_bytes: self.max_object_bytes,
-            });
+        if self.in_string {
+            self.scan_in_string(byte);
+            self.check_length()?;
+            return Ok(None);
+        }
+        if matches!(byte, b' ' | b'\t' | b'\r' | b'\n') {
+            self.text().after_space = true;
+            return Ok(None);
+        }
+        self.in_element |= self.opens_element(byte);
+        let opens_elements = self.opens_elements(byte);
+        self.text().push(byte);
+        match byte {
+            b'"' => self.in_string = true,
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth -= 1,
+            _ => {}
+        }
+        self.in_elements = opens_elements || self.in_elements && self.depth >= ELEMENTS_DEPTH;
+        self.check_length()?;
+        Ok(self.take_completed())
+    }
+
+    fn scan_between_objects(&mut self, byte: u8) -> Result<Option<StreamItem>, MalformedStream> {
+        match byte {
+            b'{' => {
+                self.object.push(byte);
+                self.depth = 1;
+                Ok(None)
+            }
+            b'\n' => Ok(Some(StreamItem::LineEnd)),
+            b' ' | b'\t' | b'\r' => Ok(None),
+            byte => Err(MalformedStream::StrayByte { byte }),
         }
-        Ok(None)
     }
 
-    fn scan_byte(&mut self, byte: u8) {
+    fn scan_in_string(&mut self, byte: u8) {
+        self.text().push_in_string(byte);
         match byte {
             _ if self.escaped => self.escaped = false,
-            b'\\' if self.in_string => self.escaped = true,
-            b'"' => self.in_string = !self.in_string,
-            b'{' | b'[' if !self.in_string => self.depth += 1,
-            b'}' | b']' if !self.in_string => self.depth -= 1,
+            b'\\' => self.escaped = true,
+            b'"' => self.in_string = false,
             _ => {}
         }
     }
+
+    /// Returns whether this byte opens the array of elements.
+    fn opens_elements(&self, byte: u8) -> bool {
+        let object = &self.object.bytes;
+        let elements = self.elements.as_ref();
+        byte == b'[' && self.depth == 1 && elements.is_some_and(|array| array.starts_after(object))
+    }
+
+    /// Returns whether this byte opens an element.
+    fn opens_element(&self, byte: u8) -> bool {
+        byte == b'{' && self.in_elements && self.depth == ELEMENTS_DEPTH
+    }
+
+    /// Returns the text that the present byte belongs to.
+    fn text(&mut self) -> &mut CompactText {
+        if self.in_element {
+            &mut self.element
+        } else {
+            &mut self.object
+        }
+    }
+
+    /// Returns the element or the object that ends with the last byte.
+    fn take_completed(&mut self) -> Option<StreamItem> {
+        if self.in_element && self.depth == ELEMENTS_DEPTH {
+            self.in_element = false;
+            for byte in ELEMENT_PLACEHOLDER {
+                self.object.push(*byte);
+            }
+            return Some(StreamItem::Element(self.element.take()));
+        }
+        (self.depth == 0).then(|| StreamItem::Object(self.object.take()))
+    }
+
+    fn check_length(&self) -> Result<(), MalformedStream> {
+        let elements = self.elements.as_ref();
+        let max_element_bytes = elements.map_or(0, |array| array.max_element_bytes);
+        for (text, max_bytes) in [
+            (&self.object, self.max_object_bytes),
+            (&self.element, max_element_bytes),
+        ] {
+            if text.bytes.len() > max_bytes {
+                return Err(MalformedStream::ObjectTooLong { max_bytes });
+            }
+        }
+        Ok(())
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`discovery`] and `control_plane` follow the platform's services.
 //!
 //! The engine makes all decisions about requests, builds and votes. Decisions about connections and watches are made
-//! in modules without I/O: [`connection_slots`], [`idle_timeout`], [`request_memory`], [`discovery::watch_selection`],
-//! `attempt_outcome`, `in_flight_ids` and `response_memory`.
+//! in modules without I/O: [`connection_slots`], [`idle_timeout`], [`memory_budget`], [`discovery::watch_selection`], `attempt_outcome` and
+//! `in_flight_ids`.
 
 #![warn(missing_docs)]
 #![warn(
@@ -38,6 +38,7 @@
 pub mod json_stream;
 mod limits;
 mod listener;
+pub mod memory_budget;
 mod pod_client;
 mod pod_pool;
 mod pod_response;
@@ -45,7 +46,6 @@
 mod reconnect;
 mod request_error;
 mod request_handler;
-pub mod request_memory;
 mod request_reader;
 mod response_memory;
 mod service;
--- a/crates/platform/src/limits.rs
+++ b/crates/platform/src/limits.rs
@@ -9,12 +9,14 @@
 /// Limit on the base delay of that backoff.
 pub(crate) const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(800);
 
-/// Limit on one update of the endpoint list.
-pub(crate) const MAX_LIST_UPDATE_BYTES: usize = 1 << 20;
+/// Limit on one update of the endpoint list without its entries and white space; each entry leaves three bytes there.
+pub(crate) const MAX_LIST_ENVELOPE_BYTES: usize = 256 << 10;
+/// Limit on one entry of the endpoint list without white space.
+pub(crate) const MAX_LIST_ENTRY_BYTES: usize = 16 << 10;
 /// Read buffer of a watch.
 pub(crate) const WATCH_READ_BUFFER_BYTES: usize = 64 << 10;
-/// Messages of a watch that wait to be processed; further ones wait in its socket.
-pub(crate) const WATCH_QUEUE_CAPACITY: usize = 16;
+/// Messages of a watch that wait to be processed; further ones wait in its socket. A message may hold the complete list.
+pub(crate) const WATCH_QUEUE_CAPACITY: usize = 1;
 
 /// Limit on connecting to the control plane and on writing a call to it.
 pub(crate) const CONTROL_PLANE_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/platform/src/pod_client.rs
+++ b/crates/platform/src/pod_client.rs
@@ -1,6 +1,7 @@
 //! Resources shared by attempts and health checks: connections to pods, memory for responses, counters.
 
 use crate::config::PodConnectionSettings;
+use crate::memory_budget::MemoryBudget;
 use crate::pod_pool::PodPool;
 use crate::response_memory::ResponseMemory;
 use havenplank::interface::LoadReport;
@@ -28,17 +29,16 @@
 }
 
 impl PodClient {
-    /// Creates a client with at most `max_connections` open at a time, in a process that may use `process_bytes` of
-    /// memory.
+    /// Creates a client with at most `max_connections` open at a time.
     pub(crate) fn new(
         settings: PodConnectionSettings,
         load_fields: Vec<String>,
         max_connections: usize,
-        process_bytes: usize,
+        memory: &MemoryBudget,
     ) -> PodClient {
         PodClient {
             pool: PodPool::new(settings, max_connections),
-            memory: ResponseMemory::new(process_bytes),
+            memory: ResponseMemory::new(memory),
             counters: AttemptCounters::default(),
             connect_timeout: settings.connect_timeout,
             load_fields,
--- a/crates/platform/src/request_reader.rs
+++ b/crates/platform/src/request_reader.rs
@@ -4,9 +4,9 @@
 use crate::id_claim::IdClaim;
 use crate::in_flight_ids::IdConflict;
 use crate::limits::{MAX_BODY_BYTES, MAX_CORRELATION_ID_BYTES};
+use crate::memory_budget::reserve_by;
 use crate::prepared_request::{PreparedHead, PreparedRequest};
 use crate::request_error::RequestError;
-use crate::request_memory::reserve_by;
 use crate::shell::Shell;
 use crate::units::NANOS_PER_MILLI;
 use crate::wire_headers::{
--- a/crates/platform/src/response_memory.rs
+++ b/crates/platform/src/response_memory.rs
@@ -1,20 +1,14 @@
-//! Limits the memory that responses of pods hold, by reservations.
+//! Limits the memory that responses of pods hold, by reservations; [`crate::memory_budget`] has the limits.
 //!
 //! Responses up to the protocol's limit on a body need no reservation. Larger ones, which pods send nevertheless, keep
 //! their reservation until the client has read them. If no memory is left, the next large response waits in its socket
 //! until some is released or its attempt times out.
 
 use crate::limits::MAX_BODY_BYTES;
+use crate::memory_budget::MemoryBudget;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// All large responses together may hold the memory of the process divided by this.
-const ALL_RESPONSES_DIVISOR: usize = 4;
-/// One response may hold the memory of the process divided by this.
-const ONE_RESPONSE_DIVISOR: usize = 16;
-/// Limit on one response, whatever the memory: twice this number must fit the 32-bit permit count of a semaphore.
-const MAX_RESPONSE_BYTES: usize = 1 << 30;
-
 /// A reservation of memory, released when it is dropped; `None` for a response within the protocol's limit.
 pub(crate) type MemoryReservation = Option<OwnedSemaphorePermit>;
 
@@ -25,13 +19,11 @@
 }
 
 impl ResponseMemory {
-    /// Derives the limits from the bytes that the process may use.
-    pub(crate) fn new(process_bytes: usize) -> ResponseMemory {
-        let all_responses = (process_bytes / ALL_RESPONSES_DIVISOR).min(u32::MAX as usize);
-        let one_response = process_bytes / ONE_RESPONSE_DIVISOR;
+    /// Creates the memory with all of it free.
+    pub(crate) fn new(budget: &MemoryBudget) -> ResponseMemory {
         ResponseMemory {
-            bytes: Arc::new(Semaphore::new(all_responses)),
-            max_response_bytes: one_response.clamp(MAX_BODY_BYTES, MAX_RESPONSE_BYTES),
+            bytes: Arc::new(Semaphore::new(budget.large_responses)),
+            max_response_bytes: budget.one_response,
         }
     }
 
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -5,8 +5,8 @@
 use crate::config::Config;
 use crate::connection_slots::{DescriptorBudget, STOP_ACCEPT_TIME};
 use crate::limits::{STOP_MARGIN, STOP_POLL_INTERVAL, SWEEP_INTERVAL};
+use crate::memory_budget::MemoryBudget;
 use crate::pod_client::PodClient;
-use crate::request_memory::max_bytes_of_all_bodies;
 use crate::shell::{Platform, Shell};
 use crate::vote_queue::VoteQueue;
 use crate::{control_plane, discovery, listener, state_log};
@@ -60,11 +60,12 @@
 fn new_shell(config: &Config) -> Rc<Shell> {
     let engine = Engine::new(EPOCH, config.seed, &config.engine);
     let budget = DescriptorBudget::new(config.descriptors);
+    let memory = MemoryBudget::new(config.memory_bytes);
     let pods = PodClient::new(
         config.pod_connections,
         config.load_fields.clone(),
         budget.pods,
-        config.memory_bytes,
+        &memory,
     );
     let platform = Platform {
         route_classes: config.engine.route_classes.clone(),
@@ -72,9 +73,10 @@
         vote_settings: config.engine.votes.clone(),
         response_margin: config.response_margin,
         clients: ClientTable::new(budget),
-        request_memory: BodyMemory::new(max_bytes_of_all_bodies(config.memory_bytes)),
+        request_memory: BodyMemory::new(memory.request_bodies),
         pods,
         votes: VoteQueue::default(),
+        list_status: discovery::ListStatus::default(),
         stopping: Cell::new(false),
     };
     Shell::new(engine, platform)
@@ -105,12 +107,13 @@
     }
 
     fn follow(&self, shell: &Rc<Shell>, config: &Config, tasks: &mut JoinSet<()>) {
-        tasks.spawn_local(discovery::follow(
-            shell.clone(),
-            self.discovery.subscribe(),
-            config.initial_list.version,
-            config.seed ^ 1,
-        ));
+        let start = discovery::Start {
+            since: config.initial_list.version,
+            max_update_bytes: MemoryBudget::new(config.memory_bytes).list_update,
+            seed: config.seed ^ 1,
+        };
+        let address = self.discovery.subscribe();
+        tasks.spawn_local(discovery::follow(shell.clone(), address, start));
         tasks.spawn_local(control_plane::follow(
             shell.clone(),
             self.control_plane.subscribe(),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -4,6 +4,7 @@
 //! the sockets depend on this one; `transport` performs the effects that the engine requests.
 
 use crate::client_table::ClientTable;
+use crate::discovery::ListStatus;
 use crate::pod_client::PodClient;
 use crate::vote_queue::VoteQueue;
 use bytes::Bytes;
@@ -30,6 +31,7 @@
     pub(crate) request_memory: BodyMemory,
     pub(crate) pods: PodClient,
     pub(crate) votes: VoteQueue,
+    pub(crate) list_status: ListStatus,
     /// Whether the process was asked to stop.
     pub(crate) stopping: Cell<bool>,
 }
--- a/crates/platform/tests/list_races.rs
+++ b/crates/platform/tests/list_races.rs
@@ -7,13 +7,15 @@
     chunk, configuration, entry, list, Connection, ScriptedServer, WATCH,
 };
 use havenplank_platform::Command;
-use serde_json::json;
+use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 const MS: Duration = Duration::from_millis(1);
+/// The most pods of one list in service.
+const MAX_PODS: usize = 3200;
 
 /// Accepts the watch and makes it active by an update without entries to version `version`.
 async fn open_watch(rig: &Rig, version: u64) -> Connection {
@@ -71,6 +73,33 @@
     });
 }
 
+/// A list that is longer than the sidecar reads at a time, and over 1 MiB by its indentation, was never read: each watch
+/// ended before its first message, and the sidecar went on sending to pods that drained.
+#[test]
+fn a_long_indented_list_of_many_pods_is_applied() {
+    run_test(async {
+        let rig = Rig::new(|_| {}).await;
+        let mut watch = open_watch(&rig, 4).await;
+        let unused = ScriptedServer::new().await.unwrap().address().unwrap();
+        let draining = |n: usize| entry(&format!("{n:0>200}"), unused, 7, "leaving");
+        let mut hosts: Vec<Value> = (0..MAX_PODS - 1).map(draining).collect();
+        let other = ScriptedServer::new().await.unwrap();
+        hosts.push(entry("other", other.address().unwrap(), 7, "active"));
+        let update = json!({"seq": 5, "whole": true, "hosts": hosts});
+        let update = serde_json::to_string_pretty(&update).unwrap();
+        let update = update.replace('\n', "\n        ") + "\n";
+        assert!(update.len() > 1 << 20, "{}", update.len());
+        watch.send(chunk(&update)).await.unwrap();
+        watch.send(chunk("\n")).await.unwrap();
+        let_sidecar_run(&rig).await;
+        assert_request_reaches(&rig, &other, "i1").await;
+        assert!(
+            rig.discovery.has_no_pending_connection().await,
+            "no new watch was needed"
+        );
+    });
+}
+
 /// The worst case of the 6 s within which a silent watch must be replaced: the watch falls silent right after its last
 /// message, except for an incomplete one that arrives byte by byte, and the next watch is silent, too.
 #[test]
