Read the clock once for each piece of a list, not for each entry

Cause: the entries of a list were decoded one by one, each with its own reading of the clock and a buffer that grew from nothing.

Change: one clock reading for each piece received; strings are copied at a time; the buffer of an entry starts at the length of the last one.

Tests of the platform pass.

--- a/crates/platform/src/discovery/watch.rs
+++ b/crates/platform/src/discovery/watch.rs
@@ -144,10 +144,11 @@
             continue;
         };
         stream.push(&data);
+        let now = UnixTime::now();
         while let Some(item) = stream.next_item()? {
             let message = match item {
                 StreamItem::Element(entry) => {
-                    decoder.add_entry(&entry, UnixTime::now())?;
+                    decoder.add_entry(&entry, now)?;
                     continue;
                 }
                 StreamItem::Object(envelope) => Received::Update(decoder.finish(&envelope)?),
--- a/crates/platform/src/json_stream.rs
+++ b/crates/platform/src/json_stream.rs
@@ -79,14 +79,16 @@
         self.bytes.push(byte);
     }
 
-    fn push_in_string(&mut self, byte: u8) {
+    fn push_in_string(&mut self, bytes: &[u8]) {
         self.after_space = false;
-        self.bytes.push(byte);
+        self.bytes.extend_from_slice(bytes);
     }
 
+    /// Returns the text, and leaves an empty one with the same capacity: the next text is often as long.
     fn take(&mut self) -> Vec<u8> {
         self.after_space = false;
-        std::mem::take(&mut self.bytes)
+        let empty = Vec::with_capacity(self.bytes.len());
+        std::mem::replace(&mut self.bytes, empty)
     }
 }
 
@@ -157,9 +159,14 @@
         let mut received = std::mem::take(&mut self.received);
         let mut scanned = 0;
         let mut item = Ok(None);
-        for byte in received.iter().copied() {
-            scanned += 1;
-            item = self.scan(byte);
+        while let Some(byte) = received.get(scanned).copied() {
+            if self.in_string {
+                scanned += self.scan_in_string(&received[scanned..]);
+                item = self.check_length().map(|()| None);
+            } else {
+                scanned += 1;
+                item = self.scan(byte);
+            }
             if !matches!(item, Ok(None)) {
                 break;
             }
@@ -169,16 +176,11 @@
         item
     }
 
-    /// Scans one byte, and returns the item that ends with it.
+    /// Scans one byte outside of a string, and returns the item that ends with it.
     fn scan(&mut self, byte: u8) -> Result<Option<StreamItem>, MalformedStream> {
         if self.depth == 0 {
             return self.scan_between_objects(byte);
         }
-        if self.in_string {
-            self.scan_in_string(byte);
-            self.check_length()?;
-            return Ok(None);
-        }
         if matches!(byte, b' ' | b'\t' | b'\r' | b'\n') {
             self.text().after_space = true;
             return Ok(None);
@@ -210,14 +212,22 @@
         }
     }
 
-    fn scan_in_string(&mut self, byte: u8) {
-        self.text().push_in_string(byte);
-        match byte {
-            _ if self.escaped => self.escaped = false,
-            b'\\' => self.escaped = true,
-            b'"' => self.in_string = false,
-            _ => {}
+    /// Scans up to the first byte that may end the string or escape the next one, and returns the bytes scanned.
+    fn scan_in_string(&mut self, received: &[u8]) -> usize {
+        if self.escaped {
+            self.escaped = false;
+            self.text().push_in_string(&received[..1]);
+            return 1;
+        }
+        let special = received.iter().position(|byte| b"\"\\".contains(byte));
+        let scanned = special.map_or(received.len(), |position| position + 1);
+        self.text().push_in_string(&received[..scanned]);
+        match special.map(|position| received[position]) {
+            Some(b'"') => self.in_string = false,
+            Some(_) => self.escaped = true,
+            None => {}
         }
+        scanned
     }
 
     /// Returns whether this byte opens the array of elements.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`discovery`] and `control_plane` follow the platform's services.
 //!
 //! The engine makes all decisions about requests, builds and votes. Decisions about connections and watches are made
-//! in modules without I/O: [`connection_slots`], [`idle_timeout`], [`memory_budget`], [`discovery::watch_selection`], `attempt_outcome` and
-//! `in_flight_ids`.
+//! in modules without I/O: [`connection_slots`], [`idle_timeout`], [`memory_budget`], [`discovery::watch_selection`],
+//! `attempt_outcome` and `in_flight_ids`.
 
 #![warn(missing_docs)]
 #![warn(
