A body of unannounced length reserves no more than the body limit

Cause: doubled the buffer of such a body past the limit, so in serve with few hits it asked for more memory than all bodies may hold, and a valid body got a 503 after body_time. The platform rejects such bodies, so its path is as before.

Evidence: the new test failed before with NoMemory, and passes.

Change: the capacity is limited by the body limit; the comment says what holds for which bodies.

--- a/crates/sidecar/src/request_body.rs
+++ b/crates/sidecar/src/request_body.rs
@@ -75,7 +75,7 @@
     B: Body<Data = Bytes> + Unpin,
 {
     let announced = body.size_hint().exact().map(|length| length as usize);
-    let mut buffer = ReservedBuffer::new(announced);
+    let mut buffer = ReservedBuffer::new(announced, limits.max_bytes);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Incomplete)?.into_data() else {
             continue;
@@ -95,14 +95,17 @@
     bytes: Vec<u8>,
     /// The length of the body; `None` if the client did not announce it.
     announced: Option<usize>,
+    /// Limit on the length of the body, in bytes.
+    max_bytes: usize,
     reservation: Option<OwnedSemaphorePermit>,
 }
 
 impl ReservedBuffer {
-    fn new(announced: Option<usize>) -> ReservedBuffer {
+    fn new(announced: Option<usize>, max_bytes: usize) -> ReservedBuffer {
         ReservedBuffer {
             bytes: Vec::new(),
             announced,
+            max_bytes,
             reservation: None,
         }
     }
@@ -129,10 +132,10 @@
         Ok(())
     }
 
-    /// Returns the capacity for at least `length` bytes. Past the first capacity it is that of the complete body, so
-    /// that a body that has it needs no further memory: bodies never wait for each other.
+    /// Returns the capacity for at least `length` bytes. Past the first capacity it is that of the complete body if its
+    /// length was announced: such bodies, once they have it, wait for no other. Otherwise it doubles up to the limit.
     fn next_capacity(&self, length: usize, capacity: usize) -> usize {
-        let announced = self.announced.unwrap_or(2 * capacity);
+        let announced = self.announced.unwrap_or(2 * capacity).min(self.max_bytes);
         if length <= FIRST_CAPACITY_BYTES {
             return announced.clamp(length, FIRST_CAPACITY_BYTES);
         }
--- a/crates/sidecar/tests/request_body.rs
+++ b/crates/sidecar/tests/request_body.rs
@@ -33,7 +33,7 @@
 
 /// A body in segments, each a slice of a read buffer of its own, as the HTTP server passes them on.
 struct SegmentedBody {
-    announced: u64,
+    announced: Option<u64>,
     remaining: usize,
     allocated: Arc<AtomicUsize>,
     max_allocated: Arc<AtomicUsize>,
@@ -44,7 +44,7 @@
 impl SegmentedBody {
     fn new(length: usize) -> SegmentedBody {
         SegmentedBody {
-            announced: length as u64,
+            announced: Some(length as u64),
             remaining: length,
             allocated: Arc::default(),
             max_allocated: Arc::default(),
@@ -54,7 +54,7 @@
 
     fn stalled_after(length: usize) -> SegmentedBody {
         SegmentedBody {
-            announced: BODY_BYTES as u64,
+            announced: Some(BODY_BYTES as u64),
             stalls: true,
             ..SegmentedBody::new(length)
         }
@@ -85,7 +85,8 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.announced)
+        self.announced
+            .map_or_else(SizeHint::new, SizeHint::with_exact)
     }
 }
 
@@ -162,3 +163,17 @@
         }
     });
 }
+
+/// A buffer that doubled past the limit of a body asked for more memory than there was, and a valid body was rejected.
+#[test]
+fn a_body_of_unannounced_length_needs_no_more_memory_than_its_limit() {
+    run(async {
+        let memory = BodyMemory::new(BODY_BYTES);
+        let body = SegmentedBody {
+            announced: None,
+            ..SegmentedBody::new(BODY_BYTES)
+        };
+        let read = read_body(body, &limits(20 * MS), &memory).await;
+        assert_eq!(read.expect("memory for one body").len(), BODY_BYTES);
+    });
+}
