--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and the cases of the second review; `review/build-2.sh` builds them.
 
 mod exposure;
+mod foreign;
 mod memory;
 mod slow_list;
 mod world;
@@ -19,6 +20,7 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let result = match case.as_str() {
         "exposure" => exposure::run(&root, &folder, trouble),
+        "foreign" => foreign::run(&root, &folder, trouble),
         "memory" => memory::run(&root, &folder, trouble),
         "slow-list" => slow_list::run(&root, &folder, trouble),
         other => Err(format!("no case {other}")),
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -622,13 +622,24 @@
     ) -> std::io::Result<Sidecar> {
         let file = folder.join("config.json");
         fs::write(&file, config)?;
+        let run = deploy_line(root, "run").ok_or(ErrorKind::NotFound)?;
+        Sidecar::start_by(root, folder, &run, number, &[("PROXY_CONFIG", &file)])
+    }
+
+    /// Starts the program by another line than `run`.
+    pub fn start_by(
+        root: &Path,
+        folder: &Path,
+        line: &str,
+        number: u32,
+        environment: &[(&str, &Path)],
+    ) -> std::io::Result<Sidecar> {
         let log = folder.join(format!("sidecar-{number}.log"));
         let out = fs::File::create(&log)?;
-        let run = deploy_line(root, "run").ok_or(ErrorKind::NotFound)?;
         let child = Command::new("/bin/sh")
-            .args(["-c", &run])
+            .args(["-c", line])
             .current_dir(root)
-            .env("PROXY_CONFIG", &file)
+            .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(out.try_clone()?)
             .stderr(out)
@@ -636,6 +647,18 @@
         Ok(Sidecar { child, log })
     }
 
+    /// Waits for a text in the log.
+    pub fn wait_log(&self, text: &str) -> bool {
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until {
+            if self.log().contains(text) {
+                return true;
+            }
+            thread::sleep(ms(10));
+        }
+        false
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
