--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -644,6 +644,10 @@
             .stdout(out.try_clone()?)
             .stderr(out)
             .spawn()?;
+        // For the script, which ends what is left when this process is killed.
+        let ids = std::env::temp_dir().join("sidecars");
+        let ids = fs::OpenOptions::new().create(true).append(true).open(ids);
+        let _ = ids.and_then(|mut ids| writeln!(ids, "{}", child.id()));
         Ok(Sidecar { child, log })
     }
 
