platform: the state line says what the memory holds, by kind

Change: allocated, anonymous and resident memory, response bodies, bytes read ahead, bytes of incomplete requests.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `havenplank`: its command line, and the dispatch to a module for each sub-command.
 
+mod allocator;
 mod bench;
 mod bench_capacity;
 mod bench_proxy_capacity;
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,5 +1,6 @@
 //! `havenplank platform`: runs a sidecar on the operators' platform, configured by the file that PROXY_CONFIG names.
 
+use crate::allocator::allocated_bytes;
 use crate::USAGE;
 use anyhow::Context;
 use havenplank_platform::{serve, Command, Config};
@@ -44,7 +45,7 @@
     let (sender, commands) = mpsc::channel(COMMAND_QUEUE);
     tokio::task::spawn_local(forward_signals(signals, file, sender));
     let ready = |listen| tracing::info!(name, %listen, descriptors, instances, votes, "listening");
-    serve(config, commands, ready).await?;
+    serve(config, allocated_bytes, commands, ready).await?;
     Ok(0)
 }
 
--- a/crates/platform/src/client_table.rs
+++ b/crates/platform/src/client_table.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Numbers of connections by what they are doing.
+/// Numbers of connections by what they are doing, and what they hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ActivityCounts {
     /// Connections on which no complete request has been read yet.
@@ -22,6 +22,10 @@
     pub(crate) reading_further: usize,
     /// Connections whose request has been read and whose response is not fully written yet.
     pub(crate) responding: usize,
+    /// Bytes that were read while a request was in flight and that the HTTP server has not consumed.
+    pub(crate) read_ahead_bytes: usize,
+    /// Bytes of requests whose head or body is not complete, as passed to the HTTP server.
+    pub(crate) partial_request_bytes: usize,
 }
 
 impl ActivityCounts {
@@ -32,6 +36,8 @@
         self.responding += usize::from(matches!(state.activity, Activity::Responding { .. }));
         self.reading_further += usize::from(state.has_requested && is_reading);
         self.silent += usize::from(!state.has_requested);
+        self.read_ahead_bytes += client.stream.read_ahead_bytes();
+        self.partial_request_bytes += client.stream.partial_request_bytes();
         self.silent_reading += usize::from(!state.has_requested && has_begun);
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -61,4 +61,5 @@
 pub use fields::FieldError;
 pub use havenplank_sidecar::StartError;
 pub use service::{serve, Command};
+pub use shell::AllocatedBytes;
 pub use wall_clock::UnixTime;
--- a/crates/platform/src/response_memory.rs
+++ b/crates/platform/src/response_memory.rs
@@ -15,6 +15,7 @@
 /// The memory for large responses.
 pub(crate) struct ResponseMemory {
     bytes: Arc<Semaphore>,
+    total: usize,
     max_response_bytes: usize,
 }
 
@@ -23,10 +24,16 @@
     pub(crate) fn new(budget: &MemoryBudget) -> ResponseMemory {
         ResponseMemory {
             bytes: Arc::new(Semaphore::new(budget.large_responses)),
+            total: budget.large_responses,
             max_response_bytes: budget.one_response,
         }
     }
 
+    /// Returns the number of reserved bytes.
+    pub(crate) fn held(&self) -> usize {
+        self.total - self.bytes.available_permits()
+    }
+
     /// Returns the limit on the body of one response, in bytes.
     pub(crate) fn max_response_bytes(&self) -> usize {
         self.max_response_bytes
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -7,7 +7,7 @@
 use crate::limits::{STOP_MARGIN, STOP_POLL_INTERVAL, SWEEP_INTERVAL};
 use crate::memory_budget::MemoryBudget;
 use crate::pod_client::PodClient;
-use crate::shell::{Platform, Shell};
+use crate::shell::{AllocatedBytes, Platform, Shell};
 use crate::vote_queue::VoteQueue;
 use crate::{control_plane, discovery, listener, state_log};
 use havenplank_sidecar::body_memory::BodyMemory;
@@ -32,17 +32,18 @@
 }
 
 /// Runs one sidecar on the current thread until it is asked to stop. Requires a tokio `LocalRuntime` with time and I/O.
-/// `ready` is called with the listening address once the sidecar listens.
+/// `allocated_bytes` reports the memory of the process; `ready` is called with the listening address once the sidecar listens.
 ///
 /// # Errors
 /// Fails if the address cannot be listened on. Services that are unreachable are not an error: connecting is retried.
 pub async fn serve(
     config: Config,
+    allocated_bytes: AllocatedBytes,
     commands: mpsc::Receiver<Command>,
     ready: impl FnOnce(SocketAddr),
 ) -> Result<(), StartError> {
     let (listener, address) = listen(config.listen).await?;
-    let shell = new_shell(&config);
+    let shell = new_shell(&config, allocated_bytes);
     let services = ServiceAddresses::new(&config);
     start_engine(&shell, &config);
     let mut tasks = JoinSet::new();
@@ -57,7 +58,7 @@
     Ok(())
 }
 
-fn new_shell(config: &Config) -> Rc<Shell> {
+fn new_shell(config: &Config, allocated_bytes: AllocatedBytes) -> Rc<Shell> {
     let engine = Engine::new(EPOCH, config.seed, &config.engine);
     let budget = DescriptorBudget::new(config.descriptors);
     let memory = MemoryBudget::new(config.memory_bytes);
@@ -72,6 +73,7 @@
         tenants: config.engine.tenants.clone(),
         vote_settings: config.engine.votes.clone(),
         response_margin: config.response_margin,
+        allocated_bytes,
         clients: ClientTable::new(budget),
         request_memory: BodyMemory::new(memory.request_bodies),
         pods,
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -17,6 +17,9 @@
 /// The body of a response to a client.
 pub(crate) type Body = Full<Bytes>;
 
+/// Returns how many bytes the process has allocated at present; 0 if its allocator does not count them.
+pub type AllocatedBytes = fn() -> usize;
+
 /// The state of the platform's sockets and the settings that they need.
 pub(crate) struct Platform {
     /// Route classes with their names, in the order of the engine's indices.
@@ -26,6 +29,8 @@
     pub(crate) vote_settings: VoteSettings,
     /// How long before a request's deadline its response must be sent, in nanoseconds.
     pub(crate) response_margin: Nanos,
+    /// Returns how many bytes the process has allocated at present.
+    pub(crate) allocated_bytes: AllocatedBytes,
     pub(crate) clients: ClientTable,
     /// The memory for the bodies of requests.
     pub(crate) request_memory: BodyMemory,
--- a/crates/platform/src/state_log.rs
+++ b/crates/platform/src/state_log.rs
@@ -51,9 +51,14 @@
         list_silent_ms = shell.list_status.last_message.get().elapsed().as_millis() as u64,
         list_watches_ended = shell.list_status.ended_watches.get(),
         request_body_kb = shell.request_memory.held() / BYTES_PER_KB,
+        response_body_kb = pods.memory.held() / BYTES_PER_KB,
+        read_ahead_kb = activities.read_ahead_bytes / BYTES_PER_KB,
+        partial_request_kb = activities.partial_request_bytes / BYTES_PER_KB,
         rejected_for_memory = shell.request_memory.exhausted_count(),
         descriptors = open_descriptors(),
-        resident_kb = resident_kb().unwrap_or(0),
+        allocated_kb = (shell.allocated_bytes)() / BYTES_PER_KB,
+        anonymous_kb = memory_kb("RssAnon:").unwrap_or(0),
+        resident_kb = memory_kb("VmRSS:").unwrap_or(0),
         longest_gap_us = max_lateness.as_micros() as u64,
         "state"
     );
@@ -63,10 +68,10 @@
     std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count)
 }
 
-/// Returns the resident memory of the process in KiB; `None` if the kernel's report cannot be read.
-fn resident_kb() -> Option<u64> {
+/// Returns a field of the kernel's report on the memory of the process, in KiB; `None` if it cannot be read.
+fn memory_kb(field: &str) -> Option<usize> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
     let mut lines = status.lines();
-    let line = lines.find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = lines.find_map(|line| line.strip_prefix(field))?;
     line.trim().trim_end_matches("kB").trim().parse().ok()
 }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -61,7 +61,7 @@
         let ((ready, address), (end, ended)) = (oneshot::channel(), oneshot::channel());
         let sidecar = Sidecar(spawn_local(async move {
             let ready = |address| ready.send(address).expect("the test waits");
-            serve(parse_config(&config), received, ready)
+            serve(parse_config(&config), || 0, received, ready)
                 .await
                 .expect("a sidecar that starts");
             let _ = end.send(());
--- a/crates/sidecar/src/client_stream.rs
+++ b/crates/sidecar/src/client_stream.rs
@@ -34,6 +34,8 @@
     first_unread: Cell<Option<Instant>>,
     /// Bytes that were read before the HTTP connection asked for them; its next reads return them first.
     read_ahead: RefCell<BytesMut>,
+    /// Bytes that the HTTP connection has read of a request since the last complete one.
+    partial_request: Cell<usize>,
     /// Wakes the HTTP connection when bytes were read ahead.
     reader_waker: Cell<Option<Waker>>,
     /// Set once the HTTP connection has consumed a complete response body; cleared when all of it is written.
@@ -53,10 +55,12 @@
     pub fn new(socket: TcpStream) -> ClientStream {
         let (first_unread, reader_waker, response_written, write_blocked) = Default::default();
         let (read_ahead, response_consumed) = (RefCell::default(), Cell::new(false));
+        let partial_request = Cell::new(0);
         ClientStream(Rc::new(StreamState {
             socket,
             first_unread,
             read_ahead,
+            partial_request,
             reader_waker,
             response_consumed,
             response_written,
@@ -73,9 +77,20 @@
     /// Returns when the first byte of the request that was just read arrived, and resets that time for the next
     /// request.
     pub fn take_request_began(&self) -> Option<Instant> {
+        self.0.partial_request.set(0);
         self.0.first_unread.take()
     }
 
+    /// Returns how many bytes were read ahead and wait for the HTTP connection.
+    pub fn read_ahead_bytes(&self) -> usize {
+        self.0.read_ahead.borrow().len()
+    }
+
+    /// Returns how many bytes the HTTP connection has read of a request that is not complete.
+    pub fn partial_request_bytes(&self) -> usize {
+        self.0.partial_request.get()
+    }
+
     /// Returns when the last byte of a response was written, if one was written since the last call.
     pub fn take_response_written(&self) -> Option<Instant> {
         self.0.response_written.take()
@@ -99,6 +114,7 @@
     /// Records that the body of a request is complete: the bytes that arrived since its head were its own, and the next
     /// request has not begun.
     pub(crate) fn record_request_complete(&self) {
+        self.0.partial_request.set(0);
         self.0.first_unread.set(None);
     }
 
@@ -167,6 +183,12 @@
         Poll::Ready(done)
     }
 
+    /// Records that bytes of a request were passed to the HTTP connection.
+    fn record_passed_on(&self, bytes: usize) {
+        let partial_request = &self.0.partial_request;
+        partial_request.set(partial_request.get() + bytes);
+    }
+
     fn record_read(&self) {
         if self.0.first_unread.get().is_none() {
             self.0.first_unread.set(Some(Instant::now()));
@@ -203,6 +225,7 @@
             let length = read_ahead.len().min(buf.remaining());
             buf.put_slice(&read_ahead[..length]);
             read_ahead.advance(length);
+            self.record_passed_on(length);
             return Poll::Ready(Ok(()));
         }
         self.0.reader_waker.set(Some(cx.waker().clone()));
@@ -213,6 +236,7 @@
                     buf.advance(read);
                     if read > 0 {
                         self.record_read();
+                        self.record_passed_on(read);
                     }
                     return Poll::Ready(Ok(()));
                 }
