platform: hold all that the process allocates under its memory limit

Cause: bodies of requests and responses over 64 KiB alone were counted. Some 30 KB for each of 448 connections, short responses, heads of responses and a fifth that the allocator keeps free were not. Change: memory_budget compares what the allocator has handed out with three limits that rise along a request's way: clients, bodies, responses. Past the first a new client displaces a silent one, then bodies and responses wait in their sockets. Reads no longer double the HTTP server's buffers, and a connection's task no longer holds a buffer to discard bytes.

--- /dev/null
+++ b/crates/cli/tests/platform_memory.rs
@@ -0,0 +1,405 @@
+//! The memory of `havenplank platform` while clients and pods of every kind hold as much of it as they can, at the corner
+//! of what the operators' pages allow: the least memory with the most descriptors, and the longest bodies.
+
+use havenplank_emulator::scripted::{configuration, entry};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener as StdTcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, sleep_until, timeout_at};
+
+const MS: Duration = Duration::from_millis(1);
+const KIB: usize = 1 << 10;
+const MEMORY_MB: usize = 32;
+const DESCRIPTORS: usize = 1024;
+/// The limit on any body of the protocol.
+const BODY_BYTES: usize = 64 * KIB;
+/// What pods send nevertheless.
+const LARGE_RESPONSE_BYTES: usize = 400 * KIB;
+const PODS: usize = 14;
+const POD_WORK: Duration = Duration::from_millis(350);
+const USUAL_CLIENTS: usize = 240;
+const BAD_CLIENTS: usize = 600;
+const CLIENT_TIME_MS: u64 = 3000;
+
+/// What a client does, over and over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    /// Sends a request with a body each second and reads its response.
+    Usual,
+    /// Stops within its body.
+    HalfBody,
+    /// Sends a head without an end.
+    EndlessHead,
+    /// Sends a head of very many short fields, a piece at a time.
+    ManyFields,
+    /// Sends a request with a body slowly.
+    SlowWriter,
+    /// Sends a request with a head of 12 KB, and the same again.
+    LongHead,
+    /// Sends what can't be read behind a request.
+    Garbage,
+    /// Sends hundreds of requests at once.
+    Pipelined,
+    /// Does not read its response.
+    SlowReader,
+    /// Sends nothing.
+    Silent,
+    /// Requests responses over the limit of the protocol.
+    LargeResponse,
+    /// Requests responses in chunks.
+    ChunkedResponse,
+    /// Requests responses whose head has no end.
+    EndlessResponseHead,
+}
+
+const BAD_KINDS: [Kind; 12] = [
+    Kind::HalfBody,
+    Kind::EndlessHead,
+    Kind::ManyFields,
+    Kind::SlowWriter,
+    Kind::LongHead,
+    Kind::Garbage,
+    Kind::Pipelined,
+    Kind::SlowReader,
+    Kind::Silent,
+    Kind::LargeResponse,
+    Kind::ChunkedResponse,
+    Kind::EndlessResponseHead,
+];
+
+fn head(line: &str, id: &str, fields: &str) -> String {
+    format!("{line} HTTP/1.1\r\nhost: h\r\nx-correlation-id: {id}\r\nx-time-left-ms: {CLIENT_TIME_MS}\r\n{fields}\r\n")
+}
+
+fn get(path: &str, id: &str) -> String {
+    head(&format!("GET /read/{path}"), id, "")
+}
+
+fn post(id: &str, sent_bytes: usize) -> String {
+    let fields = format!("idempotency-key: k{id}\r\ncontent-length: {BODY_BYTES}\r\n");
+    head("POST /mark/a", id, &fields) + &"b".repeat(sent_bytes)
+}
+
+/// The pieces that a client sends, and the pause between them.
+fn pieces(kind: Kind, id: &str) -> (Vec<String>, Duration) {
+    match kind {
+        Kind::Usual => (vec![post(id, BODY_BYTES)], MS),
+        Kind::HalfBody => (vec![post(id, BODY_BYTES - 512)], MS),
+        Kind::EndlessHead => (
+            vec![format!(
+                "POST /mark/a HTTP/1.1\r\nx-long: {}",
+                "h".repeat(16_000)
+            )],
+            MS,
+        ),
+        Kind::ManyFields => (vec!["a:b\r\n".repeat(300); 10], 100 * MS),
+        Kind::SlowWriter => {
+            let text = post(id, BODY_BYTES);
+            let pieces = text.as_bytes().chunks(1460);
+            let pieces = pieces.map(|piece| String::from_utf8_lossy(piece).to_string());
+            (pieces.collect(), 40 * MS)
+        }
+        Kind::LongHead => {
+            let field = format!("x-long: {}\r\n", "h".repeat(12_000));
+            (vec![head("GET /read/a", id, &field)], MS)
+        }
+        Kind::Garbage => (vec![get("a", id) + &"\u{1}".repeat(40_000)], MS),
+        Kind::Pipelined => {
+            let requests = (0..300).map(|n| get("a", &format!("{id}-{n}")));
+            (vec![requests.collect()], MS)
+        }
+        Kind::SlowReader => (vec![get("a", id)], MS),
+        Kind::Silent => (Vec::new(), MS),
+        Kind::LargeResponse => (vec![get("large", id)], MS),
+        Kind::ChunkedResponse => (vec![get("chunked", id)], MS),
+        Kind::EndlessResponseHead => (vec![get("endless", id)], MS),
+    }
+}
+
+/// Sends the pieces of a kind on a new connection, then reads to the end. Returns the status of the response; 0 if none
+/// came.
+async fn play(kind: Kind, sidecar: SocketAddr, id: &str) -> std::io::Result<u16> {
+    let mut stream = TcpStream::connect(sidecar).await?;
+    let (pieces, pause) = pieces(kind, id);
+    for piece in pieces {
+        stream.write_all(piece.as_bytes()).await?;
+        sleep(pause).await;
+    }
+    if kind == Kind::SlowReader {
+        sleep(Duration::from_millis(CLIENT_TIME_MS)).await;
+    }
+    read_response(&mut stream, kind != Kind::Usual).await
+}
+
+/// Reads a response, to the end of the connection if `to_end` is set, otherwise a body of the protocol's longest length.
+async fn read_response(stream: &mut TcpStream, to_end: bool) -> std::io::Result<u16> {
+    let (mut read, mut start, mut length) = ([0; 4096], Vec::new(), 0);
+    while to_end || length < BODY_BYTES {
+        let more = stream.read(&mut read).await?;
+        if more == 0 {
+            break;
+        }
+        length += more;
+        let missing = 12usize.saturating_sub(start.len());
+        start.extend_from_slice(&read[..more.min(missing)]);
+        if !to_end && !start.ends_with(b"200") {
+            break;
+        }
+    }
+    let status = start
+        .get(9..12)
+        .and_then(|text| std::str::from_utf8(text).ok());
+    Ok(status.and_then(|text| text.parse().ok()).unwrap_or(0))
+}
+
+async fn run_client(
+    kind: Kind,
+    number: usize,
+    sidecar: SocketAddr,
+    until: Instant,
+    served: Arc<AtomicUsize>,
+) {
+    let mut turn = 0;
+    let mut next = tokio::time::Instant::now() + MS * (number % 1000) as u32;
+    while Instant::now() < until {
+        turn += 1;
+        if kind == Kind::Usual {
+            sleep_until(next).await;
+            next += 1000 * MS;
+        }
+        let id = format!("{kind:?}-{number}-{turn}-{}", until.elapsed().as_nanos());
+        let limit = Instant::now() + Duration::from_millis(CLIENT_TIME_MS) + 1000 * MS;
+        let played = timeout_at(limit.min(until).into(), play(kind, sidecar, &id)).await;
+        if matches!(played, Ok(Ok(200))) {
+            served.fetch_add(1, Ordering::Relaxed);
+        }
+        sleep(10 * MS).await;
+    }
+}
+
+/// Runs clients on a thread of their own until `until`. Returns the number of responses with status 200.
+fn run_clients(kinds: Vec<Kind>, sidecar: SocketAddr, until: Instant) -> thread::JoinHandle<usize> {
+    thread::spawn(move || {
+        let served = Arc::new(AtomicUsize::new(0));
+        run_locally(async {
+            for (number, kind) in kinds.into_iter().enumerate() {
+                spawn_local(run_client(kind, number, sidecar, until, served.clone()));
+            }
+            sleep_until(until.into()).await;
+        });
+        served.load(Ordering::Relaxed)
+    })
+}
+
+fn run_locally(work: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(LocalSet::new().run_until(work));
+}
+
+/// Starts pods on a thread of their own, which runs as long as the test process, and returns their addresses.
+fn start_pods() -> Vec<SocketAddr> {
+    let listeners: Vec<StdTcpListener> = (0..PODS)
+        .map(|_| StdTcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address"));
+    let addresses = addresses.collect();
+    thread::spawn(move || {
+        run_locally(async move {
+            for listener in listeners {
+                listener.set_nonblocking(true).expect("a mode");
+                spawn_local(run_pod(
+                    TcpListener::from_std(listener).expect("a listener"),
+                ));
+            }
+            std::future::pending::<()>().await;
+        });
+    });
+    addresses
+}
+
+async fn run_pod(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        spawn_local(async move {
+            // The sidecar may close the connection at any time.
+            let _ = serve_pod_connection(stream).await;
+        });
+    }
+}
+
+async fn serve_pod_connection(stream: TcpStream) -> std::io::Result<()> {
+    let mut stream = tokio::io::BufStream::new(stream);
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await?);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let body_bytes = if head.starts_with("post") {
+            BODY_BYTES
+        } else {
+            0
+        };
+        let mut body = vec![0; body_bytes];
+        stream.read_exact(&mut body).await?;
+        sleep(POD_WORK).await;
+        stream.write_all(pod_response(&head).as_bytes()).await?;
+        stream.flush().await?;
+    }
+}
+
+fn pod_response(head: &str) -> String {
+    let sized = |bytes: usize| {
+        let body = "y".repeat(bytes);
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n{body}")
+    };
+    if head.contains("/read/large") {
+        sized(LARGE_RESPONSE_BYTES)
+    } else if head.contains("/read/chunked") {
+        let chunks = format!("1000\r\n{}\r\n", "y".repeat(0x1000)).repeat(16);
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+    } else if head.contains("/read/endless") {
+        format!("HTTP/1.1 200 OK\r\nx-long: {}", "h".repeat(16_000))
+    } else {
+        sized(BODY_BYTES)
+    }
+}
+
+fn config(pods: &[SocketAddr], discovery: SocketAddr) -> Value {
+    let entries: Vec<Value> = pods
+        .iter()
+        .enumerate()
+        .map(|(n, address)| entry(&format!("p{n}"), *address, 7, "active"))
+        .collect();
+    let mut config = configuration(discovery, discovery, &entries);
+    config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS, "cores": 1.0});
+    for class in config["settings"]["classes"]
+        .as_array_mut()
+        .expect("classes")
+    {
+        class["onTimeNs"] = json!(2_000_000_000u64);
+        class["giveUpNs"] = json!(3_000_000_000u64);
+    }
+    config
+}
+
+/// A process of `havenplank platform`, killed when it is dropped.
+struct Sidecar {
+    process: Child,
+    address: SocketAddr,
+    /// Neither discovery nor the control plane ever answers here.
+    _services: StdTcpListener,
+    _folder: tempfile::TempDir,
+}
+
+impl Sidecar {
+    fn start(pods: &[SocketAddr]) -> Sidecar {
+        let services = StdTcpListener::bind("127.0.0.1:0").expect("a port");
+        let config = config(pods, services.local_addr().expect("an address"));
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, config.to_string()).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_havenplank"));
+        command
+            .arg("platform")
+            .env("PROXY_CONFIG", &file)
+            .stderr(Stdio::piped());
+        let mut process = command.spawn().expect("the program starts");
+        let mut log = BufReader::new(process.stderr.take().expect("standard error")).lines();
+        let listening = log.find_map(|line| {
+            let line = line.expect("text");
+            let (_, rest) = line.split_once(" listen=")?;
+            rest.split(' ').next()?.parse().ok()
+        });
+        // A full pipe would hold up the sidecar.
+        thread::spawn(move || log.for_each(drop));
+        Sidecar {
+            process,
+            address: listening.expect("a line with the address"),
+            _services: services,
+            _folder: folder,
+        }
+    }
+
+    /// Returns the memory of the process that no file backs, in bytes. Fails if the process has ended.
+    fn anonymous_bytes(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("a status");
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
+        let line = line.expect("the sidecar runs");
+        let kib: usize = line
+            .trim()
+            .trim_end_matches("kB")
+            .trim()
+            .parse()
+            .expect("a number");
+        kib * KIB
+    }
+
+    /// Plays these kinds of bad clients in turn beside usual ones. Returns the most memory that the process used, and the
+    /// number of requests of usual clients that were served.
+    fn play(&self, bad_kinds: &[Kind], time: Duration) -> (usize, usize) {
+        let until = Instant::now() + time;
+        let bad: Vec<Kind> = (0..BAD_CLIENTS)
+            .map(|n| bad_kinds[n % bad_kinds.len()])
+            .collect();
+        let usual = run_clients(vec![Kind::Usual; USUAL_CLIENTS], self.address, until);
+        let bad = run_clients(bad, self.address, until);
+        let mut peak = 0;
+        while Instant::now() < until {
+            peak = peak.max(self.anonymous_bytes());
+            thread::sleep(5 * MS);
+        }
+        bad.join().expect("no panic");
+        (peak, usual.join().expect("no panic"))
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Clients that hold buffers beside usual ones took the sidecar over its memory limit, and the platform killed it. Only
+/// the bodies of requests were counted against the limit: not read buffers, bytes read ahead, heads and responses.
+#[test]
+fn the_memory_limit_holds_under_clients_and_pods_of_every_kind() {
+    let pods = start_pods();
+    let mut failures = Vec::new();
+    let mut check = |bad_kinds: &[Kind], time: Duration| {
+        let sidecar = Sidecar::start(&pods);
+        let (peak, served) = sidecar.play(bad_kinds, time);
+        let line = format!("{bad_kinds:?}: {} KiB, {served} served", peak / KIB);
+        println!("{line}");
+        if peak > MEMORY_MB * 1_000_000 {
+            failures.push(line);
+        }
+        served
+    };
+    assert!(check(&BAD_KINDS, 8000 * MS) > 0, "usual clients are served");
+    // Slow writers, clients that stop within a large request, and heads of very many short fields, all at once.
+    check(
+        &[Kind::SlowWriter, Kind::HalfBody, Kind::ManyFields],
+        4000 * MS,
+    );
+    for kind in BAD_KINDS {
+        check(&[kind], 2500 * MS);
+    }
+    assert!(failures.is_empty(), "over {MEMORY_MB} MB: {failures:#?}");
+}
--- a/crates/platform/src/client_session.rs
+++ b/crates/platform/src/client_session.rs
@@ -3,6 +3,7 @@
 use crate::client_connection::ClientConnection;
 use crate::connection_slots::Activity;
 use crate::limits::{MAX_HEADERS, MAX_HEAD_BYTES, UNREAD_GRACE};
+use crate::memory_budget::rejects_head;
 use crate::request_handler::{handle, HandledRequest};
 use crate::shell::{Body, Shell};
 use havenplank_sidecar::tracked_body::{TrackedRequestBody, TrackedResponseBody};
@@ -30,8 +31,14 @@
     Http,
     /// The sidecar: the connection's deadline passed.
     Deadline,
+    /// The sidecar: the head of a request is long and not complete, and memory is short.
+    Memory,
 }
 
+/// The response to a request whose head is not read to its end for want of memory.
+const NO_MEMORY_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Serves a connection until it ends, then drains it where a reset could destroy a response.
 pub(crate) async fn run(
     shell: &Rc<Shell>,
@@ -39,13 +46,16 @@
     stop: watch::Receiver<StopTime>,
 ) {
     let ended_by = serve_http(shell, client, stop).await;
+    if ended_by == EndedBy::Memory {
+        client.stream.write_now(NO_MEMORY_RESPONSE);
+    }
     // The HTTP server is dropped by now, and the request that it was serving has ended. Closing with unread bytes
     // would send a reset, so bytes after the last request, or a request that crosses the sidecar's close, are read
     // and dropped first. A client that never sent a request, and one that does not read its response, are not
     // drained: a reset destroys nothing that they would still read.
     let state = client.state();
     let is_responding = matches!(state.activity, Activity::Responding { .. });
-    if ended_by == EndedBy::Http || state.has_requested && !is_responding {
+    if ended_by != EndedBy::Deadline || state.has_requested && !is_responding {
         client.stream.drain().await;
     }
 }
@@ -87,12 +97,18 @@
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(EndedBy::Http);
             }
-            let closes_at = client.state().closes_at(*stop.borrow());
+            let state = client.state();
+            let is_reading = matches!(state.activity, Activity::Reading { .. });
+            let read_bytes = client.stream.partial_request_bytes();
+            if is_reading && rejects_head(read_bytes, shell.client_memory()) {
+                return Poll::Ready(EndedBy::Memory);
+            }
+            let closes_at = state.closes_at(*stop.borrow());
             poll_deadline(timer.as_mut(), cx, closes_at, not_before)
         });
         let is_stopping = stop.borrow().is_some();
         tokio::select! {
-            ended_by = ended => if ended_by == EndedBy::Http { return EndedBy::Http },
+            ended_by = ended => if ended_by != EndedBy::Deadline { return ended_by },
             changed = stop_changes.changed(), if !is_stopping => match changed {
                 Ok(()) => continue,
                 Err(_) => return EndedBy::Deadline,
--- a/crates/platform/src/client_table.rs
+++ b/crates/platform/src/client_table.rs
@@ -2,7 +2,8 @@
 
 use crate::client_connection::ClientConnection;
 use crate::connection_slots::{
-    eviction_candidate, idle_candidate, Activity, ConnectionId, ConnectionState, DescriptorBudget,
+    eviction_candidate, idle_candidate, silent_candidate, Activity, ConnectionId, ConnectionState,
+    DescriptorBudget,
 };
 use crate::counters::increment;
 use crate::in_flight_ids::InFlightIds;
@@ -111,6 +112,12 @@
         self.close_chosen(|states| eviction_candidate(states, Instant::now()))
     }
 
+    /// Closes the oldest connection of a client that has sent no complete request for a while. Returns false if there is
+    /// none.
+    pub(crate) fn evict_silent(&self) -> bool {
+        self.close_chosen(|states| silent_candidate(states, Instant::now()))
+    }
+
     /// Closes the connection that `choose` returns, skipping those on which a request has just arrived.
     fn close_chosen(
         &self,
--- a/crates/platform/src/connection_slots.rs
+++ b/crates/platform/src/connection_slots.rs
@@ -4,6 +4,7 @@
 //! Free of I/O; the caller passes in times. A full listener must still accept clients that send requests, whichever
 //! connections are open already. Tests: `tests/connection_slots.rs`.
 
+use crate::memory_budget::ClientMemory;
 use std::time::{Duration, Instant};
 
 /// Descriptors for everything except client and pod connections: log, runtime, listener, two connections each to
@@ -188,6 +189,41 @@
         .map(|(id, _)| *id)
 }
 
+/// Which connections may be evicted before a new one is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// None is evicted.
+    None,
+    /// Those of clients that have sent no complete request for a while; if there is none, the new one is accepted all the
+    /// same.
+    Silent,
+    /// All except those that wait for a response; if there is none, the new one is closed.
+    Any,
+}
+
+/// Decides which connections a new one may displace. Memory that is short is first taken from silent clients.
+pub fn eviction_before_accept(is_full: bool, memory: ClientMemory) -> Eviction {
+    match memory {
+        _ if is_full => Eviction::Any,
+        ClientMemory::Ample => Eviction::None,
+        ClientMemory::Short => Eviction::Silent,
+        ClientMemory::Exhausted => Eviction::Any,
+    }
+}
+
+/// Returns the oldest connection of a client that has sent no complete request for a while.
+pub fn silent_candidate(
+    connections: &[(ConnectionId, ConnectionState)],
+    now: Instant,
+) -> Option<ConnectionId> {
+    let silent = connections.iter().filter(|(_, state)| {
+        !state.is_responding() && state.eviction_rank(now) == EvictionRank::Silent
+    });
+    silent
+        .min_by_key(|(_, state)| state.idle_since)
+        .map(|(id, _)| *id)
+}
+
 /// Returns the connection to evict from a full listener, if any: the oldest of those that never sent a request, or
 /// otherwise the one idle the longest since its last response. A new connection, which is about to send a request, and
 /// one whose next request is being read come last. A connection that waits for a response is never evicted.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -59,7 +59,7 @@
 
 pub use config::{Config, ConfigError, PodConnectionSettings};
 pub use fields::FieldError;
+pub use havenplank_sidecar::heap_room::AllocatedBytes;
 pub use havenplank_sidecar::StartError;
 pub use service::{serve, Command};
-pub use shell::AllocatedBytes;
 pub use wall_clock::UnixTime;
--- a/crates/platform/src/limits.rs
+++ b/crates/platform/src/limits.rs
@@ -35,6 +35,8 @@
 pub(crate) const MAX_HEADERS: usize = 64;
 /// The limit of the protocol on any body. Pods exceed it: complete responses of 128 to 400 KB were seen.
 pub(crate) const MAX_BODY_BYTES: usize = 64 << 10;
+/// Bodies of responses up to this length are not counted: the buffer that holds their head has room for them.
+pub(crate) const UNRESERVED_RESPONSE_BYTES: usize = 2 << 10;
 /// Limit on the length of a correlation id.
 pub(crate) const MAX_CORRELATION_ID_BYTES: usize = 128;
 /// Limit on informational (1xx) responses before a response.
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -2,8 +2,9 @@
 
 use crate::client_connection::ClientConnection;
 use crate::client_session::{self, StopTime};
-use crate::connection_slots::ConnectionId;
+use crate::connection_slots::{eviction_before_accept, ConnectionId, Eviction};
 use crate::limits::ACCEPT_ERROR_PAUSE;
+use crate::memory_budget::ClientMemory;
 use crate::shell::Shell;
 use havenplank_sidecar::take_queued_connections;
 use std::rc::Rc;
@@ -40,13 +41,22 @@
 async fn admit(shell: &Rc<Shell>, stream: TcpStream, stop: &watch::Receiver<StopTime>) {
     let clients = &shell.clients;
     clients.close_surplus_idle();
-    if clients.is_full() {
-        if !clients.evict_one() {
-            // Every connection has a request in progress. The new one is closed with nothing read from it, so that its
-            // client can safely send the request elsewhere.
-            return;
+    let memory = shell.client_memory();
+    let has_room = match eviction_before_accept(clients.is_full(), memory) {
+        Eviction::None => true,
+        Eviction::Silent => {
+            clients.evict_silent();
+            true
         }
-        // The evicted connection's descriptor is closed once the runtime has dropped its task.
+        Eviction::Any => clients.evict_one(),
+    };
+    if !has_room {
+        // Every connection has a request in progress. The new one is closed with nothing read from it, so that its
+        // client can safely send the request elsewhere.
+        return;
+    }
+    if memory != ClientMemory::Ample || clients.is_full() {
+        // The evicted connection's descriptor and memory are free once the runtime has dropped its task.
         yield_now().await;
     }
     serve(shell, stream, stop.clone());
--- a/crates/platform/src/pod_client.rs
+++ b/crates/platform/src/pod_client.rs
@@ -1,7 +1,6 @@
 //! Resources shared by attempts and health checks: connections to pods, memory for responses, counters.
 
 use crate::config::PodConnectionSettings;
-use crate::memory_budget::MemoryBudget;
 use crate::pod_pool::PodPool;
 use crate::response_memory::ResponseMemory;
 use havenplank::interface::LoadReport;
@@ -34,11 +33,11 @@
         settings: PodConnectionSettings,
         load_fields: Vec<String>,
         max_connections: usize,
-        memory: &MemoryBudget,
+        memory: ResponseMemory,
     ) -> PodClient {
         PodClient {
             pool: PodPool::new(settings, max_connections),
-            memory: ResponseMemory::new(memory),
+            memory,
             counters: AttemptCounters::default(),
             connect_timeout: settings.connect_timeout,
             load_fields,
--- a/crates/platform/src/pod_response/mod.rs
+++ b/crates/platform/src/pod_response/mod.rs
@@ -7,7 +7,9 @@
 mod framing;
 mod head;
 
-use crate::limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_INFORMATIONAL_RESPONSES};
+use crate::limits::{
+    MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_INFORMATIONAL_RESPONSES, UNRESERVED_RESPONSE_BYTES,
+};
 use crate::response_memory::ResponseMemory;
 use bytes::{Buf, Bytes, BytesMut};
 pub(crate) use error::ResponseError;
@@ -67,6 +69,10 @@
 impl Reader<'_> {
     /// Receives more bytes into the buffer.
     async fn fill(&mut self) -> Result<(), ResponseError> {
+        let capacity = self.buffer.capacity();
+        if self.buffer.len() == capacity {
+            self.memory.wait_for_room(capacity).await;
+        }
         let received = self.stream.read_buf(&mut self.buffer).await;
         match (received, self.buffer.is_empty()) {
             (Ok(0), true) => Err(ResponseError::ClosedUnanswered),
@@ -106,7 +112,7 @@
         if length > self.memory.max_response_bytes() {
             return Err(ResponseError::TooLong);
         }
-        let reservation = self.memory.reserve(length).await;
+        let reservation = self.memory.reserve(length, length).await;
         self.buffer
             .reserve(length.saturating_sub(self.buffer.len()));
         self.fill_to(length).await?;
@@ -117,7 +123,7 @@
     /// Reads chunks up to the last one, which is empty. Trailers make the response malformed; no pod sends them.
     async fn read_chunks(&mut self) -> Result<Bytes, ResponseError> {
         let mut body = BytesMut::new();
-        let mut reservation = None;
+        let (mut reservation, mut reserved) = (None, UNRESERVED_RESPONSE_BYTES);
         loop {
             let chunk = self.read_chunk_head().await?;
             if chunk.size > (self.memory.max_response_bytes() - body.len()) as u64 {
@@ -125,9 +131,10 @@
             }
             let size = chunk.size as usize;
             // The total is unknown: reserves for the largest possible body and for as large a chunk in the buffer.
-            if reservation.is_none() && body.len() + size > MAX_BODY_BYTES {
-                let max_bytes = 2 * self.memory.max_response_bytes();
-                reservation = self.memory.reserve(max_bytes).await;
+            let length = body.len() + size;
+            if length > reserved {
+                reserved = self.largest_like(length);
+                reservation = self.memory.reserve(reserved, 2 * reserved).await;
             }
             let data_end = chunk.head_length + size;
             let chunk_end = data_end + CHUNK_END.len();
@@ -143,6 +150,15 @@
         }
     }
 
+    /// Returns the largest length of a body that is limited like one of this length.
+    fn largest_like(&self, length: usize) -> usize {
+        if length <= MAX_BODY_BYTES {
+            MAX_BODY_BYTES
+        } else {
+            self.memory.max_response_bytes()
+        }
+    }
+
     async fn read_chunk_head(&mut self) -> Result<ChunkHead, ResponseError> {
         loop {
             match httparse::parse_chunk_size(&self.buffer) {
--- a/crates/platform/src/prepared_request.rs
+++ b/crates/platform/src/prepared_request.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the length of the head in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Adds the body.
     pub(crate) fn with_body(self, body: Bytes) -> PreparedRequest {
         let mut head = self.bytes;
--- a/crates/platform/src/request_error.rs
+++ b/crates/platform/src/request_error.rs
@@ -71,7 +71,7 @@
             RequestError::BodyTooSlow => (StatusCode::REQUEST_TIMEOUT, "the body took too long\n"),
             RequestError::NoMemory => (
                 StatusCode::SERVICE_UNAVAILABLE,
-                "no memory for the body; a retry is harmless\n",
+                "no memory for the request; a retry is harmless\n",
             ),
         }
     }
--- a/crates/platform/src/request_handler.rs
+++ b/crates/platform/src/request_handler.rs
@@ -3,6 +3,7 @@
 
 use crate::client_connection::ClientConnection;
 use crate::counters::increment;
+use crate::memory_budget::ClientMemory;
 use crate::request_error::RequestError;
 use crate::request_reader::{self, ReadRequest};
 use crate::shell::{Body, Shell};
@@ -98,16 +99,20 @@
     let attributes = deduct_time_spent(attributes, began, shell.response_margin);
     let (sender, response) = oneshot::channel();
     let request = shell.dispatch(attributes, prepared, sender);
-    let in_flight = InFlightGuard { shell, request };
+    let in_flight = InFlightGuard {
+        shell: shell.clone(),
+        request,
+    };
     id.set_request(request);
     let response = tokio::select! {
         // The engine dropping a request in flight is a fault; this response does not promise that it never ran.
         response = response => response.unwrap_or_else(|_| failed(false)),
         // Watched here because the HTTP server sees the client's close only if no unread bytes precede it. The client
         // is gone, so it does not read this response.
-        () = client.stream.closed() => with_connection_close(failed(false)),
+        () = client.stream.closed(|| shell.client_memory() == ClientMemory::Ample) => with_connection_close(failed(false)),
     };
-    let is_stopping = in_flight.shell.stopping.get();
+    drop(in_flight);
+    let is_stopping = shell.stopping.get();
     HandledRequest {
         response: if is_stopping {
             with_connection_close(response)
--- a/crates/platform/src/request_reader.rs
+++ b/crates/platform/src/request_reader.rs
@@ -4,7 +4,7 @@
 use crate::id_claim::IdClaim;
 use crate::in_flight_ids::IdConflict;
 use crate::limits::{MAX_BODY_BYTES, MAX_CORRELATION_ID_BYTES};
-use crate::memory_budget::reserve_by;
+use crate::memory_budget::{rejects_head, reserve_by};
 use crate::prepared_request::{PreparedHead, PreparedRequest};
 use crate::request_error::RequestError;
 use crate::shell::Shell;
@@ -73,6 +73,9 @@
     })?;
     // The original head keeps its read buffer allocated, so it is dropped before the body is awaited.
     let head = prepare_head(&method, parts);
+    if rejects_head(head.len(), shell.client_memory()) {
+        return Err(RequestError::NoMemory);
+    }
     let body = read_body(shell, body, client, began, attributes.remaining).await?;
     Ok(ReadRequest {
         attributes,
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -7,11 +7,13 @@
 use crate::limits::{STOP_MARGIN, STOP_POLL_INTERVAL, SWEEP_INTERVAL};
 use crate::memory_budget::MemoryBudget;
 use crate::pod_client::PodClient;
-use crate::shell::{AllocatedBytes, Platform, Shell};
+use crate::response_memory::ResponseMemory;
+use crate::shell::{Platform, Shell};
 use crate::vote_queue::VoteQueue;
 use crate::{control_plane, discovery, listener, state_log};
 use havenplank_sidecar::body_memory::BodyMemory;
 use havenplank_sidecar::engine::{Engine, EPOCH};
+use havenplank_sidecar::heap_room::{AllocatedBytes, HeapRoom};
 use havenplank_sidecar::{listen, StartError};
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -66,7 +68,7 @@
         config.pod_connections,
         config.load_fields.clone(),
         budget.pods,
-        &memory,
+        ResponseMemory::new(&memory, allocated_bytes),
     );
     let platform = Platform {
         route_classes: config.engine.route_classes.clone(),
@@ -74,8 +76,12 @@
         vote_settings: config.engine.votes.clone(),
         response_margin: config.response_margin,
         allocated_bytes,
+        memory,
         clients: ClientTable::new(budget),
-        request_memory: BodyMemory::new(memory.request_bodies),
+        request_memory: BodyMemory::with_heap(
+            memory.request_bodies,
+            HeapRoom::new(allocated_bytes, memory.body_heap),
+        ),
         pods,
         votes: VoteQueue::default(),
         list_status: discovery::ListStatus::default(),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -5,21 +5,20 @@
 
 use crate::client_table::ClientTable;
 use crate::discovery::ListStatus;
+use crate::memory_budget::{ClientMemory, MemoryBudget};
 use crate::pod_client::PodClient;
 use crate::vote_queue::VoteQueue;
 use bytes::Bytes;
 use havenplank::interface::{Nanos, RouteClass, VoteSettings};
 use havenplank_sidecar::body_memory::BodyMemory;
 use havenplank_sidecar::dispatcher::Dispatcher;
+use havenplank_sidecar::heap_room::AllocatedBytes;
 use http_body_util::Full;
 use std::cell::Cell;
 
 /// The body of a response to a client.
 pub(crate) type Body = Full<Bytes>;
 
-/// Returns how many bytes the process has allocated at present; 0 if its allocator does not count them.
-pub type AllocatedBytes = fn() -> usize;
-
 /// The state of the platform's sockets and the settings that they need.
 pub(crate) struct Platform {
     /// Route classes with their names, in the order of the engine's indices.
@@ -31,6 +30,7 @@
     pub(crate) response_margin: Nanos,
     /// Returns how many bytes the process has allocated at present.
     pub(crate) allocated_bytes: AllocatedBytes,
+    pub(crate) memory: MemoryBudget,
     pub(crate) clients: ClientTable,
     /// The memory for the bodies of requests.
     pub(crate) request_memory: BodyMemory,
@@ -41,5 +41,12 @@
     pub(crate) stopping: Cell<bool>,
 }
 
+impl Platform {
+    /// Returns how much memory is left for client connections.
+    pub(crate) fn client_memory(&self) -> ClientMemory {
+        self.memory.client_memory((self.allocated_bytes)())
+    }
+}
+
 /// One engine with the platform's state.
 pub(crate) type Shell = Dispatcher<Platform>;
--- a/crates/platform/tests/connection_slots.rs
+++ b/crates/platform/tests/connection_slots.rs
@@ -1,8 +1,10 @@
 //! Tests of `src/connection_slots.rs`.
 
 use havenplank_platform::connection_slots::{
-    eviction_candidate, idle_candidate, Activity, ConnectionState, DescriptorBudget,
+    eviction_before_accept, eviction_candidate, idle_candidate, silent_candidate, Activity,
+    ConnectionState, DescriptorBudget, Eviction,
 };
+use havenplank_platform::memory_budget::ClientMemory;
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -88,3 +90,42 @@
     state.has_requested = true;
     assert_eq!(state.closes_at(Some(stopped)), Some(stopped));
 }
+
+#[test]
+fn a_new_connection_displaces_silent_ones_while_memory_is_short_and_any_when_it_is_exhausted() {
+    let expected = [
+        (false, ClientMemory::Ample, Eviction::None),
+        (true, ClientMemory::Ample, Eviction::Any),
+        (false, ClientMemory::Short, Eviction::Silent),
+        (true, ClientMemory::Short, Eviction::Any),
+        (false, ClientMemory::Exhausted, Eviction::Any),
+    ];
+    for (is_full, memory, eviction) in expected {
+        assert_eq!(eviction_before_accept(is_full, memory), eviction);
+    }
+}
+
+#[test]
+fn only_clients_without_a_complete_request_are_silent_and_not_at_once() {
+    let start = Instant::now();
+    let now = start + 1000 * MS;
+    let state = |at: u32, has_requested, activity| ConnectionState {
+        connected: start + at * MS,
+        idle_since: start + at * MS,
+        activity,
+        has_requested,
+    };
+    let responding = Activity::Responding { write_by: None };
+    let reading = Activity::Reading { began: start };
+    let mut connections = vec![
+        (1, state(0, true, Activity::Idle)),
+        (2, state(0, false, responding)),
+        (3, state(900, false, reading)),
+        (4, state(500, false, reading)),
+        (5, state(400, false, Activity::Idle)),
+    ];
+    for expected in [Some(5), Some(4), None] {
+        assert_eq!(silent_candidate(&connections, now), expected);
+        connections.retain(|(id, _)| Some(*id) != expected);
+    }
+}
--- a/crates/sidecar/src/client_stream.rs
+++ b/crates/sidecar/src/client_stream.rs
@@ -26,6 +26,14 @@
 /// a client a close is not detected.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
+/// Limit on the bytes that the HTTP server reads at once. Its read buffer holds 8 KiB; a read that fills 8 KiB makes it
+/// allocate buffers twice as large from then on.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+/// Bytes that are read ahead at once.
+const READ_AHEAD_STEP_BYTES: usize = 4 << 10;
+/// Bytes that are discarded at once while a connection closes.
+const DRAIN_STEP_BYTES: usize = 4 << 10;
+
 /// The state that all clones of a [`ClientStream`] share.
 struct StreamState {
     socket: TcpStream,
@@ -142,35 +150,47 @@
         }
     }
 
-    /// Completes when the client has closed the connection. Reads ahead, so that it also detects a close after bytes
-    /// that the HTTP connection does not read while a request is served.
-    pub async fn closed(&self) {
-        let mut read = [0; 512];
+    /// Completes when the client has closed the connection. Reads ahead while `has_memory` permits it, so that it also
+    /// detects a close after bytes that the HTTP connection does not read while a request is served.
+    pub async fn closed(&self, has_memory: impl Fn() -> bool) {
         loop {
             if self.0.socket.readable().await.is_err() {
                 return;
             }
-            if self.0.read_ahead.borrow().len() >= MAX_READ_AHEAD_BYTES {
+            let room = MAX_READ_AHEAD_BYTES.saturating_sub(self.read_ahead_bytes());
+            if room == 0 || !has_memory() {
                 return pending().await;
             }
-            match self.0.socket.try_read(&mut read) {
+            match self.read_ahead(room.min(READ_AHEAD_STEP_BYTES)) {
                 Ok(0) => return,
-                Ok(more) => {
-                    self.record_read();
-                    self.0
-                        .read_ahead
-                        .borrow_mut()
-                        .extend_from_slice(&read[..more]);
-                    if let Some(reader_waker) = self.0.reader_waker.take() {
-                        reader_waker.wake();
-                    }
-                }
+                Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
     }
 
+    /// Reads at most `limit` bytes ahead of the HTTP connection and returns their number; 0 at the end of the stream.
+    fn read_ahead(&self, limit: usize) -> io::Result<usize> {
+        let mut read = [0; READ_AHEAD_STEP_BYTES];
+        let length = self.0.socket.try_read(&mut read[..limit])?;
+        if length > 0 {
+            self.record_read();
+            let mut read_ahead = self.0.read_ahead.borrow_mut();
+            read_ahead.extend_from_slice(&read[..length]);
+        }
+        if let Some(reader_waker) = self.0.reader_waker.take() {
+            reader_waker.wake();
+        }
+        Ok(length)
+    }
+
+    /// Writes a response at once, without the HTTP connection, as far as the socket takes it.
+    pub fn write_now(&self, response: &[u8]) {
+        // A client that does not read gets the close alone.
+        let _ = self.0.socket.try_write(response);
+    }
+
     fn write_pending(&self) -> Poll<io::Result<usize>> {
         self.0
             .write_blocked
@@ -200,9 +220,9 @@
     pub async fn drain(&self) {
         let _ = socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write);
         let rest = async {
-            let (mut sink, mut read) = ([0u8; 4096], 0);
+            let mut read = 0;
             while read < MAX_DRAIN_BYTES && self.0.socket.readable().await.is_ok() {
-                match self.0.socket.try_read(&mut sink) {
+                match self.discard() {
                     Ok(0) => break,
                     Ok(more) => read += more,
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -212,6 +232,12 @@
         };
         let _ = timeout(MAX_DRAIN_TIME, rest).await;
     }
+
+    /// Reads and discards bytes once. The buffer is on the stack, not in the future of every connection.
+    fn discard(&self) -> io::Result<usize> {
+        let mut sink = [0; DRAIN_STEP_BYTES];
+        self.0.socket.try_read(&mut sink)
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -222,16 +248,21 @@
     ) -> Poll<io::Result<()>> {
         let mut read_ahead = self.0.read_ahead.borrow_mut();
         if !read_ahead.is_empty() {
-            let length = read_ahead.len().min(buf.remaining());
+            let length = read_ahead.len().min(buf.remaining()).min(MAX_READ_BYTES);
             buf.put_slice(&read_ahead[..length]);
             read_ahead.advance(length);
+            if read_ahead.is_empty() {
+                // Releases the buffer: few connections read ahead again.
+                *read_ahead = BytesMut::new();
+            }
             self.record_passed_on(length);
             return Poll::Ready(Ok(()));
         }
         self.0.reader_waker.set(Some(cx.waker().clone()));
         loop {
             ready!(self.0.socket.poll_read_ready(cx))?;
-            match self.0.socket.try_read(buf.initialize_unfilled()) {
+            let length = buf.remaining().min(MAX_READ_BYTES);
+            match self.0.socket.try_read(buf.initialize_unfilled_to(length)) {
                 Ok(read) => {
                     buf.advance(read);
                     if read > 0 {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod engine;
 pub mod headers;
 mod health_check;
+pub mod heap_room;
 pub mod listener;
 mod membership;
 mod outcome;
