Look at all sockets between two requests that are answered at once

Cause: the runtime looks at its sockets after 61 tasks, and a connection whose next request is at hand is always ready; each time up to 16 requests that need no wait were answered. Change: a request that was answered without a wait yields once, behind all other tasks and a look at the sockets, in platform and serve.

--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -1,33 +1,24 @@
 //! The memory of `havenplank platform` while clients and pods of every kind hold as much of it as they can, at the corner
 //! of what the operators' pages allow: the least memory with the most descriptors, and the longest bodies.
 
-use havenplank_emulator::scripted::{configuration, entry};
-use serde_json::{json, Value};
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener as StdTcpListener};
-use std::process::{Child, Command, Stdio};
+mod common;
+
+use common::{
+    head, run_locally, start_pods, Sidecar, BODY_BYTES, CLIENT_TIME_MS, KIB, MEMORY_MB, MS,
+};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
-const MS: Duration = Duration::from_millis(1);
-const KIB: usize = 1 << 10;
-const MEMORY_MB: usize = 32;
-const DESCRIPTORS: usize = 1024;
-/// The limit on any body of the protocol.
-const BODY_BYTES: usize = 64 * KIB;
-/// What pods send nevertheless.
-const LARGE_RESPONSE_BYTES: usize = 400 * KIB;
-const PODS: usize = 14;
 const POD_WORK: Duration = Duration::from_millis(350);
 const USUAL_CLIENTS: usize = 240;
 const BAD_CLIENTS: usize = 600;
-const CLIENT_TIME_MS: u64 = 3000;
 
 /// What a client does, over and over.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,10 +66,6 @@
     Kind::EndlessResponseHead,
 ];
 
-fn head(line: &str, id: &str, fields: &str) -> String {
-    format!("{line} HTTP/1.1\r\nhost: h\r\nx-correlation-id: {id}\r\nx-time-left-ms: {CLIENT_TIME_MS}\r\n{fields}\r\n")
-}
-
 fn get(path: &str, id: &str) -> String {
     head(&format!("GET /read/{path}"), id, "")
 }
@@ -199,192 +186,33 @@
     })
 }
 
-fn run_locally(work: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(LocalSet::new().run_until(work));
-}
-
-/// Starts pods on a thread of their own, which runs as long as the test process, and returns their addresses.
-fn start_pods() -> Vec<SocketAddr> {
-    let listeners: Vec<StdTcpListener> = (0..PODS)
-        .map(|_| StdTcpListener::bind("127.0.0.1:0").expect("a port"))
+/// Plays these kinds of bad clients in turn beside usual ones. Returns the most memory that the process used, and the
+/// number of requests of usual clients that were served.
+fn play_beside_usual(sidecar: &Sidecar, bad_kinds: &[Kind], time: Duration) -> (usize, usize) {
+    let until = Instant::now() + time;
+    let bad: Vec<Kind> = (0..BAD_CLIENTS)
+        .map(|n| bad_kinds[n % bad_kinds.len()])
         .collect();
-    let addresses = listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("an address"));
-    let addresses = addresses.collect();
-    thread::spawn(move || {
-        run_locally(async move {
-            for listener in listeners {
-                listener.set_nonblocking(true).expect("a mode");
-                spawn_local(run_pod(
-                    TcpListener::from_std(listener).expect("a listener"),
-                ));
-            }
-            std::future::pending::<()>().await;
-        });
-    });
-    addresses
-}
-
-async fn run_pod(listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
-        spawn_local(async move {
-            // The sidecar may close the connection at any time.
-            let _ = serve_pod_connection(stream).await;
-        });
-    }
-}
-
-async fn serve_pod_connection(stream: TcpStream) -> std::io::Result<()> {
-    let mut stream = tokio::io::BufStream::new(stream);
-    loop {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await?);
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
-        let body_bytes = if head.starts_with("post") {
-            BODY_BYTES
-        } else {
-            0
-        };
-        let mut body = vec![0; body_bytes];
-        stream.read_exact(&mut body).await?;
-        sleep(POD_WORK).await;
-        stream.write_all(pod_response(&head).as_bytes()).await?;
-        stream.flush().await?;
-    }
-}
-
-fn pod_response(head: &str) -> String {
-    let sized = |bytes: usize| {
-        let body = "y".repeat(bytes);
-        format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n{body}")
-    };
-    if head.contains("/read/large") {
-        sized(LARGE_RESPONSE_BYTES)
-    } else if head.contains("/read/chunked") {
-        let chunks = format!("1000\r\n{}\r\n", "y".repeat(0x1000)).repeat(16);
-        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
-    } else if head.contains("/read/endless") {
-        format!("HTTP/1.1 200 OK\r\nx-long: {}", "h".repeat(16_000))
-    } else {
-        sized(BODY_BYTES)
-    }
-}
-
-fn config(pods: &[SocketAddr], discovery: SocketAddr) -> Value {
-    let entries: Vec<Value> = pods
-        .iter()
-        .enumerate()
-        .map(|(n, address)| entry(&format!("p{n}"), *address, 7, "active"))
-        .collect();
-    let mut config = configuration(discovery, discovery, &entries);
-    config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS, "cores": 1.0});
-    for class in config["settings"]["classes"]
-        .as_array_mut()
-        .expect("classes")
-    {
-        class["onTimeNs"] = json!(2_000_000_000u64);
-        class["giveUpNs"] = json!(3_000_000_000u64);
-    }
-    config
-}
-
-/// A process of `havenplank platform`, killed when it is dropped.
-struct Sidecar {
-    process: Child,
-    address: SocketAddr,
-    /// Neither discovery nor the control plane ever answers here.
-    _services: StdTcpListener,
-    _folder: tempfile::TempDir,
-}
-
-impl Sidecar {
-    fn start(pods: &[SocketAddr]) -> Sidecar {
-        let services = StdTcpListener::bind("127.0.0.1:0").expect("a port");
-        let config = config(pods, services.local_addr().expect("an address"));
-        let folder = tempfile::tempdir().expect("a folder");
-        let file = folder.path().join("config.json");
-        std::fs::write(&file, config.to_string()).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_havenplank"));
-        command
-            .arg("platform")
-            .env("PROXY_CONFIG", &file)
-            .stderr(Stdio::piped());
-        let mut process = command.spawn().expect("the program starts");
-        let mut log = BufReader::new(process.stderr.take().expect("standard error")).lines();
-        let listening = log.find_map(|line| {
-            let line = line.expect("text");
-            let (_, rest) = line.split_once(" listen=")?;
-            rest.split(' ').next()?.parse().ok()
-        });
-        // A full pipe would hold up the sidecar.
-        thread::spawn(move || log.for_each(drop));
-        Sidecar {
-            process,
-            address: listening.expect("a line with the address"),
-            _services: services,
-            _folder: folder,
-        }
-    }
-
-    /// Returns the memory of the process that no file backs, in bytes. Fails if the process has ended.
-    fn anonymous_bytes(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
-        let status = status.expect("a status");
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("RssAnon:"));
-        let line = line.expect("the sidecar runs");
-        let kib: usize = line
-            .trim()
-            .trim_end_matches("kB")
-            .trim()
-            .parse()
-            .expect("a number");
-        kib * KIB
-    }
-
-    /// Plays these kinds of bad clients in turn beside usual ones. Returns the most memory that the process used, and the
-    /// number of requests of usual clients that were served.
-    fn play(&self, bad_kinds: &[Kind], time: Duration) -> (usize, usize) {
-        let until = Instant::now() + time;
-        let bad: Vec<Kind> = (0..BAD_CLIENTS)
-            .map(|n| bad_kinds[n % bad_kinds.len()])
-            .collect();
-        let usual = run_clients(vec![Kind::Usual; USUAL_CLIENTS], self.address, until);
-        let bad = run_clients(bad, self.address, until);
-        let mut peak = 0;
-        while Instant::now() < until {
-            peak = peak.max(self.anonymous_bytes());
-            thread::sleep(5 * MS);
-        }
-        bad.join().expect("no panic");
-        (peak, usual.join().expect("no panic"))
-    }
-}
-
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+    let usual = run_clients(vec![Kind::Usual; USUAL_CLIENTS], sidecar.address, until);
+    let bad = run_clients(bad, sidecar.address, until);
+    let mut peak = 0;
+    while Instant::now() < until {
+        peak = peak.max(sidecar.anonymous_bytes());
+        thread::sleep(5 * MS);
     }
+    bad.join().expect("no panic");
+    (peak, usual.join().expect("no panic"))
 }
 
 /// Clients that hold buffers beside usual ones took the sidecar over its memory limit, and the platform killed it. Only
 /// the bodies of requests were counted against the limit: not read buffers, bytes read ahead, heads and responses.
 #[test]
 fn the_memory_limit_holds_under_clients_and_pods_of_every_kind() {
-    let pods = start_pods();
+    let pods = start_pods(POD_WORK);
     let mut failures = Vec::new();
     let mut check = |bad_kinds: &[Kind], time: Duration| {
         let sidecar = Sidecar::start(&pods);
-        let (peak, served) = sidecar.play(bad_kinds, time);
+        let (peak, served) = play_beside_usual(&sidecar, bad_kinds, time);
         let line = format!("{bad_kinds:?}: {} KiB, {served} served", peak / KIB);
         println!("{line}");
         if peak > MEMORY_MB * 1_000_000 {
--- a/crates/platform/src/client_session.rs
+++ b/crates/platform/src/client_session.rs
@@ -6,6 +6,7 @@
 use crate::memory_budget::rejects_head;
 use crate::request_handler::{handle, HandledRequest};
 use crate::shell::{Body, Shell};
+use havenplank_sidecar::fairness::yield_unless_waited;
 use havenplank_sidecar::tracked_body::{TrackedRequestBody, TrackedResponseBody};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -66,7 +67,8 @@
     client: Rc<ClientConnection>,
     request: Request<TrackedRequestBody>,
 ) -> Result<Response<TrackedResponseBody<Body>>, Infallible> {
-    let HandledRequest { response, deadline } = handle(shell, client.clone(), request).await;
+    let handling = handle(shell, client.clone(), request);
+    let HandledRequest { response, deadline } = yield_unless_waited(handling).await;
     client.hand_over_response(deadline);
     Ok(response.map(|body| client.stream.track_response_body(body)))
 }
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -3,6 +3,7 @@
 
 use crate::body::Body;
 use crate::client_stream::ClientStream;
+use crate::fairness::yield_unless_waited;
 use crate::shell::Shell;
 use crate::tracked_body::TrackedRequestBody;
 use hyper::body::Incoming;
@@ -112,7 +113,10 @@
         activity.record_request_read();
         let request = request.map(|body| stream.track_request_body(body));
         let (served, stream) = (serve(shell.clone(), request), &stream);
-        async move { Ok::<_, Infallible>(served.await?.map(|body| stream.track_response_body(body))) }
+        async move {
+            let response = yield_unless_waited(served).await?;
+            Ok::<_, Infallible>(response.map(|body| stream.track_response_body(body)))
+        }
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_head_bytes)
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod distributor;
 mod endpoint_cache;
 pub mod engine;
+pub mod fairness;
 pub mod headers;
 mod health_check;
 pub mod heap_room;
