platform: see a client leave that has more unread than is read ahead

The request went on until its time was up, and the next one among those bytes was sent to a pod after that. Cause: a close was found by reading to the end of the stream, at most 16 KiB ahead. Beyond that nothing was looked for, not even a reset. Change: the system's report of a close (EPOLLRDHUP, as the runtime passes it on) ends the request, whatever is unread. Reading ahead stays for systems that do not report it.

--- a/crates/sidecar/src/client_stream.rs
+++ b/crates/sidecar/src/client_stream.rs
@@ -5,25 +5,25 @@
 use bytes::{Buf, BytesMut};
 use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
-use std::future::pending;
-use std::io;
+use std::future::Future;
+use std::io::{self, Read as _};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
 /// Limit on the bytes that are read and discarded while a connection closes.
 const MAX_DRAIN_BYTES: usize = 1 << 20;
 /// Limit on the time for which bytes are read and discarded while a connection closes.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(500);
-/// Limit on the bytes that are read ahead while a request is served, to detect that the client closed the connection
-/// after sending them. A client that sends more does not follow the protocol, which has one request at a time; for such
-/// a client a close is not detected.
+/// Limit on the bytes that are read ahead while a request is served. A close behind them is then detected even if the
+/// system does not report it before they are read.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// Limit on the bytes that the HTTP server reads at once. Its read buffer holds 8 KiB; a read that fills 8 KiB makes it
@@ -34,6 +34,21 @@
 /// Bytes that are discarded at once while a connection closes.
 const DRAIN_STEP_BYTES: usize = 4 << 10;
 
+/// What happened on a socket.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SocketEvent {
+    /// Bytes have arrived.
+    Bytes,
+    /// The client has closed or reset the connection; unread bytes may precede that.
+    Closed,
+}
+
+impl SocketEvent {
+    fn is_closed(self) -> bool {
+        self == SocketEvent::Closed
+    }
+}
+
 /// The state that all clones of a [`ClientStream`] share.
 struct StreamState {
     socket: TcpStream,
@@ -44,6 +59,8 @@
     read_ahead: RefCell<BytesMut>,
     /// Bytes that the HTTP connection has read of a request since the last complete one.
     partial_request: Cell<usize>,
+    /// The socket may have unread bytes although the runtime takes it for empty; see [`ClientStream::await_event`].
+    may_have_unread: Cell<bool>,
     /// Wakes the HTTP connection when bytes were read ahead.
     reader_waker: Cell<Option<Waker>>,
     /// Set once the HTTP connection has consumed a complete response body; cleared when all of it is written.
@@ -63,12 +80,13 @@
     pub fn new(socket: TcpStream) -> ClientStream {
         let (first_unread, reader_waker, response_written, write_blocked) = Default::default();
         let (read_ahead, response_consumed) = (RefCell::default(), Cell::new(false));
-        let partial_request = Cell::new(0);
+        let (partial_request, may_have_unread) = (Cell::new(0), Cell::new(false));
         ClientStream(Rc::new(StreamState {
             socket,
             first_unread,
             read_ahead,
             partial_request,
+            may_have_unread,
             reader_waker,
             response_consumed,
             response_written,
@@ -142,24 +160,40 @@
         !self.0.read_ahead.borrow().is_empty() || self.peek().is_ok_and(|bytes| bytes > 0)
     }
 
-    /// Returns whether the client has closed the connection. Cannot detect that while unread bytes are in the socket.
+    /// Returns whether the client has closed the connection. While unread bytes are in the socket, a close is detected
+    /// once the runtime has polled.
     pub fn is_closed(&self) -> bool {
         match self.peek() {
-            Ok(bytes) => bytes == 0,
+            Ok(0) => true,
+            Ok(_) => self.is_close_reported(),
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
-    /// Completes when the client has closed the connection. Reads ahead while `has_memory` permits it, so that it also
-    /// detects a close after bytes that the HTTP connection does not read while a request is served.
+    /// Returns whether the system has reported to the runtime that the client closed the connection.
+    fn is_close_reported(&self) -> bool {
+        let ready = pin!(self.0.socket.ready(Interest::READABLE));
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Completes when the client has closed the connection, or reset it, also if unread bytes precede the close. Reads
+    /// ahead while `has_memory` permits it: not every system reports a close before those bytes are read.
     pub async fn closed(&self, has_memory: impl Fn() -> bool) {
         loop {
-            if self.0.socket.readable().await.is_err() {
+            if !self.0.may_have_unread.get() && self.await_event().await.is_closed() {
                 return;
             }
             let room = MAX_READ_AHEAD_BYTES.saturating_sub(self.read_ahead_bytes());
             if room == 0 || !has_memory() {
-                return pending().await;
+                self.ignore_unread();
+                if self.await_event().await.is_closed() {
+                    return;
+                }
+                continue;
             }
             match self.read_ahead(room.min(READ_AHEAD_STEP_BYTES)) {
                 Ok(0) => return,
@@ -170,10 +204,55 @@
         }
     }
 
+    /// Waits until the socket has bytes or the client has closed the connection.
+    async fn await_event(&self) -> SocketEvent {
+        match self.0.socket.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => SocketEvent::Bytes,
+            _ => SocketEvent::Closed,
+        }
+    }
+
+    /// Makes the runtime take the socket for empty, so that [`ClientStream::await_event`] waits for what comes next: more
+    /// bytes, or a close. The next read looks at the socket itself.
+    fn ignore_unread(&self) {
+        self.0.may_have_unread.set(true);
+        let would_block = || io::Result::<()>::Err(io::ErrorKind::WouldBlock.into());
+        let _ = self.0.socket.try_io(Interest::READABLE, would_block);
+    }
+
+    /// Reads bytes that have arrived. Fails with `WouldBlock` if there are none.
+    fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        if !self.0.may_have_unread.get() {
+            return self.0.socket.try_read(buffer);
+        }
+        let read = (&*socket2::SockRef::from(&self.0.socket)).read(buffer);
+        if matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
+            self.0.may_have_unread.set(false);
+        }
+        read
+    }
+
+    /// Waits until a read may find bytes.
+    async fn readable(&self) -> io::Result<()> {
+        if self.0.may_have_unread.get() {
+            return Ok(());
+        }
+        self.0.socket.readable().await
+    }
+
+    /// Waits until a read may find bytes, within the task's budget: a socket that always has bytes must not keep the
+    /// task from yielding.
+    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.may_have_unread.get() {
+            return pin!(consume_budget()).poll(cx).map(Ok);
+        }
+        self.0.socket.poll_read_ready(cx)
+    }
+
     /// Reads at most `limit` bytes ahead of the HTTP connection and returns their number; 0 at the end of the stream.
     fn read_ahead(&self, limit: usize) -> io::Result<usize> {
         let mut read = [0; READ_AHEAD_STEP_BYTES];
-        let length = self.0.socket.try_read(&mut read[..limit])?;
+        let length = self.try_read(&mut read[..limit])?;
         if length > 0 {
             self.record_read();
             let mut read_ahead = self.0.read_ahead.borrow_mut();
@@ -221,7 +300,7 @@
         let _ = socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write);
         let rest = async {
             let mut read = 0;
-            while read < MAX_DRAIN_BYTES && self.0.socket.readable().await.is_ok() {
+            while read < MAX_DRAIN_BYTES && self.readable().await.is_ok() {
                 match self.discard() {
                     Ok(0) => break,
                     Ok(more) => read += more,
@@ -236,7 +315,7 @@
     /// Reads and discards bytes once. The buffer is on the stack, not in the future of every connection.
     fn discard(&self) -> io::Result<usize> {
         let mut sink = [0; DRAIN_STEP_BYTES];
-        self.0.socket.try_read(&mut sink)
+        self.try_read(&mut sink)
     }
 }
 
@@ -260,9 +339,9 @@
         }
         self.0.reader_waker.set(Some(cx.waker().clone()));
         loop {
-            ready!(self.0.socket.poll_read_ready(cx))?;
+            ready!(self.poll_readable(cx))?;
             let length = buf.remaining().min(MAX_READ_BYTES);
-            match self.0.socket.try_read(buf.initialize_unfilled_to(length)) {
+            match self.try_read(buf.initialize_unfilled_to(length)) {
                 Ok(read) => {
                     buf.advance(read);
                     if read > 0 {
