--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -94,6 +94,10 @@
                 pool.release(address, connection);
                 return Err(AttemptEnd::NotSent);
             }
+            // Before the write: after it the request may have run, whatever becomes of this task.
+            if let Some(id) = &self.request.once_only_id {
+                self.shell.clients.sent_ids.insert(id);
+            }
             let remaining = self.timeout.saturating_sub(began.elapsed());
             let head = self.request.head_with_remaining_time(remaining);
             let written = connection.write(&head, self.request.body()).await;
--- a/crates/platform/src/client_table.rs
+++ b/crates/platform/src/client_table.rs
@@ -7,6 +7,7 @@
 };
 use crate::counters::increment;
 use crate::in_flight_ids::InFlightIds;
+use crate::sent_ids::SentIds;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -43,13 +44,14 @@
     }
 }
 
-/// The open client connections and the ids of their requests in flight.
+/// The open client connections, and the ids of their requests.
 pub(crate) struct ClientTable {
     budget: DescriptorBudget,
     /// Bounded by the budget; an entry is removed when its connection closes.
     connections: RefCell<HashMap<ConnectionId, Rc<ClientConnection>>>,
     next_id: Cell<ConnectionId>,
     pub(crate) in_flight_ids: InFlightIds,
+    pub(crate) sent_ids: SentIds,
     /// Requests rejected as invalid since the process started.
     pub(crate) invalid_requests: Cell<u64>,
     /// Connections closed to make room for others since the process started.
@@ -63,6 +65,7 @@
             connections: RefCell::default(),
             next_id: Cell::new(0),
             in_flight_ids: InFlightIds::default(),
+            sent_ids: SentIds::default(),
             invalid_requests: Cell::new(0),
             evicted: Cell::new(0),
         }
--- a/crates/platform/src/id_claim.rs
+++ b/crates/platform/src/id_claim.rs
@@ -16,7 +16,8 @@
 }
 
 impl IdClaim {
-    /// Claims an id. An earlier request with the same id whose client has closed is ended and replaced.
+    /// Claims an id. An earlier request with the same id whose client has closed is ended and replaced, unless it may have
+    /// run and must not run twice. That also holds for an earlier request that has ended.
     ///
     /// # Errors
     /// Fails where the earlier request keeps the id; see [`may_take_over`].
@@ -26,8 +27,9 @@
         id: &HeaderValue,
         idempotency: Idempotency,
     ) -> Result<IdClaim, IdConflict> {
-        if let Some(earlier) = shell.clients.in_flight_ids.holder(id) {
-            may_take_over(earlier_request(shell, &earlier), idempotency)?;
+        let earlier = shell.clients.in_flight_ids.holder(id);
+        may_take_over(earlier_request(shell, id, earlier.as_ref()), idempotency)?;
+        if let Some(earlier) = earlier {
             earlier.client.abort();
             if let Some(request) = earlier.request {
                 shell.cancel_request(request);
@@ -43,6 +45,11 @@
         })
     }
 
+    /// Returns the id.
+    pub(crate) fn id(&self) -> &HeaderValue {
+        &self.id
+    }
+
     /// Records which dispatched request holds the id.
     pub(crate) fn set_request(&self, request: RequestId) {
         let ids = &self.shell.clients.in_flight_ids;
@@ -57,10 +64,16 @@
     }
 }
 
-fn earlier_request(shell: &Shell, earlier: &IdHolder) -> EarlierRequest {
+/// Describes the earlier requests with this id: the one in flight, if any, and those that have ended.
+fn earlier_request(
+    shell: &Shell,
+    id: &HeaderValue,
+    in_flight: Option<&IdHolder>,
+) -> EarlierRequest {
     let was_forwarded = |request| shell.was_forwarded(request);
+    let request = in_flight.and_then(|earlier| earlier.request);
     EarlierRequest {
-        is_client_gone: earlier.client.stream.is_closed(),
-        may_have_run: earlier.request.is_some_and(was_forwarded),
+        is_client_gone: in_flight.is_none_or(|earlier| earlier.client.stream.is_closed()),
+        may_have_run: request.is_some_and(was_forwarded) || shell.clients.sent_ids.contains(id),
     }
 }
--- a/crates/platform/src/in_flight_ids.rs
+++ b/crates/platform/src/in_flight_ids.rs
@@ -17,15 +17,16 @@
 pub(crate) enum IdConflict {
     /// The request that holds the id is in flight and its client still waits.
     ClientWaiting,
-    /// The client of the request that holds the id has closed, and that request may have run: sending it to a pod again
+    /// The request that holds the id has ended or its client has closed, and it may have run: sending it to a pod again
     /// could run it twice.
     MayHaveRun,
 }
 
-/// What is known about the earlier request with the same id.
+/// What is known about the earlier request with the same id, in flight or ended; of a new id, that its request cannot
+/// have run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EarlierRequest {
-    /// Whether its client has closed.
+    /// Whether its client has closed, or its request has ended.
     pub(crate) is_client_gone: bool,
     /// Whether an attempt of the request may have been sent.
     pub(crate) may_have_run: bool,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -48,6 +48,7 @@
 mod request_handler;
 mod request_reader;
 mod response_memory;
+mod sent_ids;
 mod service;
 mod shell;
 mod state_log;
--- a/crates/platform/src/prepared_request.rs
+++ b/crates/platform/src/prepared_request.rs
@@ -2,7 +2,7 @@
 
 use crate::wire_headers::REMAINING_TIME;
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::Method;
 use std::io::Write as _;
 use std::time::Duration;
@@ -40,14 +40,22 @@
         self.bytes.len()
     }
 
-    /// Adds the body.
-    pub(crate) fn with_body(self, body: Bytes) -> PreparedRequest {
+    /// Adds the body, and the correlation id if the request must not run twice.
+    pub(crate) fn with_body(
+        self,
+        body: Bytes,
+        once_only_id: Option<HeaderValue>,
+    ) -> PreparedRequest {
         let mut head = self.bytes;
         if self.has_body {
             let length = body.len();
             head.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
         }
-        PreparedRequest { head, body }
+        PreparedRequest {
+            head,
+            body,
+            once_only_id,
+        }
     }
 }
 
@@ -56,6 +64,8 @@
     /// Request line and headers, without the remaining time and the empty line.
     head: Vec<u8>,
     body: Bytes,
+    /// The correlation id of a request that must not run twice.
+    pub(crate) once_only_id: Option<HeaderValue>,
 }
 
 impl PreparedRequest {
--- a/crates/platform/src/request_reader.rs
+++ b/crates/platform/src/request_reader.rs
@@ -71,6 +71,8 @@
         IdConflict::ClientWaiting => RequestError::IdInFlight,
         IdConflict::MayHaveRun => RequestError::IdMayHaveRun,
     })?;
+    let must_run_once = rules.idempotency != Idempotency::Idempotent;
+    let once_only_id = must_run_once.then(|| id.id().clone());
     // The original head keeps its read buffer allocated, so it is dropped before the body is awaited.
     let head = prepare_head(&method, parts);
     if rejects_head(head.len(), shell.client_memory()) {
@@ -79,7 +81,7 @@
     let body = read_body(shell, body, client, began, attributes.remaining).await?;
     Ok(ReadRequest {
         attributes,
-        prepared: head.with_body(body),
+        prepared: head.with_body(body, once_only_id),
         id,
     })
 }
