--- a/crates/cli/tests/departures/clients.rs
+++ b/crates/cli/tests/departures/clients.rs
@@ -1,6 +1,7 @@
 //! Clients that close their connection while their request is in flight.
 
 use super::{CLIENT_TIME_MS, MS};
+use havenplank_sidecar::read_ahead::MAX_HELD_BYTES;
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
@@ -42,6 +43,17 @@
     Form::Reset,
 ];
 
+impl Form {
+    /// Returns whether a sidecar reads all of it ahead, so that the request itself is sent to a pod at first.
+    pub fn fits_read_ahead(self) -> bool {
+        match self {
+            Form::Zeros(count) => count < MAX_HELD_BYTES,
+            Form::RequestsWithBodies | Form::TwelveBodies => false,
+            _ => true,
+        }
+    }
+}
+
 /// A client that has left.
 #[derive(Clone, Debug)]
 pub struct Departure {
@@ -84,10 +96,9 @@
     stream.set_nodelay(true).expect("an option");
     stream.set_nonblocking(true).expect("a mode");
     let id = |n: usize| format!("c{client}-{n}");
-    let first = if form == Form::TwelveBodies {
-        post(&id(0), LARGE_BODY_BYTES)
-    } else {
-        get(&id(0))
+    let first = match form {
+        Form::TwelveBodies => post(&id(0), LARGE_BODY_BYTES),
+        _ => get(&id(0)),
     };
     let leave_at = Instant::now() + after;
     write_until(&mut stream, first.as_bytes(), leave_at);
--- a/crates/cli/tests/departures/pods.rs
+++ b/crates/cli/tests/departures/pods.rs
@@ -43,10 +43,12 @@
     /// The correlation id of its request.
     pub id: String,
     pub began: Instant,
+    /// Whether the pod ran it, as far as the sidecar can know.
+    pub may_have_run: bool,
 }
 
-/// Chooses the treatment of an attempt by its id.
-pub type Treat = fn(&str) -> Treatment;
+/// Chooses the treatment of an attempt by the id of its request and the number of earlier attempts of it.
+pub type Treat = fn(&str, usize) -> Treatment;
 
 /// Pods that run as long as the test process.
 pub struct Pods {
@@ -161,12 +163,7 @@
         let mut body = vec![0; length.and_then(Result::ok).unwrap_or(0)];
         stream.read_exact(&mut body).await?;
         let id = header(&head, "x-correlation-id").unwrap_or("");
-        let attempt = Attempt {
-            id: id.to_string(),
-            began: Instant::now(),
-        };
-        attempts.lock().expect("no panic").push(attempt);
-        let Treatment { hold, reaction } = treat(id);
+        let Treatment { hold, reaction } = record_attempt(id, attempts, treat);
         sleep(hold).await;
         let response = match reaction {
             Reaction::TurnAway => TURNED_AWAY.to_string(),
@@ -181,3 +178,15 @@
         stream.flush().await?;
     }
 }
+
+fn record_attempt(id: &str, attempts: &Mutex<Vec<Attempt>>, treat: Treat) -> Treatment {
+    let mut attempts = attempts.lock().expect("no panic");
+    let earlier = attempts.iter().filter(|attempt| attempt.id == id).count();
+    let treatment = treat(id, earlier);
+    attempts.push(Attempt {
+        id: id.to_string(),
+        began: Instant::now(),
+        may_have_run: treatment.reaction != Reaction::TurnAway,
+    });
+    treatment
+}
--- a/crates/emulator/src/scripted.rs
+++ b/crates/emulator/src/scripted.rs
@@ -77,6 +77,14 @@
         Ok(Connection(TcpStream::connect(at).await?))
     }
 
+    /// Returns the socket.
+    ///
+    /// # Errors
+    /// The runtime has stopped.
+    pub fn into_std(self) -> io::Result<std::net::TcpStream> {
+        self.0.into_std()
+    }
+
     /// Sends bytes.
     ///
     /// # Errors
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -2,7 +2,9 @@
 
 use crate::connection_slots::{Activity, ConnectionState};
 use havenplank_sidecar::client_stream::ClientStream;
+use havenplank_sidecar::read_ahead::ReadAheadMemory;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Instant;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -17,9 +19,10 @@
 }
 
 impl ClientConnection {
-    pub(crate) fn new(stream: TcpStream) -> ClientConnection {
+    /// What is read ahead of the HTTP server is held in `memory`.
+    pub(crate) fn new(stream: TcpStream, memory: Rc<ReadAheadMemory>) -> ClientConnection {
         ClientConnection {
-            stream: ClientStream::new(stream),
+            stream: ClientStream::new(stream, memory),
             state: Cell::new(ConnectionState::new(Instant::now())),
             task: RefCell::default(),
         }
--- a/crates/platform/src/client_table.rs
+++ b/crates/platform/src/client_table.rs
@@ -56,6 +56,10 @@
     pub(crate) invalid_requests: Cell<u64>,
     /// Requests rejected for want of memory since the process started.
     pub(crate) rejected_for_memory: Cell<u64>,
+    /// Requests that ended because their client closed its connection, since the process started.
+    pub(crate) closed_early: Cell<u64>,
+    /// Requests that ended because their client sent too much behind them, since the process started.
+    pub(crate) sent_too_much: Cell<u64>,
     /// Connections closed to make room for others since the process started.
     pub(crate) evicted: Cell<u64>,
 }
@@ -70,6 +74,8 @@
             sent_ids: SentIds::default(),
             invalid_requests: Cell::new(0),
             rejected_for_memory: Cell::new(0),
+            closed_early: Cell::new(0),
+            sent_too_much: Cell::new(0),
             evicted: Cell::new(0),
         }
     }
--- a/crates/platform/src/id_claim.rs
+++ b/crates/platform/src/id_claim.rs
@@ -4,6 +4,7 @@
 use crate::in_flight_ids::{may_take_over, EarlierRequest, IdConflict, IdHolder};
 use crate::shell::Shell;
 use havenplank::interface::{Idempotency, RequestId};
+use havenplank_sidecar::client_stream::Departure;
 use havenplank_sidecar::headers::detached_copy_of_value;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
@@ -73,7 +74,17 @@
     let was_forwarded = |request| shell.was_forwarded(request);
     let request = in_flight.and_then(|earlier| earlier.request);
     EarlierRequest {
-        is_client_gone: in_flight.is_none_or(|earlier| earlier.client.stream.is_closed()),
+        is_client_gone: in_flight.is_none_or(has_client_left),
         may_have_run: request.is_some_and(was_forwarded) || shell.clients.sent_ids.contains(id),
     }
 }
+
+/// Returns whether the client of an earlier request has left. Bytes behind a request that is still being read are its
+/// own, so only the close itself is looked for then.
+fn has_client_left(earlier: &IdHolder) -> bool {
+    let stream = &earlier.client.stream;
+    match earlier.request {
+        Some(_) => stream.look_for_departure() == Some(Departure::Closed),
+        None => stream.is_closed(),
+    }
+}
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -75,7 +75,7 @@
 
 fn serve(shell: &Rc<Shell>, stream: TcpStream, stop: watch::Receiver<StopTime>) {
     let _ = stream.set_nodelay(true);
-    let client = Rc::new(ClientConnection::new(stream));
+    let client = Rc::new(ClientConnection::new(stream, shell.read_ahead.clone()));
     let registration = Registration {
         shell: shell.clone(),
         id: shell.clients.insert(client.clone()),
--- a/crates/platform/src/pod_pool.rs
+++ b/crates/platform/src/pod_pool.rs
@@ -80,6 +80,8 @@
     /// Attempts and health checks that wait for a permit. Attempts are bounded by the requests in flight, which the
     /// listener bounds.
     waiting: Cell<usize>,
+    /// Connections that are being opened. Bounded by the permits.
+    connecting: Cell<usize>,
     /// By address, the most recently used last. [`PodPool::sweep`] removes connections that were idle too long or whose
     /// pod is no longer listed.
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
@@ -95,6 +97,7 @@
             permits: Arc::new(Semaphore::new(max_connections)),
             max_connections,
             waiting: Cell::new(0),
+            connecting: Cell::new(0),
             idle: RefCell::default(),
             idle_timeout: RefCell::new(idle_timeout),
             opened: Cell::new(0),
@@ -121,6 +124,16 @@
         }
     }
 
+    /// Returns the number of attempts and health checks that wait for a permit.
+    pub(crate) fn waiting_count(&self) -> usize {
+        self.waiting.get()
+    }
+
+    /// Returns the number of connections that are being opened.
+    pub(crate) fn connecting_count(&self) -> usize {
+        self.connecting.get()
+    }
+
     /// Returns the number of connections opened since the process started.
     pub(crate) fn opened_count(&self) -> u64 {
         self.opened.get()
@@ -142,8 +155,10 @@
             .settings
             .connect_timeout
             .saturating_sub(began.elapsed());
-        let connecting = timeout(remaining, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connecting else {
+        let connecting = CountGuard::new(&self.connecting);
+        let connected = timeout(remaining, TcpStream::connect(address)).await;
+        drop(connecting);
+        let Ok(Ok(stream)) = connected else {
             return Err(AcquireError::PodUnreachable);
         };
         let _ = stream.set_nodelay(true);
--- a/crates/platform/src/request_handler.rs
+++ b/crates/platform/src/request_handler.rs
@@ -3,12 +3,15 @@
 
 use crate::client_connection::ClientConnection;
 use crate::counters::increment;
-use crate::memory_budget::ClientMemory;
+use crate::id_claim::IdClaim;
+use crate::prepared_request::PreparedRequest;
 use crate::request_error::RequestError;
 use crate::request_reader::{self, ReadRequest};
 use crate::shell::{Body, Shell};
 use crate::wire_headers::HEALTH_PATH;
 use havenplank::interface::{Nanos, RequestId};
+use havenplank_sidecar::client_stream::Departure;
+use havenplank_sidecar::dispatcher::Transport;
 use havenplank_sidecar::engine::RequestAttributes;
 use havenplank_sidecar::responses::{failed, text_response, with_connection_close};
 use havenplank_sidecar::tracked_body::TrackedRequestBody;
@@ -35,14 +38,20 @@
 
 /// Guard of a request in flight. Dropping it reports to the engine that the client is gone; it has no effect once the
 /// request has ended.
-struct InFlightGuard {
-    shell: Rc<Shell>,
+struct InFlightGuard<'a> {
+    shell: &'a Rc<Shell>,
+    client: &'a ClientConnection,
     request: RequestId,
 }
 
-impl Drop for InFlightGuard {
+impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.shell.cancel_request(self.request);
+        if self.shell.cancel_request(self.request) {
+            // The HTTP server may have found the end of the stream before this side has.
+            let departure = self.client.stream.departure();
+            let departure = departure.unwrap_or(Departure::Closed);
+            record_departure(self.shell, departure, Some(self.request));
+        }
     }
 }
 
@@ -98,26 +107,19 @@
         id,
     } = read;
     let deadline = began + Duration::from_nanos(attributes.remaining);
-    let attributes = deduct_time_spent(attributes, began, shell.response_margin);
-    let (sender, response) = oneshot::channel();
-    let request = shell.dispatch(attributes, prepared, sender);
-    let in_flight = InFlightGuard {
-        shell: shell.clone(),
-        request,
-    };
-    id.set_request(request);
-    let may_read_ahead = || shell.client_memory() == ClientMemory::Ample;
-    let response = tokio::select! {
-        // The engine dropping a request in flight is a fault; this response does not promise that it never ran.
-        response = response => response.unwrap_or_else(|_| failed(false)),
-        // Watched here because the HTTP server sees the client's close only if no unread bytes precede it. The client
-        // is gone, so it does not read this response.
-        () = client.stream.closed(may_read_ahead) => with_connection_close(failed(false)),
+    let response = match client.stream.find_departure().await {
+        Some(departure) => {
+            record_departure(&shell, departure, None);
+            shell.rejected(0)
+        }
+        None => {
+            let attributes = deduct_time_spent(attributes, began, shell.response_margin);
+            await_response(&shell, client, attributes, prepared, &id).await
+        }
     };
-    drop(in_flight);
-    let is_stopping = shell.stopping.get();
+    let closes = shell.stopping.get() || client.stream.departure() == Some(Departure::Closed);
     HandledRequest {
-        response: if is_stopping {
+        response: if closes {
             with_connection_close(response)
         } else {
             response
@@ -126,6 +128,47 @@
     }
 }
 
+/// Passes a request to the engine and waits for its response, or until its client has left.
+async fn await_response(
+    shell: &Rc<Shell>,
+    client: &ClientConnection,
+    attributes: RequestAttributes,
+    prepared: PreparedRequest,
+    id: &IdClaim,
+) -> Response<Body> {
+    let (sender, response) = oneshot::channel();
+    let request = shell.dispatch(
+        attributes,
+        Rc::new(prepared),
+        client.stream.presence(),
+        sender,
+    );
+    tracing::debug!(request, id = ?id.id(), "request dispatched");
+    let _in_flight = InFlightGuard {
+        shell,
+        client,
+        request,
+    };
+    id.set_request(request);
+    tokio::select! {
+        // The engine dropping a request in flight is a fault; this response does not promise that it never ran.
+        response = response => response.unwrap_or_else(|_| failed(false)),
+        // Watched here because the HTTP server sees the client's close only if no unread bytes precede it. A client that
+        // has closed does not read this response.
+        _ = client.stream.departed() => failed(false),
+    }
+}
+
+/// Records that a request ends, or is not dispatched, because its client has left.
+fn record_departure(shell: &Shell, departure: Departure, request: Option<RequestId>) {
+    tracing::debug!(request, ?departure, "request ended: its client has left");
+    let count = match departure {
+        Departure::Closed => &shell.clients.closed_early,
+        Departure::SentTooMuch => &shell.clients.sent_too_much,
+    };
+    increment(count);
+}
+
 /// Deducts from the remaining time what reading the request took and what sending the response will take.
 fn deduct_time_spent(
     attributes: RequestAttributes,
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -14,6 +14,7 @@
 use havenplank_sidecar::body_memory::BodyMemory;
 use havenplank_sidecar::engine::{Engine, EPOCH};
 use havenplank_sidecar::heap_room::{AllocatedBytes, HeapRoom};
+use havenplank_sidecar::read_ahead::ReadAheadMemory;
 use havenplank_sidecar::{listen, StartError};
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -83,6 +84,10 @@
             memory.request_bodies,
             HeapRoom::new(allocated_bytes, memory.body_heap),
         ),
+        read_ahead: Rc::new(ReadAheadMemory::with_heap(
+            memory.client_heap,
+            HeapRoom::new(allocated_bytes, memory.client_heap),
+        )),
         pods,
         votes: VoteQueue::default(),
         list_status: discovery::ListStatus::default(),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -13,8 +13,10 @@
 use havenplank_sidecar::body_memory::BodyMemory;
 use havenplank_sidecar::dispatcher::Dispatcher;
 use havenplank_sidecar::heap_room::AllocatedBytes;
+use havenplank_sidecar::read_ahead::ReadAheadMemory;
 use http_body_util::Full;
 use std::cell::Cell;
+use std::rc::Rc;
 
 /// The body of a response to a client.
 pub(crate) type Body = Full<Bytes>;
@@ -34,6 +36,8 @@
     pub(crate) clients: ClientTable,
     /// The memory for the bodies of requests.
     pub(crate) request_memory: BodyMemory,
+    /// The memory for what clients send behind requests in flight.
+    pub(crate) read_ahead: Rc<ReadAheadMemory>,
     pub(crate) pods: PodClient,
     pub(crate) votes: VoteQueue,
     pub(crate) list_status: ListStatus,
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use havenplank_emulator::scripted::{configuration, entry, Connection, ScriptedServer};
 use havenplank_platform::{serve, Command, Config};
+use havenplank_sidecar::heap_room::AllocatedBytes;
 use serde_json::Value;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -44,6 +45,14 @@
 impl Rig {
     /// Starts a sidecar with one pod, `p`, of build 7; `change` adapts the configuration first.
     pub async fn new(change: impl FnOnce(&mut Value)) -> Rig {
+        Rig::with_allocated(|| 0, change).await
+    }
+
+    /// The same with a process that has allocated this many bytes.
+    pub async fn with_allocated(
+        allocated_bytes: AllocatedBytes,
+        change: impl FnOnce(&mut Value),
+    ) -> Rig {
         let [discovery, control_plane, pod] = [
             ScriptedServer::new().await,
             ScriptedServer::new().await,
@@ -61,7 +70,7 @@
         let ((ready, address), (end, ended)) = (oneshot::channel(), oneshot::channel());
         let sidecar = Sidecar(spawn_local(async move {
             let ready = |address| ready.send(address).expect("the test waits");
-            serve(parse_config(&config), || 0, received, ready)
+            serve(parse_config(&config), allocated_bytes, received, ready)
                 .await
                 .expect("a sidecar that starts");
             let _ = end.send(());
--- a/crates/platform/tests/departed_clients.rs
+++ b/crates/platform/tests/departed_clients.rs
@@ -2,15 +2,20 @@
 
 mod common;
 
-use common::{get, let_sidecar_run, run_test, Rig, HEALTH, OK, OK_CLOSE};
+use common::{get, let_sidecar_run, request, run_test, Rig, HEALTH, OK, OK_CLOSE};
 use havenplank_emulator::scripted::Connection;
 use serde_json::{json, Value};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 const MS: Duration = Duration::from_millis(1);
-/// More than the sidecar reads ahead behind a request in flight, and within what its socket holds.
+/// Within what a socket holds.
 const MUCH_BYTES: usize = 60_000;
+/// More than a socket holds, so that the close waits in the client's system.
+const VERY_MUCH_BYTES: usize = 200_000;
+/// Of 64 MB: nothing is left for clients and for bodies of requests, and something for responses.
+const SHORT_MEMORY_BYTES: usize = 45_000_000;
 
 /// Sets client timeouts that do not run out during a test.
 fn set_long_timeouts(config: &mut Value) {
@@ -102,3 +107,66 @@
         assert_eq!(client.answer().await.unwrap().0, 200);
     });
 }
+
+/// The socket of the sidecar was full, so the close waited in the client's system, which nothing reports.
+#[test]
+fn a_client_that_closes_with_more_unread_than_the_socket_holds_ends_its_request() {
+    run_test(async {
+        let rig = Rig::new(set_long_timeouts).await;
+        let mut pod = leave_with_much_unread(&rig, &"x".repeat(VERY_MUCH_BYTES)).await;
+        let began = Instant::now();
+        assert!(pod.closes_in_time().await);
+        assert!(began.elapsed() < 100 * MS, "{:?}", began.elapsed());
+    });
+}
+
+/// With memory short next to nothing is read ahead: a client that has sent more gets an error at once, as nobody could
+/// tell any more whether it is there; one that has sent an empty line too many is served.
+#[test]
+fn with_memory_short_a_client_that_sends_much_behind_its_request_gets_an_error() {
+    run_test(async {
+        let rig = Rig::with_allocated(|| SHORT_MEMORY_BYTES, set_long_timeouts).await;
+        let (mut client, mut pod) = rig.request(&long_get("i1")).await;
+        client.send("\r\n").await.unwrap();
+        let_sidecar_run(&rig).await;
+        pod.send(OK_CLOSE).await.unwrap();
+        assert_eq!(client.answer().await.unwrap().0, 200);
+
+        let (mut client, mut pod) = rig.request(&long_get("i2")).await;
+        client.send("x".repeat(MUCH_BYTES)).await.unwrap();
+        assert!(pod.closes_in_time().await);
+        assert_eq!(client.answer().await.unwrap().0, 502);
+        assert!(client.closes_in_time().await);
+    });
+}
+
+static ALLOCATED_BYTES: AtomicUsize = AtomicUsize::new(SHORT_MEMORY_BYTES);
+
+/// While a body waits for memory nothing of its connection is read, so a close behind it is not seen.
+#[test]
+fn a_request_whose_client_closes_while_its_body_waits_for_memory_is_not_sent() {
+    run_test(async {
+        let allocated_bytes = || ALLOCATED_BYTES.load(Ordering::Relaxed);
+        let rig = Rig::with_allocated(allocated_bytes, set_long_timeouts).await;
+        let body = "b".repeat(MUCH_BYTES);
+        let post = request("POST /write/a", "i1", "", &body).replace("800", "8000");
+        let client = rig.client().await;
+        let stream = client.into_std().unwrap();
+        let sent = post + &"x".repeat(VERY_MUCH_BYTES);
+        // Written as far as the sockets take it, which is past the body.
+        stream.set_nonblocking(true).unwrap();
+        let mut written = 0;
+        while written < sent.len() {
+            match std::io::Write::write(&mut &stream, &sent.as_bytes()[written..]) {
+                Ok(more) => written += more,
+                Err(_) => sleep(MS).await,
+            }
+        }
+        let_sidecar_run(&rig).await;
+        drop(stream);
+        sleep(200 * MS).await;
+        ALLOCATED_BYTES.store(0, Ordering::Relaxed);
+        sleep(300 * MS).await;
+        assert!(rig.pod.has_no_pending_connection().await, "sent");
+    });
+}
--- a/crates/sidecar/src/client_stream.rs
+++ b/crates/sidecar/src/client_stream/mod.rs
@@ -1,54 +1,30 @@
 //! A client's TCP stream that records when a request began to arrive, when its response was written and when the client
-//! closed the connection, and that can be drained after the HTTP connection has ended.
+//! left, and that can be drained after the HTTP connection has ended.
 
+mod departure;
+mod drain;
+
+pub use departure::{ClientPresence, Departure};
+
+use crate::read_ahead::ReadAheadMemory;
 use crate::tracked_body::{TrackedRequestBody, TrackedResponseBody};
 use bytes::{Buf, BytesMut};
+use departure::is_transient;
 use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::io::{self, Read as _};
+use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::coop::consume_budget;
-use tokio::time::timeout;
-
-/// Limit on the bytes that are read and discarded while a connection closes.
-const MAX_DRAIN_BYTES: usize = 1 << 20;
-/// Limit on the time for which bytes are read and discarded while a connection closes.
-const MAX_DRAIN_TIME: Duration = Duration::from_millis(500);
-/// Limit on the bytes that are read ahead while a request is served. A close behind them is then detected even if the
-/// system does not report it before they are read.
-const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// Limit on the bytes that the HTTP server reads at once. Its read buffer holds 8 KiB; a read that fills 8 KiB makes it
 /// allocate buffers twice as large from then on.
 const MAX_READ_BYTES: usize = (8 << 10) - 1;
-/// Bytes that are read ahead at once.
-const READ_AHEAD_STEP_BYTES: usize = 4 << 10;
-/// Bytes that are discarded at once while a connection closes.
-const DRAIN_STEP_BYTES: usize = 4 << 10;
-
-/// What happened on a socket.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum SocketEvent {
-    /// Bytes have arrived.
-    Bytes,
-    /// The client has closed or reset the connection; unread bytes may precede that.
-    Closed,
-}
-
-impl SocketEvent {
-    fn is_closed(self) -> bool {
-        self == SocketEvent::Closed
-    }
-}
-
 /// The state that all clones of a [`ClientStream`] share.
 struct StreamState {
     socket: TcpStream,
@@ -59,8 +35,10 @@
     read_ahead: RefCell<BytesMut>,
     /// Bytes that the HTTP connection has read of a request since the last complete one.
     partial_request: Cell<usize>,
-    /// The socket may have unread bytes although the runtime takes it for empty; see [`ClientStream::await_event`].
-    may_have_unread: Cell<bool>,
+    memory: Rc<ReadAheadMemory>,
+    /// How the client left; `None` while it is there, as far as known. Reads end behind the bytes that were read ahead
+    /// once it is set.
+    departure: Cell<Option<Departure>>,
     /// Wakes the HTTP connection when bytes were read ahead.
     reader_waker: Cell<Option<Waker>>,
     /// Set once the HTTP connection has consumed a complete response body; cleared when all of it is written.
@@ -71,26 +49,30 @@
     write_blocked: Cell<Option<Instant>>,
 }
 
+impl Drop for StreamState {
+    fn drop(&mut self) {
+        self.memory.remove(self.read_ahead.get_mut().len());
+    }
+}
+
 /// A client's stream. Clones share the same stream.
 #[derive(Clone)]
 pub struct ClientStream(Rc<StreamState>);
 
 impl ClientStream {
-    /// Wraps a socket.
-    pub fn new(socket: TcpStream) -> ClientStream {
-        let (first_unread, reader_waker, response_written, write_blocked) = Default::default();
-        let (read_ahead, response_consumed) = (RefCell::default(), Cell::new(false));
-        let (partial_request, may_have_unread) = (Cell::new(0), Cell::new(false));
+    /// Wraps a socket. What is read ahead is held in `memory`.
+    pub fn new(socket: TcpStream, memory: Rc<ReadAheadMemory>) -> ClientStream {
         ClientStream(Rc::new(StreamState {
             socket,
-            first_unread,
-            read_ahead,
-            partial_request,
-            may_have_unread,
-            reader_waker,
-            response_consumed,
-            response_written,
-            write_blocked,
+            memory,
+            first_unread: Cell::default(),
+            read_ahead: RefCell::default(),
+            partial_request: Cell::default(),
+            departure: Cell::default(),
+            reader_waker: Cell::default(),
+            response_consumed: Cell::default(),
+            response_written: Cell::default(),
+            write_blocked: Cell::default(),
         }))
     }
 
@@ -149,6 +131,7 @@
         self.0.response_consumed.set(true);
     }
 
+    /// Returns 1 if bytes have arrived, 0 at the end of the stream.
     fn peek(&self) -> io::Result<usize> {
         let mut byte = [MaybeUninit::uninit()];
         socket2::SockRef::from(&self.0.socket).peek(&mut byte)
@@ -157,111 +140,52 @@
     /// Returns whether bytes from the client have arrived that the HTTP connection has not read. Peeks at the socket
     /// itself, because the runtime learns of new bytes only when it polls.
     pub fn has_unread(&self) -> bool {
-        !self.0.read_ahead.borrow().is_empty() || self.peek().is_ok_and(|bytes| bytes > 0)
+        self.read_ahead_bytes() > 0 || self.peek().is_ok_and(|bytes| bytes > 0)
     }
 
     /// Returns whether the client has closed the connection. While unread bytes are in the socket, a close is detected
-    /// once the runtime has polled.
+    /// once the runtime has polled. Unlike [`ClientStream::look_for_departure`] this may be called at any time.
     pub fn is_closed(&self) -> bool {
+        if self.0.departure.get().is_some() {
+            return true;
+        }
         match self.peek() {
             Ok(0) => true,
             Ok(_) => self.is_close_reported(),
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Err(error) => !is_transient(&error),
         }
     }
 
-    /// Returns whether the system has reported to the runtime that the client closed the connection.
-    fn is_close_reported(&self) -> bool {
-        let ready = pin!(self.0.socket.ready(Interest::READABLE));
-        match ready.poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
-            Poll::Ready(Err(_)) => true,
-            Poll::Pending => false,
-        }
-    }
-
-    /// Completes when the client has closed the connection, or reset it, also if unread bytes precede the close. Reads
-    /// ahead while `has_memory` permits it: not every system reports a close before those bytes are read.
-    pub async fn closed(&self, has_memory: impl Fn() -> bool) {
-        loop {
-            if !self.0.may_have_unread.get() && self.await_event().await.is_closed() {
-                return;
-            }
-            let room = MAX_READ_AHEAD_BYTES.saturating_sub(self.read_ahead_bytes());
-            if room == 0 || !has_memory() {
-                self.ignore_unread();
-                if self.await_event().await.is_closed() {
-                    return;
-                }
-                continue;
-            }
-            match self.read_ahead(room.min(READ_AHEAD_STEP_BYTES)) {
-                Ok(0) => return,
-                Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
-            }
-        }
-    }
-
-    /// Waits until the socket has bytes or the client has closed the connection.
-    async fn await_event(&self) -> SocketEvent {
-        match self.0.socket.ready(Interest::READABLE).await {
-            Ok(ready) if !ready.is_read_closed() => SocketEvent::Bytes,
-            _ => SocketEvent::Closed,
-        }
+    /// Holds bytes that were read ahead of the HTTP connection, and wakes it.
+    fn hold(&self, bytes: &[u8]) {
+        self.record_read();
+        self.0.memory.add(bytes.len());
+        self.0.read_ahead.borrow_mut().extend_from_slice(bytes);
+        self.wake_reader();
     }
 
-    /// Makes the runtime take the socket for empty, so that [`ClientStream::await_event`] waits for what comes next: more
-    /// bytes, or a close. The next read looks at the socket itself.
-    fn ignore_unread(&self) {
-        self.0.may_have_unread.set(true);
-        let would_block = || io::Result::<()>::Err(io::ErrorKind::WouldBlock.into());
-        let _ = self.0.socket.try_io(Interest::READABLE, would_block);
-    }
-
-    /// Reads bytes that have arrived. Fails with `WouldBlock` if there are none.
-    fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        if !self.0.may_have_unread.get() {
-            return self.0.socket.try_read(buffer);
-        }
-        let read = (&*socket2::SockRef::from(&self.0.socket)).read(buffer);
-        if matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
-            self.0.may_have_unread.set(false);
-        }
-        read
-    }
-
-    /// Waits until a read may find bytes.
-    async fn readable(&self) -> io::Result<()> {
-        if self.0.may_have_unread.get() {
-            return Ok(());
+    fn wake_reader(&self) {
+        if let Some(reader_waker) = self.0.reader_waker.take() {
+            reader_waker.wake();
         }
-        self.0.socket.readable().await
     }
 
-    /// Waits until a read may find bytes, within the task's budget: a socket that always has bytes must not keep the
-    /// task from yielding.
-    fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.0.may_have_unread.get() {
-            return pin!(consume_budget()).poll(cx).map(Ok);
+    /// Passes bytes on that were read ahead; false if there are none.
+    fn pass_on_read_ahead(&self, buf: &mut ReadBuf<'_>) -> bool {
+        let mut read_ahead = self.0.read_ahead.borrow_mut();
+        if read_ahead.is_empty() {
+            return false;
         }
-        self.0.socket.poll_read_ready(cx)
-    }
-
-    /// Reads at most `limit` bytes ahead of the HTTP connection and returns their number; 0 at the end of the stream.
-    fn read_ahead(&self, limit: usize) -> io::Result<usize> {
-        let mut read = [0; READ_AHEAD_STEP_BYTES];
-        let length = self.try_read(&mut read[..limit])?;
-        if length > 0 {
-            self.record_read();
-            let mut read_ahead = self.0.read_ahead.borrow_mut();
-            read_ahead.extend_from_slice(&read[..length]);
+        let length = read_ahead.len().min(buf.remaining()).min(MAX_READ_BYTES);
+        buf.put_slice(&read_ahead[..length]);
+        read_ahead.advance(length);
+        if read_ahead.is_empty() {
+            // Releases the buffer: few connections read ahead again.
+            *read_ahead = BytesMut::new();
         }
-        if let Some(reader_waker) = self.0.reader_waker.take() {
-            reader_waker.wake();
-        }
-        Ok(length)
+        self.0.memory.remove(length);
+        self.record_passed_on(length);
+        true
     }
 
     /// Writes a response at once, without the HTTP connection, as far as the socket takes it.
@@ -293,30 +217,6 @@
             self.0.first_unread.set(Some(Instant::now()));
         }
     }
-
-    /// Shuts the write half down, then reads and discards for a limited time. Closing a socket with unread bytes sends
-    /// a reset, which may reach the client before the last response.
-    pub async fn drain(&self) {
-        let _ = socket2::SockRef::from(&self.0.socket).shutdown(Shutdown::Write);
-        let rest = async {
-            let mut read = 0;
-            while read < MAX_DRAIN_BYTES && self.readable().await.is_ok() {
-                match self.discard() {
-                    Ok(0) => break,
-                    Ok(more) => read += more,
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => break,
-                }
-            }
-        };
-        let _ = timeout(MAX_DRAIN_TIME, rest).await;
-    }
-
-    /// Reads and discards bytes once. The buffer is on the stack, not in the future of every connection.
-    fn discard(&self) -> io::Result<usize> {
-        let mut sink = [0; DRAIN_STEP_BYTES];
-        self.try_read(&mut sink)
-    }
 }
 
 impl AsyncRead for ClientStream {
@@ -325,23 +225,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut read_ahead = self.0.read_ahead.borrow_mut();
-        if !read_ahead.is_empty() {
-            let length = read_ahead.len().min(buf.remaining()).min(MAX_READ_BYTES);
-            buf.put_slice(&read_ahead[..length]);
-            read_ahead.advance(length);
-            if read_ahead.is_empty() {
-                // Releases the buffer: few connections read ahead again.
-                *read_ahead = BytesMut::new();
-            }
-            self.record_passed_on(length);
+        if self.pass_on_read_ahead(buf) || self.0.departure.get().is_some() {
             return Poll::Ready(Ok(()));
         }
         self.0.reader_waker.set(Some(cx.waker().clone()));
         loop {
-            ready!(self.poll_readable(cx))?;
+            ready!(self.0.socket.poll_read_ready(cx))?;
             let length = buf.remaining().min(MAX_READ_BYTES);
-            match self.try_read(buf.initialize_unfilled_to(length)) {
+            match self.0.socket.try_read(buf.initialize_unfilled_to(length)) {
                 Ok(read) => {
                     buf.advance(read);
                     if read > 0 {
@@ -350,7 +241,7 @@
                     }
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_transient(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -368,7 +259,7 @@
                 return self.write_pending();
             }
             match self.0.socket.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_transient(&error) => {}
                 done => return self.write_finished(done),
             }
         }
@@ -384,7 +275,7 @@
                 return self.write_pending();
             }
             match self.0.socket.try_write_vectored(bufs) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_transient(&error) => {}
                 done => return self.write_finished(done),
             }
         }
--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -107,7 +107,7 @@
 {
     let _ = stream.set_nodelay(true);
     let limits = &shell.site.listener;
-    let stream = ClientStream::new(stream);
+    let stream = ClientStream::new(stream, shell.read_ahead.clone());
     let activity = Activity::new(stream.clone(), Duration::from_nanos(limits.head_timeout));
     let service = service_fn(|request: Request<Incoming>| {
         activity.record_request_read();
@@ -120,7 +120,7 @@
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_head_bytes)
-        // A client that has closed its write half may still read, so its request gets its response.
+        // A client that has closed its write half may still read: it gets the response of an attempt that was sent.
         .half_close(true)
         .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(connection);
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::engine::{Engine, EngineSettings, EPOCH};
 use crate::listener::{accept, listen, Audience, ListenError};
 use crate::membership::{Membership, MembershipError};
+use crate::read_ahead::ReadAheadMemory;
 use crate::routes::RouteTable;
 use crate::shell::{Shell, Sidecar};
 use crate::takeover_service::TakeoverService;
@@ -156,6 +157,9 @@
             routes: RefCell::new(Rc::new(routes)),
             configuration: OnceCell::new(),
             request_memory: BodyMemory::new(bodies_of_all_requests(&site.listener)),
+            read_ahead: Rc::new(ReadAheadMemory::for_connections(
+                site.listener.max_connections,
+            )),
             upstream: UpstreamConnections::new(&site.upstream),
             endpoints_changed: Notify::new(),
             discovery_requests,
--- a/crates/sidecar/src/dispatcher/mod.rs
+++ b/crates/sidecar/src/dispatcher/mod.rs
@@ -6,13 +6,14 @@
 
 pub use transport::{AttemptResult, Transport};
 
+use crate::client_stream::ClientPresence;
 use crate::engine::{Effect, Engine, EngineStatus, RequestAttributes, EPOCH};
 use crate::route_slots::Slot;
 use havenplank::interface::{
     AttemptEnd, LoadReport, Nanos, PodId, PriorAttempt, RequestId, RouteClass,
 };
 use havenplank_line_protocol::endpoint_list::ListedEndpoint;
-use pending::{AttemptTask, PendingResponse};
+use pending::{AttemptStage, AttemptTask, PendingResponse};
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -48,6 +49,7 @@
     armed_for: Cell<Nanos>,
     /// Wakes the timer task when a timer is set that is due earlier.
     rearm: Notify,
+    withheld_attempts: Cell<u64>,
 }
 
 impl<T: Transport> Deref for Dispatcher<T> {
@@ -68,6 +70,7 @@
             pending: RefCell::default(),
             armed_for: Cell::new(0),
             rearm: Notify::new(),
+            withheld_attempts: Cell::new(0),
         })
     }
 
@@ -104,29 +107,39 @@
         }
     }
 
-    /// Dispatches a request and sends its final response to `responder`.
+    /// Dispatches a request of a client and sends its final response to `responder`. No attempt begins once the client
+    /// has left.
     pub fn dispatch(
         self: &Rc<Self>,
         attributes: RequestAttributes,
-        request: T::Request,
+        request: Rc<T::Request>,
+        client: ClientPresence,
         responder: oneshot::Sender<T::Response>,
     ) -> RequestId {
-        self.dispatch_resumed(None, attributes, Rc::new(request), responder)
+        self.start_request(attributes, request, Some(client), responder)
     }
 
-    /// Dispatches a request. `prior_attempts` are the attempts that another sidecar sent if the request was taken over
-    /// from that sidecar, and `None` for a new request.
+    /// Dispatches a request that was taken over from another sidecar, which sent `prior_attempts`.
     pub fn dispatch_resumed(
         self: &Rc<Self>,
-        prior_attempts: Option<Vec<PriorAttempt>>,
+        prior_attempts: Vec<PriorAttempt>,
         attributes: RequestAttributes,
         request: Rc<T::Request>,
         responder: oneshot::Sender<T::Response>,
     ) -> RequestId {
-        if let Some(prior_attempts) = prior_attempts {
-            let mut engine = self.engine.borrow_mut();
-            engine.resume_next_request(self.now(), prior_attempts);
-        }
+        self.engine
+            .borrow_mut()
+            .resume_next_request(self.now(), prior_attempts);
+        self.start_request(attributes, request, None, responder)
+    }
+
+    fn start_request(
+        self: &Rc<Self>,
+        attributes: RequestAttributes,
+        request: Rc<T::Request>,
+        client: Option<ClientPresence>,
+        responder: oneshot::Sender<T::Response>,
+    ) -> RequestId {
         let id = self
             .engine
             .borrow_mut()
@@ -134,6 +147,9 @@
         let pending = PendingResponse {
             request,
             responder,
+            client,
+            is_client_closed: false,
+            was_sent: false,
             attempts: Vec::new(),
         };
         self.pending.borrow_mut().insert(id, pending);
@@ -151,17 +167,58 @@
     }
 
     /// Does the same as [`Dispatcher::client_left`] and also cancels the attempts in flight: for protocols in which a
-    /// client that closes its connection no longer wants the request to run.
-    pub fn cancel_request(self: &Rc<Self>, request: RequestId) {
-        let pending = self.pending.borrow_mut().remove(&request);
-        let Some(pending) = pending else { return };
-        tracing::debug!(request, "request cancelled: its client disconnected");
+    /// client that closes its connection no longer wants the request to run. Returns whether the request was in flight.
+    pub fn cancel_request(self: &Rc<Self>, request: RequestId) -> bool {
+        self.abandon(request).is_some()
+    }
+
+    /// Removes a request whose client has left and cancels its attempts in flight.
+    fn abandon(self: &Rc<Self>, request: RequestId) -> Option<PendingResponse<T>> {
+        let pending = self.pending.borrow_mut().remove(&request)?;
+        tracing::debug!(
+            request,
+            was_sent = pending.was_sent,
+            "request ended: its client has left"
+        );
         self.call(|engine, now| engine.client_left(now, request));
         for (number, task) in (0..).zip(&pending.attempts) {
-            self.abort_attempt(AttemptId { request, number }, task);
+            // The attempt that ends just now may run in this task.
+            if task.stage.get() != AttemptStage::Ended {
+                self.abort_attempt(AttemptId { request, number }, task);
+            }
+        }
+        Some(pending)
+    }
+
+    /// Begins no further attempt for a request whose client has closed its connection. Attempts that were sent continue,
+    /// and one of them may still be served; without any, the request ends now.
+    pub fn client_closed(self: &Rc<Self>, request: RequestId) {
+        let mut all = self.pending.borrow_mut();
+        let Some(pending) = all.get_mut(&request) else {
+            return;
+        };
+        pending.is_client_closed = true;
+        let awaits_pod = pending.awaits_pod();
+        drop(all);
+        if !awaits_pod {
+            self.end_abandoned(request);
         }
     }
 
+    /// Ends a request whose client has closed its connection and of which no attempt is sent any more.
+    fn end_abandoned(self: &Rc<Self>, request: RequestId) {
+        let Some(pending) = self.abandon(request) else {
+            return;
+        };
+        let response = if pending.was_sent {
+            self.transport.failed(false)
+        } else {
+            self.transport.rejected(0)
+        };
+        // Nobody receives it if the connection has ended, which is not an error.
+        let _ = pending.responder.send(response);
+    }
+
     /// Returns whether an attempt may have been started for a request. Returns true for a request that has its final
     /// response, because its attempts are no longer known.
     pub fn was_forwarded(&self, request: RequestId) -> bool {
@@ -170,8 +227,72 @@
         pending.is_none_or(|pending| !pending.attempts.is_empty())
     }
 
-    /// Returns whether an attempt may still be written. The transport calls this right before it writes the attempt.
+    /// Returns whether an attempt may still be written: its client is there and the engine allows it. The transport
+    /// calls this right before it writes the attempt.
     pub fn may_send(self: &Rc<Self>, attempt: AttemptId) -> bool {
+        let may_send = !self.has_client_left(attempt) && self.is_allowed(attempt);
+        if may_send {
+            self.record_sent(attempt);
+        }
+        may_send
+    }
+
+    fn has_client_left(&self, attempt: AttemptId) -> bool {
+        let AttemptId { request, number } = attempt;
+        let mut all = self.pending.borrow_mut();
+        let Some(pending) = all.get_mut(&request) else {
+            return false;
+        };
+        let has_left = pending
+            .client
+            .as_ref()
+            .is_some_and(ClientPresence::has_left);
+        if has_left {
+            pending.is_client_closed = true;
+            self.withheld_attempts.set(self.withheld_attempts.get() + 1);
+            tracing::debug!(
+                request,
+                attempt = number,
+                "attempt not sent: its client has left"
+            );
+        }
+        has_left
+    }
+
+    fn record_sent(&self, attempt: AttemptId) {
+        let mut all = self.pending.borrow_mut();
+        let Some(pending) = all.get_mut(&attempt.request) else {
+            return;
+        };
+        pending.was_sent = true;
+        if let Some(task) = pending.attempts.get(attempt.number as usize) {
+            task.stage.set(AttemptStage::Sent);
+        }
+        tracing::debug!(
+            request = attempt.request,
+            attempt = attempt.number,
+            "attempt sent"
+        );
+    }
+
+    /// Records that an attempt has ended. Returns whether that ends a request whose client has closed its connection.
+    fn record_ended(&self, attempt: AttemptId, end: AttemptEnd) -> bool {
+        let all = self.pending.borrow();
+        let Some(pending) = all.get(&attempt.request) else {
+            return false;
+        };
+        if let Some(task) = pending.attempts.get(attempt.number as usize) {
+            task.stage.set(AttemptStage::Ended);
+        }
+        pending.is_client_closed && end != AttemptEnd::Served && !pending.awaits_pod()
+    }
+
+    /// Returns the number of attempts that were not sent because their clients had left, since the start.
+    pub fn withheld_attempts(&self) -> u64 {
+        self.withheld_attempts.get()
+    }
+
+    fn is_allowed(self: &Rc<Self>, attempt: AttemptId) -> bool {
         let AttemptId { request, number } = attempt;
         let now = self.now();
         let allowed = self.engine.borrow_mut().may_send(now, request, number);
@@ -196,6 +317,9 @@
         response: Option<T::Response>,
     ) {
         let AttemptId { request, number } = attempt;
+        if self.record_ended(attempt, end) {
+            self.end_abandoned(request);
+        }
         let now = self.now();
         let delivered = self
             .engine
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -46,6 +46,7 @@
 mod prepared_request;
 mod protected_request;
 mod proxy;
+pub mod read_ahead;
 mod replication;
 pub mod request_body;
 mod request_reader;
--- a/crates/sidecar/src/protected_request.rs
+++ b/crates/sidecar/src/protected_request.rs
@@ -5,6 +5,7 @@
 
 use crate::backup_record::{self, BackedUpRequest};
 use crate::body::Body;
+use crate::client_stream::{ClientPresence, ClientStream, Departure};
 use crate::engine::RequestAttributes;
 use crate::outcome::{outcome_of, response_of};
 use crate::prepared_request::{PreparedRequest, Protection};
@@ -14,9 +15,10 @@
 use crate::takeover_service::{
     request_id_text, AnnouncedAttempt, LeaseReply, LeaseRequest, OwnerWatch, TakeoverService,
 };
-use havenplank::interface::{Nanos, PodId, PriorAttempt};
+use havenplank::interface::{Nanos, PodId, PriorAttempt, RequestId as ShellRequestId};
 use havenplank_takeover::record::{Attempt, AttemptState, Outcome, Record, RequestId};
 use hyper::{Response, StatusCode};
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -26,22 +28,55 @@
 const KEY_REUSED: &str =
     "Idempotency-Key: another hit was sent under it; expected the same hit or another key\n";
 
-/// Serves a request in a separate task, so that it continues when its client disconnects.
+/// Serves a request in a separate task: attempts that were sent when its client disconnects continue, and the backups
+/// get its outcome.
 pub async fn serve(
     shell: Rc<Shell>,
     service: Rc<TakeoverService>,
     attributes: RequestAttributes,
     request: PreparedRequest,
+    stream: &ClientStream,
 ) -> Response<Body> {
-    let (responder, response_receiver) = oneshot::channel();
+    let (responder, mut response_receiver) = oneshot::channel();
+    let (departure_sender, departed) = oneshot::channel();
+    let client = ConnectedClient {
+        presence: stream.presence(),
+        departed,
+    };
     let serving = service.serving_guard();
     spawn_local(async move {
         let _serving = serving;
-        let response = serve_leased(&shell, &service, attributes, request).await;
+        let response = serve_leased(&shell, &service, attributes, request, client).await;
         // Fails if the client has disconnected; the backups store the outcome nevertheless.
         let _ = responder.send(response);
     });
-    response_receiver.await.unwrap_or_else(|_| failed(false))
+    let response = tokio::select! {
+        biased;
+        response = &mut response_receiver => response,
+        departure = stream.departed() => {
+            drop(departure_sender);
+            if departure == Departure::SentTooMuch {
+                return failed(false);
+            }
+            response_receiver.await
+        }
+    };
+    response.unwrap_or_else(|_| failed(false))
+}
+
+/// The client of a request, as seen by the task that serves the request.
+struct ConnectedClient {
+    presence: ClientPresence,
+    /// Ends, with an error, when the client has left or its connection has ended.
+    departed: oneshot::Receiver<Infallible>,
+}
+
+/// Where a request comes from.
+enum Origin {
+    /// From a client that is connected here.
+    Client(ConnectedClient),
+    /// From another sidecar, which sent these attempts.
+    TakenOver(Vec<PriorAttempt>),
 }
 
 async fn serve_leased(
@@ -49,8 +84,9 @@
     service: &Rc<TakeoverService>,
     attributes: RequestAttributes,
     request: PreparedRequest,
+    client: ConnectedClient,
 ) -> Response<Body> {
-    let began = Instant::now();
+    let (began, origin) = (Instant::now(), Origin::Client(client));
     let request = Rc::new(request);
     let Some(protection) = &request.protection else {
         return failed(false);
@@ -62,7 +98,7 @@
     };
     let Some(payload) = backup_record::encode(&attributes, &request, protection) else {
         protection.backed_up.set(false);
-        return owned.finish(None, attributes, request).await;
+        return owned.finish(origin, attributes, request).await;
     };
     let lease = LeaseRequest {
         id: protection.id,
@@ -84,7 +120,7 @@
         remaining: remaining_since(began, attributes.remaining),
         ..attributes
     };
-    owned.finish(None, attributes, request.clone()).await
+    owned.finish(origin, attributes, request.clone()).await
 }
 
 /// Requests a lease until it is granted or refused. If another sidecar held the lease and its backups have since
@@ -136,7 +172,7 @@
     /// response of that sidecar instead.
     async fn finish(
         &self,
-        prior_attempts: Option<Vec<PriorAttempt>>,
+        origin: Origin,
         attributes: RequestAttributes,
         request: Rc<PreparedRequest>,
     ) -> Response<Body> {
@@ -144,9 +180,14 @@
         let remaining = Duration::from_nanos(attributes.remaining);
         let OwnerWatch { lost, outcome } = self.service.watch(self.id);
         let (responder, response_receiver) = oneshot::channel();
-        let dispatched =
-            self.shell
-                .dispatch_resumed(prior_attempts, attributes, request.clone(), responder);
+        let (dispatched, departed) = self.dispatch(origin, attributes, &request, responder);
+        let end_after_departure = async {
+            if let Some(departed) = departed {
+                let _ = departed.await;
+                self.shell.client_closed(dispatched);
+            }
+            std::future::pending::<Infallible>().await
+        };
         let response = tokio::select! {
             // A response that is ready here is used, even if another sidecar took the request over at the same moment.
             biased;
@@ -161,11 +202,33 @@
                     _ => failed(true),
                 };
             }
+            never = end_after_departure => match never {},
         };
         let (response, outcome) = outcome_of(response, &request).await;
         self.service.finish(self.id, outcome);
         response
     }
+
+    /// Dispatches the request. Returns its number, and what ends when its client has left.
+    fn dispatch(
+        &self,
+        origin: Origin,
+        attributes: RequestAttributes,
+        request: &Rc<PreparedRequest>,
+        responder: oneshot::Sender<Response<Body>>,
+    ) -> (ShellRequestId, Option<oneshot::Receiver<Infallible>>) {
+        let (shell, request) = (self.shell, request.clone());
+        match origin {
+            Origin::Client(ConnectedClient { presence, departed }) => {
+                let id = shell.dispatch(attributes, request, presence, responder);
+                (id, Some(departed))
+            }
+            Origin::TakenOver(prior_attempts) => {
+                let id = shell.dispatch_resumed(prior_attempts, attributes, request, responder);
+                (id, None)
+            }
+        }
+    }
 }
 
 /// The error that another sidecar owns the request, or that its owner is uncertain.
@@ -281,6 +344,10 @@
         service,
         id: record.request,
     };
-    let response = owned.finish(Some(prior_attempts), attributes, Rc::new(request));
+    let response = owned.finish(
+        Origin::TakenOver(prior_attempts),
+        attributes,
+        Rc::new(request),
+    );
     response.await.status()
 }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -1,7 +1,9 @@
 //! Serves one request of a client: reads it, dispatches it and returns its final response.
 
 use crate::body::Body;
+use crate::client_stream::{ClientStream, Departure};
 use crate::engine::RequestAttributes;
+use crate::prepared_request::PreparedRequest;
 use crate::protected_request;
 use crate::request_reader;
 use crate::responses::{failed, rejected_with_retry_after, text_response, with_connection_close};
@@ -38,6 +40,7 @@
     request: Request<TrackedRequestBody>,
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Instant::now();
+    let stream = request.body().stream().clone();
     let (attributes, request) = match request_reader::read(&shell, request).await {
         Ok(read) => read,
         Err(error) => {
@@ -47,6 +50,10 @@
             )))
         }
     };
+    if let Some(departure) = stream.find_departure().await {
+        tracing::debug!(?departure, "request not dispatched: its client has left");
+        return Ok(rejected_with_retry_after(0));
+    }
     if shell.is_full() {
         return Ok(with_connection_close(rejected_with_retry_after(
             RETRY_AFTER_AT_LIMIT,
@@ -59,14 +66,36 @@
     };
     let takeover = shell.takeover.clone();
     if let Some(service) = takeover.filter(|_| request.protection.is_some()) {
-        return Ok(protected_request::serve(shell, service, attributes, request).await);
+        let owned = protected_request::serve(shell, service, attributes, request, &stream);
+        return Ok(owned.await);
     }
-    let (responder, receiver) = oneshot::channel();
-    let request = shell.dispatch(attributes, request, responder);
-    let client = ClientGuard { shell, request };
-    let response = receiver.await;
+    Ok(dispatch(shell, attributes, request, &stream).await)
+}
+
+/// Dispatches a request and waits for its response, or until its client has sent too much behind it.
+async fn dispatch(
+    shell: Rc<Shell>,
+    attributes: RequestAttributes,
+    request: PreparedRequest,
+    stream: &ClientStream,
+) -> Response<Body> {
+    let (responder, mut receiver) = oneshot::channel();
+    let request = shell.dispatch(attributes, Rc::new(request), stream.presence(), responder);
+    let _client = ClientGuard {
+        shell: shell.clone(),
+        request,
+    };
+    let response = tokio::select! {
+        biased;
+        response = &mut receiver => response,
+        departure = stream.departed() => {
+            if departure == Departure::SentTooMuch {
+                return failed(false);
+            }
+            shell.client_closed(request);
+            receiver.await
+        }
+    };
     // The sender is dropped only by a bug in the engine. The client then gets a response that promises nothing.
-    let response = response.unwrap_or_else(|_| failed(false));
-    drop(client);
-    Ok(response)
+    response.unwrap_or_else(|_| failed(false))
 }
--- a/crates/sidecar/src/shell.rs
+++ b/crates/sidecar/src/shell.rs
@@ -4,6 +4,7 @@
 use crate::body_memory::BodyMemory;
 use crate::dispatcher::Dispatcher;
 use crate::membership::Membership;
+use crate::read_ahead::ReadAheadMemory;
 use crate::routes::RouteTable;
 use crate::takeover_service::TakeoverService;
 use crate::upstream::UpstreamConnections;
@@ -31,6 +32,8 @@
     pub configuration: OnceCell<Box<dyn ConfigurationSource>>,
     /// The memory for the bodies of requests.
     pub request_memory: BodyMemory,
+    /// The memory for what clients send behind requests in flight.
+    pub read_ahead: Rc<ReadAheadMemory>,
     /// Connections to pods.
     pub upstream: UpstreamConnections,
     /// The value of the `Via` header on requests to pods.
--- a/crates/sidecar/src/tracked_body.rs
+++ b/crates/sidecar/src/tracked_body.rs
@@ -16,6 +16,11 @@
     pub(crate) fn new(body: Incoming, stream: ClientStream) -> TrackedRequestBody {
         TrackedRequestBody { body, stream }
     }
+
+    /// Returns the stream that the body arrives on.
+    pub fn stream(&self) -> &ClientStream {
+        &self.stream
+    }
 }
 
 impl Body for TrackedRequestBody {
--- a/crates/sidecar/tests/proxy.rs
+++ b/crates/sidecar/tests/proxy.rs
@@ -168,16 +168,28 @@
         stream.write_all(OK).await.expect("answered");
         sidecar.wait_for_state("\"hits_in_flight\":0").await;
 
+        // A close cannot be told from a half-close, so an attempt that was sent is still answered, and none begins.
         let mut half_closing = sidecar.connect().await;
         half_closing
             .write_all(&get("/write", ""))
             .await
             .expect("written");
-        half_closing.shutdown().await.expect("half closed");
         read_message(&mut stream).await.expect("an attempt");
+        half_closing.shutdown().await.expect("half closed");
+        sidecar.wait_for_state("\"hits_in_flight\":1").await;
         stream.write_all(OK).await.expect("answered");
         assert_eq!(read_response(&mut half_closing).await.0, 200);
 
+        let mut half_closed = sidecar.connect().await;
+        half_closed
+            .write_all(&get("/write", ""))
+            .await
+            .expect("written");
+        half_closed.shutdown().await.expect("half closed");
+        assert_eq!(read_response(&mut half_closed).await.0, 503);
+        let sent = timeout(Duration::from_millis(150), stream.read(&mut [0; 16])).await;
+        assert!(sent.is_err(), "sent for a client that has closed: {sent:?}");
+
         let mut pipelining = sidecar.connect().await;
         pipelining
             .write_all(&[get("/write", "n: 1\r\n"), get("/write", "n: 2\r\n")].concat())
