Soak: ask for the pod's response wherever a pod served the request

Change: in its place each request that a pod served has to be answered with 200, by its id; failing seeds print what each client saw.

--- a/crates/cli/tests/departed_clients.rs
+++ b/crates/cli/tests/departed_clients.rs
@@ -142,7 +142,7 @@
         for (client, body_bytes) in [(0, 10), (1, 40_000)] {
             let report = send_at_once(sidecar.address, client, 12, body_bytes);
             assert_eq!(report.failures, NONE, "{program:?}");
-            assert_eq!(report.served, 12, "{program:?} {report:?}");
+            assert_eq!(report.served(), 12, "{program:?} {report:?}");
         }
     }
 }
--- a/crates/cli/tests/departed_clients_soak.rs
+++ b/crates/cli/tests/departed_clients_soak.rs
@@ -192,15 +192,18 @@
     let attempts = pods.or(coming_up).expect("pods").attempts();
     let terminated_at = plan.is_terminated.then_some(until);
     let failures = check(&attempts, &departures, &reports, terminated_at);
-    let answered: usize = reports.iter().map(|report| report.answered).sum();
-    let served: usize = reports.iter().map(|report| report.served).sum();
+    let answered: usize = reports.iter().map(|report| report.answered.len()).sum();
+    let served: usize = reports.iter().map(|report| report.served()).sum();
     println!(
         "seed {seed}: {} attempts, {answered} answered, {served} served, {} broken, {plan:?}",
         attempts.len(),
         failures.len()
     );
     if !failures.is_empty() {
-        println!("seed {seed}: {}", sidecar.log_lines("").join("\n"));
+        println!(
+            "seed {seed}: {reports:?}\n{}",
+            sidecar.log_lines("").join("\n")
+        );
     }
     let named = failures.into_iter().take(5);
     named.map(|what| format!("seed {seed}: {what}")).collect()
@@ -221,7 +224,7 @@
         by_id.entry(&attempt.id).or_default().push(attempt);
     }
     for (id, attempts) in &by_id {
-        let runs = attempts.iter().filter(|attempt| attempt.may_have_run);
+        let runs = attempts.iter().filter(|attempt| attempt.may_have_run());
         let must_run_once = id.ends_with("-w");
         if must_run_once && runs.count() > 1 {
             failures.push(format!("{id} may have run more than once"));
@@ -238,8 +241,12 @@
                 failures.push(format!("{id} was sent to a pod and got no answer"));
             }
         }
-        if report.served == 0 {
-            failures.push("a client that stays was not served at all".to_string());
+        for (id, status) in report.answered.iter().filter(|(_, status)| *status != 200) {
+            let attempts = by_id.get(id.as_str()).into_iter().flatten();
+            let reactions: Vec<Reaction> = attempts.map(|attempt| attempt.reaction).collect();
+            if reactions.contains(&Reaction::Serve) {
+                failures.push(format!("{id} got {status}, of {reactions:?}"));
+            }
         }
     }
     failures
--- a/crates/cli/tests/departures/pods.rs
+++ b/crates/cli/tests/departures/pods.rs
@@ -43,8 +43,14 @@
     /// The correlation id of its request.
     pub id: String,
     pub began: Instant,
-    /// Whether the pod ran it, as far as the sidecar can know.
-    pub may_have_run: bool,
+    pub reaction: Reaction,
+}
+
+impl Attempt {
+    /// Returns whether the pod ran it, as far as the sidecar can know.
+    pub fn may_have_run(&self) -> bool {
+        self.reaction != Reaction::TurnAway
+    }
 }
 
 /// Chooses the treatment of an attempt by the id of its request and the number of earlier attempts of it.
@@ -186,7 +192,7 @@
     attempts.push(Attempt {
         id: id.to_string(),
         began: Instant::now(),
-        may_have_run: treatment.reaction != Reaction::TurnAway,
+        reaction: treatment.reaction,
     });
     treatment
 }
--- a/crates/cli/tests/departures/staying.rs
+++ b/crates/cli/tests/departures/staying.rs
@@ -108,20 +108,24 @@
 /// What a client that stays has seen.
 #[derive(Debug, Default)]
 pub struct Report {
-    pub answered: usize,
-    pub served: usize,
+    /// The ids of the requests that were answered, with their statuses, in order.
+    pub answered: Vec<(String, u16)>,
     /// The ids of requests on which the connection ended without an answer.
     pub unanswered: Vec<String>,
     pub failures: Vec<String>,
 }
 
 impl Report {
+    pub fn served(&self) -> usize {
+        let served = self.answered.iter().filter(|(_, status)| *status == 200);
+        served.count()
+    }
+
     /// Records an outcome. Returns whether the connection can be used again.
     fn record(&mut self, id: &str, outcome: Outcome) -> bool {
         match outcome {
             Outcome::Answered(response) => {
-                self.answered += 1;
-                self.served += usize::from(response.status == 200);
+                self.answered.push((id.to_string(), response.status));
                 if response.status == 200 && response.body != id {
                     self.failures
                         .push(format!("{id} got the response of {}", response.body));
