--- a/crates/cli/tests/departed_clients_soak.rs
+++ b/crates/cli/tests/departed_clients_soak.rs
@@ -117,7 +117,7 @@
         let leaving = leaving.collect();
         let staying = (0..STAYING_CLIENTS + PIPELINING_CLIENTS).map(|n| {
             let client = (plan.first_client + CROWD + n) as usize;
-            let body_bytes = if n % 2 == 0 { 10 } else { 40_000 };
+            let body_bytes = if n.is_multiple_of(2) { 10 } else { 40_000 };
             thread::spawn(move || match n {
                 ..STAYING_CLIENTS => send_in_series(sidecar, client, until),
                 _ => send_at_once(sidecar, client, PIPELINED_REQUESTS, body_bytes),
@@ -141,13 +141,16 @@
     send_and_leave(sidecar, form, client as usize, leave_after)
 }
 
-/// Stops the process for each span in turn, until then.
-fn stop_in_series(sidecar: &Sidecar, stops: &[Duration], random: &mut Rand32) {
-    for span in stops {
+/// Stops the process for each span in turn, and has it read its configuration again after each where it does that.
+fn signal_in_series(sidecar: &Sidecar, plan: &Plan, random: &mut Rand32) {
+    for span in &plan.stops {
         sleep(MS * random.rand_range(100..600));
         sidecar.signal(Signal::STOP);
         sleep(*span);
         sidecar.signal(Signal::CONT);
+        if plan.program == Program::Platform {
+            sidecar.signal(Signal::HUP);
+        }
     }
 }
 
@@ -177,7 +180,7 @@
         sleep(MS * 300);
         pods.come_up(in_trouble)
     });
-    stop_in_series(&sidecar, &plan.stops, random);
+    signal_in_series(&sidecar, &plan, random);
     sleep(until.saturating_duration_since(Instant::now()));
     if plan.is_terminated {
         sidecar.signal(Signal::TERM);
--- a/crates/cli/tests/departures/staying.rs
+++ b/crates/cli/tests/departures/staying.rs
@@ -182,7 +182,7 @@
 fn series_request(id: &str, n: usize) -> String {
     match n % 3 {
         0 => get(id),
-        1 => post(id, if n % 2 == 0 { 40_000 } else { 10 }),
+        1 => post(id, if n.is_multiple_of(2) { 40_000 } else { 10 }),
         _ => post(id, 10).replace("/mark/", "/write/"),
     }
 }
--- a/crates/sidecar/src/client_stream/mod.rs
+++ b/crates/sidecar/src/client_stream/mod.rs
@@ -25,6 +25,7 @@
 /// Limit on the bytes that the HTTP server reads at once. Its read buffer holds 8 KiB; a read that fills 8 KiB makes it
 /// allocate buffers twice as large from then on.
 const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// The state that all clones of a [`ClientStream`] share.
 struct StreamState {
     socket: TcpStream,
@@ -146,7 +147,7 @@
     /// Returns whether the client has closed the connection. While unread bytes are in the socket, a close is detected
     /// once the runtime has polled. Unlike [`ClientStream::look_for_departure`] this may be called at any time.
     pub fn is_closed(&self) -> bool {
-        if self.0.departure.get().is_some() {
+        if self.0.departure.get() == Some(Departure::Closed) {
             return true;
         }
         match self.peek() {
