Hold bytes that are read ahead in pieces, which are freed as they are passed on

A client that sends 1 MiB at once and has nearly all of it passed on held 1 MiB and counted next to nothing, so that memory had no bound but connections times 1 MiB. Change: pieces of 4 KiB, counted while they are allocated (client_stream::held_bytes). The wait for a window update stands with the decision.

--- a/crates/sidecar/src/client_stream/departure.rs
+++ b/crates/sidecar/src/client_stream/departure.rs
@@ -4,19 +4,15 @@
 //! [`crate::read_ahead`] decides.
 
 use super::{ClientStream, StreamState};
-use crate::read_ahead::{next_bytes, STEP_BYTES};
+use crate::read_ahead::{next_bytes, STEP_BYTES, WINDOW_UPDATE_TIME};
 use std::future::Future;
 use std::io::{self, ErrorKind, Read as _};
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
 use tokio::io::Interest;
 use tokio::time::sleep;
 
-/// Time in which the bytes arrive for which reading has opened the receive window. The sidecar runs beside its clients.
-const WINDOW_UPDATE_TIME: Duration = Duration::from_millis(1);
-
 /// Why a client's request is not sent to pods any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Departure {
@@ -93,8 +89,11 @@
         if let Some(departure) = self.0.departure.get() {
             return Look::Left(departure);
         }
-        let held_bytes = self.read_ahead_bytes();
-        let look = match next_bytes(held_bytes, self.0.memory.room(held_bytes)) {
+        let (held_bytes, room_bytes) = {
+            let read_ahead = self.0.read_ahead.borrow();
+            (read_ahead.len(), read_ahead.room())
+        };
+        let look = match next_bytes(held_bytes, room_bytes) {
             0 => self.look_by_peeking(),
             max_bytes => self.look_by_reading(max_bytes),
         };
--- a/crates/sidecar/src/client_stream/mod.rs
+++ b/crates/sidecar/src/client_stream/mod.rs
@@ -3,13 +3,14 @@
 
 mod departure;
 mod drain;
+mod held_bytes;
 
 pub use departure::{ClientPresence, Departure};
 
 use crate::read_ahead::ReadAheadMemory;
 use crate::tracked_body::{TrackedRequestBody, TrackedResponseBody};
-use bytes::{Buf, BytesMut};
 use departure::is_transient;
+use held_bytes::HeldBytes;
 use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -33,10 +34,9 @@
     /// that, and once the body is complete.
     first_unread: Cell<Option<Instant>>,
     /// Bytes that were read before the HTTP connection asked for them; its next reads return them first.
-    read_ahead: RefCell<BytesMut>,
+    read_ahead: RefCell<HeldBytes>,
     /// Bytes that the HTTP connection has read of a request since the last complete one.
     partial_request: Cell<usize>,
-    memory: Rc<ReadAheadMemory>,
     /// How the client left; `None` while it is there, as far as known. Reads end behind the bytes that were read ahead
     /// once it is set.
     departure: Cell<Option<Departure>>,
@@ -50,12 +50,6 @@
     write_blocked: Cell<Option<Instant>>,
 }
 
-impl Drop for StreamState {
-    fn drop(&mut self) {
-        self.memory.remove(self.read_ahead.get_mut().len());
-    }
-}
-
 /// A client's stream. Clones share the same stream.
 #[derive(Clone)]
 pub struct ClientStream(Rc<StreamState>);
@@ -65,9 +59,8 @@
     pub fn new(socket: TcpStream, memory: Rc<ReadAheadMemory>) -> ClientStream {
         ClientStream(Rc::new(StreamState {
             socket,
-            memory,
             first_unread: Cell::default(),
-            read_ahead: RefCell::default(),
+            read_ahead: RefCell::new(HeldBytes::new(memory)),
             partial_request: Cell::default(),
             departure: Cell::default(),
             reader_waker: Cell::default(),
@@ -160,8 +153,7 @@
     /// Holds bytes that were read ahead of the HTTP connection, and wakes it.
     fn hold(&self, bytes: &[u8]) {
         self.record_read();
-        self.0.memory.add(bytes.len());
-        self.0.read_ahead.borrow_mut().extend_from_slice(bytes);
+        self.0.read_ahead.borrow_mut().push(bytes);
         self.wake_reader();
     }
 
@@ -174,17 +166,11 @@
     /// Passes bytes on that were read ahead; false if there are none.
     fn pass_on_read_ahead(&self, buf: &mut ReadBuf<'_>) -> bool {
         let mut read_ahead = self.0.read_ahead.borrow_mut();
-        if read_ahead.is_empty() {
+        if read_ahead.len() == 0 {
             return false;
         }
         let length = read_ahead.len().min(buf.remaining()).min(MAX_READ_BYTES);
-        buf.put_slice(&read_ahead[..length]);
-        read_ahead.advance(length);
-        if read_ahead.is_empty() {
-            // Releases the buffer: few connections read ahead again.
-            *read_ahead = BytesMut::new();
-        }
-        self.0.memory.remove(length);
+        read_ahead.take(length, |bytes| buf.put_slice(bytes));
         self.record_passed_on(length);
         true
     }
--- a/crates/sidecar/src/read_ahead.rs
+++ b/crates/sidecar/src/read_ahead.rs
@@ -10,14 +10,17 @@
 
 use crate::heap_room::HeapRoom;
 use std::cell::Cell;
+use std::time::Duration;
 
 /// Limit on the bytes that are held for one connection.
 pub const MAX_HELD_BYTES: usize = 1 << 20;
 /// Bytes that may be held for each connection when the memory for such bytes is in use, for clients that end their
 /// request with an empty line too many.
 pub const MIN_HELD_BYTES: usize = 4 << 10;
-/// Bytes that are read ahead at once.
+/// Bytes that are read ahead at once, and held in one piece of memory.
 pub const STEP_BYTES: usize = 4 << 10;
+/// Time in which the bytes arrive for which reading has opened the receive window. The sidecar runs beside its clients.
+pub const WINDOW_UPDATE_TIME: Duration = Duration::from_millis(1);
 /// Memory for bytes that are read ahead, for each connection that may be open; all connections share it.
 const SHARED_BYTES_PER_CONNECTION: usize = 16 << 10;
 
@@ -55,21 +58,20 @@
         ReadAheadMemory::with_heap(max_bytes, HeapRoom::unlimited())
     }
 
-    /// Returns how many more bytes may be held, beside those that are held for the same connection. Its buffer doubles
-    /// when it grows.
-    pub fn room(&self, held_bytes: usize) -> usize {
-        if !self.heap.fits(held_bytes.max(STEP_BYTES)) {
+    /// Returns how many more bytes may be held.
+    pub fn room(&self) -> usize {
+        if !self.heap.fits(STEP_BYTES) {
             return 0;
         }
         self.max_bytes.saturating_sub(self.held_bytes.get())
     }
 
-    /// Records that more bytes are held.
+    /// Records that more memory is held, in bytes.
     pub(crate) fn add(&self, bytes: usize) {
         self.held_bytes.set(self.held_bytes.get() + bytes);
     }
 
-    /// Records that fewer bytes are held.
+    /// Records that less memory is held, in bytes.
     pub(crate) fn remove(&self, bytes: usize) {
         self.held_bytes
             .set(self.held_bytes.get().saturating_sub(bytes));
